--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/conf/src/settings.rs
@@ -0,0 +1,163 @@
+//! The settings of one instance, read once at its start.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// All settings of an instance.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Identity and addresses.
+    pub instance: Instance,
+    /// The initial voters, the same list on every instance.
+    pub voters: Vec<Voter>,
+    /// Addresses of the platform's interfaces.
+    pub platform: Platform,
+    /// Log output.
+    pub log: Log,
+    /// Intervals and time limits.
+    pub timing: Timing,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+}
+
+/// Identity and addresses of an instance.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Instance {
+    /// Unique id of the instance.
+    pub id: Name,
+    /// Availability zone that the instance runs in.
+    pub availability_zone: Name,
+    /// IP address and port of the callers' listener.
+    pub caller_address: Name,
+    /// IP address and port of the administration listener.
+    pub admin_address: Name,
+    /// IP address and port of the peer listener.
+    pub peer_address: Name,
+    /// File that holds the administration token.
+    pub admin_token_file: Name,
+    /// File that holds the secret shared by all instances.
+    pub peer_secret_file: Name,
+    /// Folder for durable state. Empty on an instance without a disk.
+    pub data_folder: Name,
+}
+
+/// An initial voter of the replicated log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Voter {
+    /// Instance id of the voter.
+    pub id: Name,
+    /// Availability zone of the voter.
+    pub availability_zone: Name,
+    /// IP address and port of its peer listener.
+    pub peer_address: Name,
+}
+
+/// Addresses of the platform's interfaces.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Platform {
+    /// URL of the list of live and leaving instances. Empty if there is none.
+    pub list_url: Name,
+    /// URL of the weight store. Empty if there is none.
+    pub weight_store_url: Name,
+}
+
+/// Log output.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Lowest level that is written: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: Name,
+    /// Whether each line is a JSON object.
+    pub json: bool,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: Name::from_static_str("info"),
+            json: false,
+        }
+    }
+}
+
+/// Intervals and time limits, all in milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Interval of the reducer's tick.
+    pub tick_interval_ms: u64,
+    /// Interval of the leader's heartbeats to replicas.
+    pub heartbeat_interval_ms: u64,
+    /// Shortest election timeout.
+    pub election_timeout_min_ms: u64,
+    /// Longest election timeout.
+    pub election_timeout_max_ms: u64,
+    /// Interval at which an instance reports itself to the leader.
+    pub report_interval_ms: u64,
+    /// Time for which a configuration is known to be current after a confirmation.
+    pub config_lease_ms: u64,
+    /// Time for which an order gate keeps its upstreams without renewal.
+    pub gate_lease_ms: u64,
+    /// Time after the platform reports an instance gone until its unfenced upstreams are taken over.
+    pub gate_quarantine_ms: u64,
+    /// Time within which a non-idempotent request must be sent after its begin record.
+    pub begin_timeout_ms: u64,
+    /// Interval at which load reports are read.
+    pub load_interval_ms: u64,
+    /// Interval at which the platform's list is read.
+    pub platform_interval_ms: u64,
+    /// Time after which a stop gives up on open exchanges. 0 waits without limit.
+    pub drain_timeout_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            tick_interval_ms: 20,
+            heartbeat_interval_ms: 100,
+            election_timeout_min_ms: 600,
+            election_timeout_max_ms: 1_200,
+            report_interval_ms: 500,
+            config_lease_ms: 3_000,
+            gate_lease_ms: 3_000,
+            gate_quarantine_ms: 60_000,
+            begin_timeout_ms: 2_000,
+            load_interval_ms: 250,
+            platform_interval_ms: 1_000,
+            drain_timeout_ms: 0,
+        }
+    }
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Most headers in a request.
+    pub max_header_count: usize,
+    /// Time allowed for reading a request's headers, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time allowed for reading a request's body, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Most connections open at once on the callers' listener.
+    pub max_connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            max_header_count: 64,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
+            max_connections: 10_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardstack/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+#![forbid(unsafe_code)]
+fn main() {}
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,14 @@
+//! A replicated log: election, append, snapshots and changes of the voter set.
+//!
+//! [`Replica`] is a pure state machine. It reads no clock and does no I/O; the caller passes the
+//! time and every input to [`Replica::step`] and carries the outputs out in order.
+#![forbid(unsafe_code)]
+
+pub mod message;
+pub mod replica;
+
+pub use message::{
+    Entry, EntryBody, Input, MemberSet, Message, Output, Recovered, ReplicaId, Snapshot, Status,
+    Write,
+};
+pub use replica::{Replica, ReplicaSettings};
