--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -3,6 +3,7 @@
 //! Both are written as folders of TOML files that are merged in the order of their names.
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod name;
 pub mod service;
 pub mod settings;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,2 +1,13 @@
-//! Placeholder.
+//! The control state machine and the membership of instances and upstreams.
 #![forbid(unsafe_code)]
+
+pub mod command;
+pub mod message;
+
+pub use command::{
+    Command, CommandReply, ConfigRevision, Configure, ConfigureReply, Order, OrderChange,
+    OrderOutcome, Proposal, ProposalId,
+};
+pub use message::{
+    Gate, InstanceInfo, InstanceReport, LeaderReply, LoadDigest, PeerMessage, ProposeReply,
+};
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,128 @@
+//! Messages between instances. Any message may be lost, duplicated or reordered.
+
+use conf::Name;
+use quorum::ReplicaId;
+
+use crate::command::{CommandReply, ConfigRevision, Order, Proposal, ProposalId};
+
+/// A message between two instances.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// A message of the replicated log.
+    Quorum {
+        from: ReplicaId,
+        to: ReplicaId,
+        message: quorum::Message,
+    },
+    /// Asks the leader to append a command.
+    Propose(Proposal),
+    /// Answers `Propose`.
+    ProposeReply { id: ProposalId, reply: ProposeReply },
+    /// An instance reports itself.
+    Report(InstanceReport),
+    /// Answers `Report`.
+    ReportReply(LeaderReply),
+    /// Load of upstreams, as seen by the sender.
+    Digest(Vec<LoadDigest>),
+    /// Asks for the highest revision that the receiver has in force.
+    AskConfig { token: u64 },
+    /// Answers `AskConfig`.
+    Config {
+        token: u64,
+        config: Option<ConfigRevision>,
+    },
+}
+
+/// Answer of a voter to a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProposeReply {
+    /// The command was committed and applied.
+    Applied(CommandReply),
+    /// The receiver does not lead; `leader` may.
+    NotLeader { leader: Option<Name> },
+}
+
+/// What an instance tells the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InstanceReport {
+    /// Identity and addresses.
+    pub info: InstanceInfo,
+    /// Number of the report within the process.
+    pub sequence: u64,
+    /// Revision that is in force.
+    pub revision: u64,
+    /// Whether the instance is stopping.
+    pub stopping: bool,
+    /// Version of the gates and instances that the instance knows.
+    pub view_version: u64,
+}
+
+/// An instance as others know it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InstanceInfo {
+    /// Instance id.
+    pub id: Name,
+    /// Incarnation of its process, increasing over restarts.
+    pub incarnation: u64,
+    /// Availability zone.
+    pub availability_zone: Name,
+    /// IP address and port of its peer listener.
+    pub peer_address: Name,
+}
+
+/// The right to write orders to one upstream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Gate {
+    /// The upstream.
+    pub upstream: Name,
+    /// Instance that holds the right, if any.
+    pub gate: Option<Name>,
+    /// Epoch of the right.
+    pub epoch: u64,
+    /// Order that is to be in effect, if any.
+    pub order: Option<Order>,
+}
+
+/// Answer to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeaderReply {
+    /// Number of the report that is answered.
+    pub sequence: u64,
+    /// Whether the sender leads. If not, only `leader` is set.
+    pub is_leader: bool,
+    /// Known leader.
+    pub leader: Option<Name>,
+    /// Term of the leader.
+    pub term: u64,
+    /// Current revision.
+    pub revision: u64,
+    /// The current configuration, if the instance reported an older one.
+    pub config: Option<ConfigRevision>,
+    /// Live instances.
+    pub instances: Vec<InstanceInfo>,
+    /// Instances with a drain mark or that are stopping.
+    pub draining_instances: Vec<Name>,
+    /// Upstreams with a drain mark.
+    pub draining_upstreams: Vec<Name>,
+    /// Gates of all upstreams.
+    pub gates: Vec<Gate>,
+    /// Live instances that have the current revision in force.
+    pub instances_in_force: u64,
+}
+
+/// Load of one upstream.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadDigest {
+    /// The upstream.
+    pub upstream: Name,
+    /// Age of the report when it was sent, in milliseconds.
+    pub age_ms: u64,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Prompt tokens that wait to be computed.
+    pub prompt_tokens_waiting: u32,
+    /// KV chunks in use.
+    pub kv_chunks_used: u32,
+}
