--- a/crates/reducer/src/effect.rs
+++ b/crates/reducer/src/effect.rs
@@ -27,33 +27,59 @@
     /// Cancel an attempt at its upstream; the caller's connection stays open.
     Cancel { exchange: ExchangeId, attempt: u32 },
     /// Refuse the caller's request, or end its stream with an error event if output was delivered.
-    Refuse { exchange: ExchangeId, refusal: Refusal },
+    Refuse {
+        exchange: ExchangeId,
+        refusal: Refusal,
+    },
     /// Answer the caller from the ledger.
-    Replay { exchange: ExchangeId, answer: Answer },
+    Replay {
+        exchange: ExchangeId,
+        answer: Answer,
+    },
     /// Send a message to another instance.
-    Send { to: Name, address: Name, message: PeerMessage },
+    Send {
+        to: Name,
+        address: Name,
+        message: PeerMessage,
+    },
     /// Make a write durable and report `Event::Persisted` with the highest ticket synced.
     Persist { ticket: u64, write: quorum::Write },
     /// Write an order to an engine.
-    SendOrder { upstream: Name, address: Name, epoch: u64, order: Order },
+    SendOrder {
+        upstream: Name,
+        address: Name,
+        epoch: u64,
+        order: Order,
+    },
     /// Read an engine's state.
     ReadEngine { upstream: Name, address: Name },
     /// Read an upstream's load report.
     ReadLoad { upstream: Name, address: Name },
     /// Read an engine's cache events after number `after`.
-    ReadCacheEvents { upstream: Name, address: Name, after: u64 },
+    ReadCacheEvents {
+        upstream: Name,
+        address: Name,
+        after: u64,
+    },
     /// Read the platform's list.
     ReadPlatformList,
     /// Answer a request of the administration interface.
     AdminReply { token: u64, reply: AdminReply },
     /// A configuration has come into force.
-    InForce { revision: u64, config: Arc<ServiceConfig> },
+    InForce {
+        revision: u64,
+        config: Arc<ServiceConfig>,
+    },
     /// Readiness for callers has changed.
     Readiness { ready: bool, draining: bool },
     /// Nothing is open any more after `Event::Stop`: the process may exit.
     Exit,
     /// Write a log line.
-    Log { level: Level, part: Part, text: String },
+    Log {
+        level: Level,
+        part: Part,
+        text: String,
+    },
     /// Record a sample for metrics.
     Record(Sample),
 }
@@ -129,17 +155,43 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Sample {
     /// Time from arrival to the first token or byte.
-    FirstToken { tenant: Name, rank: Name, elapsed_ms: u64 },
+    FirstToken {
+        tenant: Name,
+        rank: Name,
+        elapsed_ms: u64,
+    },
     /// Mean time between tokens of a finished answer.
-    BetweenTokens { tenant: Name, rank: Name, elapsed_ms: f64 },
+    BetweenTokens {
+        tenant: Name,
+        rank: Name,
+        elapsed_ms: f64,
+    },
     /// Time from arrival to the end of a whole answer.
-    Total { tenant: Name, rank: Name, elapsed_ms: u64, in_target: bool },
+    Total {
+        tenant: Name,
+        rank: Name,
+        elapsed_ms: u64,
+        in_target: bool,
+    },
     /// Time in the queue.
-    Queued { tenant: Name, rank: Name, elapsed_ms: u64 },
+    Queued {
+        tenant: Name,
+        rank: Name,
+        elapsed_ms: u64,
+    },
     /// Tokens of a finished answer.
-    Tokens { tenant: Name, rank: Name, prompt_tokens: u32, output_tokens: u32 },
+    Tokens {
+        tenant: Name,
+        rank: Name,
+        prompt_tokens: u32,
+        output_tokens: u32,
+    },
     /// A refusal.
-    Refused { tenant: Name, rank: Name, reason: &'static str },
+    Refused {
+        tenant: Name,
+        rank: Name,
+        reason: &'static str,
+    },
     /// An attempt after the first.
     Retried { upstream: Name },
     /// A commit of the replicated log as seen by the proposer.
--- a/crates/reducer/src/event.rs
+++ b/crates/reducer/src/event.rs
@@ -21,15 +21,30 @@
     /// The upstream has begun to answer.
     Started { exchange: ExchangeId, attempt: u32 },
     /// Output tokens delivered to the caller so far, over all attempts.
-    Progress { exchange: ExchangeId, attempt: u32, output_tokens: u32 },
+    Progress {
+        exchange: ExchangeId,
+        attempt: u32,
+        output_tokens: u32,
+    },
     /// An attempt has ended.
-    Ended { exchange: ExchangeId, attempt: u32, end: End },
+    Ended {
+        exchange: ExchangeId,
+        attempt: u32,
+        end: End,
+    },
     /// The caller has closed its connection.
     CallerGone { exchange: ExchangeId },
     /// A load report was read, or could not be.
-    Load { upstream: Name, report: Option<LoadReport> },
+    Load {
+        upstream: Name,
+        report: Option<LoadReport>,
+    },
     /// Cache events were read. `first` is the number of the first one.
-    CacheEvents { upstream: Name, first: u64, events: Vec<CacheEvent> },
+    CacheEvents {
+        upstream: Name,
+        first: u64,
+        events: Vec<CacheEvent>,
+    },
     /// The platform's list was read.
     PlatformList(Vec<Listed>),
     /// A message from another instance that has proved the shared secret.
@@ -37,9 +52,17 @@
     /// All writes up to and including `ticket` are synced.
     Persisted { ticket: u64 },
     /// An engine has answered an order.
-    OrderAnswered { upstream: Name, epoch: u64, sequence: u64, answer: OrderAnswer },
+    OrderAnswered {
+        upstream: Name,
+        epoch: u64,
+        sequence: u64,
+        answer: OrderAnswer,
+    },
     /// An engine's state was read, or could not be.
-    EngineRead { upstream: Name, state: Option<EngineState> },
+    EngineRead {
+        upstream: Name,
+        state: Option<EngineState>,
+    },
     /// A request of the administration interface.
     Admin { token: u64, request: AdminRequest },
     /// The process was asked to stop.
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use effect::{Effect, Level, Part, Refusal, Sample};
 pub use event::{
-    AdminReply, AdminRequest, Arrival, CacheEvent, End, EngineState, Event, ExchangeId, Listed, ListedState, LoadReport,
-    OrderAnswer, Work,
+    AdminReply, AdminRequest, Arrival, CacheEvent, End, EngineState, Event, ExchangeId, Listed,
+    ListedState, LoadReport, OrderAnswer, Work,
 };
 pub use state::{Start, State, step};
