--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -35,16 +35,17 @@
     Begin(Begin),
     /// Records how such a request ended.
     Finish(Finish),
-    /// Gives the right to order `upstream` to `gate` under the next epoch, if the present epoch is `from_epoch`.
+    /// Gives the right to order `upstream` to a process under the next epoch, if the present epoch is `from_epoch`.
     GrantGate {
         upstream: Name,
-        gate: Name,
+        holder: GateHolder,
         from_epoch: u64,
+        evidence: GrantEvidence,
     },
     /// Gives the right back.
     ReleaseGate {
         upstream: Name,
-        gate: Name,
+        holder: GateHolder,
         epoch: u64,
     },
     /// Sets what an upstream is to become.
@@ -59,7 +60,7 @@
     /// Sets or clears a drain mark.
     Drain { target: DrainTarget, draining: bool },
     /// Vouches that the process of an instance has ended.
-    ConfirmDead { instance: Name },
+    ConfirmDead { instance: Name, incarnation: u64 },
     /// Moves the cluster clock, so that deadlines pass without other commands.
     Advance,
 }
@@ -154,3 +155,27 @@
         author: Name,
     },
 }
+
+/// The process that may write orders to an upstream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct GateHolder {
+    /// Instance id.
+    pub instance: Name,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+}
+
+/// Why the previous holder of a gate can write no more orders that take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantEvidence {
+    /// No process holds the gate.
+    Vacant,
+    /// The holder's lease has run out. Suffices only if the upstream refuses old epochs.
+    LeaseExpired,
+    /// A later process of the same instance listens on the holder's address.
+    Restarted,
+    /// The platform has reported the holder gone for the whole quarantine.
+    ReportedGone,
+    /// An operator has confirmed that the holder's process has ended.
+    ConfirmedDead,
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,9 +5,10 @@
 pub mod message;
 
 pub use command::{
-    Command, CommandReply, ConfigRevision, Configure, ConfigureReply, Order, OrderChange,
-    OrderOutcome, Proposal, ProposalId,
+    Command, CommandReply, ConfigRevision, Configure, ConfigureReply, GateHolder, GrantEvidence,
+    Order, OrderChange, OrderOutcome, Proposal, ProposalId,
 };
 pub use message::{
-    Gate, InstanceInfo, InstanceReport, LeaderReply, LoadDigest, PeerMessage, ProposeReply,
+    ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LoadDigest,
+    PeerMessage, ProposeReply,
 };
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,7 +3,7 @@
 use conf::Name;
 use quorum::ReplicaId;
 
-use crate::command::{CommandReply, ConfigRevision, Order, Proposal, ProposalId};
+use crate::command::{CommandReply, ConfigRevision, GateHolder, Order, Proposal, ProposalId};
 
 /// A message between two instances.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,12 +53,12 @@
     pub revision: u64,
     /// Whether the instance is stopping.
     pub stopping: bool,
-    /// Version of the gates and instances that the instance knows.
+    /// Version of the view that the instance has.
     pub view_version: u64,
 }
 
 /// An instance as others know it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct InstanceInfo {
     /// Instance id.
     pub id: Name,
@@ -75,8 +75,8 @@
 pub struct Gate {
     /// The upstream.
     pub upstream: Name,
-    /// Instance that holds the right, if any.
-    pub gate: Option<Name>,
+    /// Process that holds the right, if any.
+    pub holder: Option<GateHolder>,
     /// Epoch of the right.
     pub epoch: u64,
     /// Order that is to be in effect, if any.
@@ -98,16 +98,36 @@
     pub revision: u64,
     /// The current configuration, if the instance reported an older one.
     pub config: Option<ConfigRevision>,
+    /// The leader's view, if the instance reported another version of it.
+    pub view: Option<ClusterView>,
+    /// Instances with a valid configuration lease.
+    pub live_instances: u64,
+    /// Live instances that have the current revision in force.
+    pub instances_in_force: u64,
+}
+
+/// What the leader knows of instances and upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClusterView {
+    /// Hash of the content.
+    pub version: u64,
     /// Live instances.
-    pub instances: Vec<InstanceInfo>,
-    /// Instances with a drain mark or that are stopping.
-    pub draining_instances: Vec<Name>,
+    pub instances: Vec<InstanceView>,
     /// Upstreams with a drain mark.
     pub draining_upstreams: Vec<Name>,
-    /// Gates of all upstreams.
+    /// Gates of all engines.
     pub gates: Vec<Gate>,
-    /// Live instances that have the current revision in force.
-    pub instances_in_force: u64,
+}
+
+/// An instance in the leader's view.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct InstanceView {
+    /// Identity and addresses.
+    pub info: InstanceInfo,
+    /// Whether it has a drain mark or is stopping.
+    pub draining: bool,
+    /// Revision that it has in force.
+    pub revision: u64,
 }
 
 /// Load of one upstream.
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -97,6 +97,8 @@
     pub answer_deadline_ms: u64,
     /// Cluster time at which the record is removed, in milliseconds.
     pub expiry_deadline_ms: u64,
+    /// Earlier attempts that have ended without running; they are never granted again.
+    pub ended_attempts: Vec<AttemptId>,
     /// State.
     pub state: RecordState,
 }
