--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -100,7 +100,7 @@
 }
 
 /// What an order asks of an engine. Only the fields that are set change.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OrderChange {
     /// Role to take.
     pub role: Option<Role>,
@@ -111,7 +111,7 @@
 }
 
 /// A committed order as its gate sends it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Order {
     /// Upstream that receives it.
     pub upstream: Name,
--- /dev/null
+++ b/crates/fleet/src/follower.rs
@@ -0,0 +1,357 @@
+//! An instance's side of membership: reports, the configuration in force and its leases.
+
+use std::collections::BTreeMap;
+
+use conf::Name;
+use conf::settings::{Settings, Timing, Voter};
+
+use crate::command::ConfigRevision;
+use crate::message::{ClusterView, InstanceInfo, InstanceReport, LeaderReply, PeerMessage};
+
+/// Reports without an answer after which the leader is looked for again.
+const UNANSWERED_LIMIT: usize = 3;
+
+/// Time for which answers to `AskConfig` are collected, in milliseconds.
+const RECOVERY_WINDOW_MS: u64 = 1_000;
+
+/// A message and the instance that receives it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// Receiving instance.
+    pub to: Name,
+    /// Its peer address.
+    pub address: Name,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// What changed through a message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Whether another revision is in force.
+    pub config: bool,
+    /// Whether the view of instances, gates and drain marks has changed.
+    pub view: bool,
+}
+
+/// What an instance knows of the cluster.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    info: InstanceInfo,
+    voters: Vec<Voter>,
+    timing: Timing,
+    started_at_ms: u64,
+    next_report_ms: u64,
+    sequence: u64,
+    unanswered: BTreeMap<u64, u64>,
+    leader: Option<Name>,
+    term: u64,
+    config: Option<ConfigRevision>,
+    config_lease_deadline_ms: u64,
+    gate_lease_deadline_ms: u64,
+    view: ClusterView,
+    live_instances: u64,
+    instances_in_force: u64,
+    is_settled: bool,
+    recovery: Option<Recovery>,
+}
+
+/// A search for the highest revision among reachable instances of the own availability zone.
+#[derive(Clone, Debug)]
+struct Recovery {
+    deadline_ms: u64,
+    answered: bool,
+    best: Option<ConfigRevision>,
+    instances: BTreeMap<Name, InstanceInfo>,
+}
+
+impl Follower {
+    /// Creates the follower of a process that has started at `now_ms`.
+    pub fn new(settings: &Settings, incarnation: u64, now_ms: u64) -> Self {
+        Self {
+            info: InstanceInfo {
+                id: settings.instance.id.clone(),
+                incarnation,
+                availability_zone: settings.instance.availability_zone.clone(),
+                peer_address: settings.instance.peer_address.clone(),
+            },
+            voters: settings.voters.clone(),
+            timing: settings.timing.clone(),
+            started_at_ms: now_ms,
+            next_report_ms: now_ms,
+            sequence: 0,
+            unanswered: BTreeMap::new(),
+            leader: None,
+            term: 0,
+            config: None,
+            config_lease_deadline_ms: 0,
+            gate_lease_deadline_ms: 0,
+            view: ClusterView::default(),
+            live_instances: 0,
+            instances_in_force: 0,
+            is_settled: false,
+            recovery: None,
+        }
+    }
+
+    /// Returns the identity and addresses of this instance.
+    pub fn info(&self) -> &InstanceInfo {
+        &self.info
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&ConfigRevision> {
+        self.config.as_ref()
+    }
+
+    /// Returns the revision in force, 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.revision)
+    }
+
+    /// Returns whether the configuration in force is known to be current.
+    pub fn is_config_current(&self, now_ms: u64) -> bool {
+        now_ms < self.config_lease_deadline_ms
+    }
+
+    /// Returns whether this process may write orders as the holder of its gates.
+    pub fn holds_gate_lease(&self, now_ms: u64) -> bool {
+        now_ms < self.gate_lease_deadline_ms
+    }
+
+    /// Returns whether the revision in force is the highest that could be learnt after the start.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Returns the leader's view of the cluster.
+    pub fn view(&self) -> &ClusterView {
+        &self.view
+    }
+
+    /// Returns the known leader.
+    pub fn leader(&self) -> Option<&Name> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the counts of live instances and of those with the current revision in force.
+    pub fn in_force_counts(&self) -> (u64, u64) {
+        (self.live_instances, self.instances_in_force)
+    }
+
+    /// Returns the peer address of an instance.
+    pub fn address_of(&self, id: &Name) -> Option<Name> {
+        let voter = self.voters.iter().find(|voter| voter.id == *id);
+        let instance = self.view.instances.iter().find(|i| i.info.id == *id);
+        voter
+            .map(|voter| voter.peer_address.clone())
+            .or_else(|| instance.map(|instance| instance.info.peer_address.clone()))
+    }
+
+    /// Notes the leader that the own replica knows.
+    pub fn set_leader(&mut self, leader: Option<Name>) {
+        if leader.is_some() {
+            self.leader = leader;
+        }
+    }
+
+    /// Sends the report that is due and looks for the configuration if no leader answers.
+    pub fn tick(&mut self, now_ms: u64, is_stopping: bool) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        if now_ms >= self.next_report_ms {
+            self.next_report_ms = now_ms + self.timing.report_interval_ms;
+            self.report(now_ms, is_stopping, &mut out);
+        }
+        self.recover(now_ms, &mut out);
+        out
+    }
+
+    /// Sends a report with the next tick.
+    pub fn hurry_report(&mut self, now_ms: u64) {
+        self.next_report_ms = now_ms;
+    }
+
+    /// Takes the answer to a report. Answers of deposed leaders change nothing.
+    pub fn on_reply(&mut self, now_ms: u64, from: &Name, reply: &LeaderReply) -> Change {
+        let Some(sent_at_ms) = self.unanswered.remove(&reply.sequence) else {
+            return Change::default();
+        };
+        if !reply.is_leader {
+            self.follow_hint(from, reply, now_ms);
+            return Change::default();
+        }
+        if reply.term < self.term {
+            return Change::default();
+        }
+        self.term = reply.term;
+        self.leader = Some(from.clone());
+        self.unanswered.retain(|_, sent| *sent > sent_at_ms);
+        self.live_instances = reply.live_instances;
+        self.instances_in_force = reply.instances_in_force;
+        let change = Change {
+            config: self.adopt(reply.config.clone()),
+            view: self.adopt_view(reply.view.as_ref()),
+        };
+        self.renew_leases(sent_at_ms, reply);
+        if self.revision() >= reply.revision {
+            self.is_settled = true;
+            self.recovery = None;
+        }
+        if change.config {
+            // The leader counts this instance as soon as it hears of the new revision.
+            self.hurry_report(now_ms);
+        }
+        change
+    }
+
+    /// Takes a revision that reached this instance outside a report, for example from the own replica.
+    pub fn on_revision(&mut self, now_ms: u64, config: &ConfigRevision) -> bool {
+        let changed = self.adopt(Some(config.clone()));
+        if changed {
+            self.hurry_report(now_ms);
+        }
+        changed
+    }
+
+    /// Takes the answer to `AskConfig`.
+    pub fn on_config(&mut self, config: Option<&ConfigRevision>, instances: &[InstanceInfo]) {
+        let Some(recovery) = &mut self.recovery else {
+            return;
+        };
+        recovery.answered = true;
+        let best_revision = recovery.best.as_ref().map_or(0, |best| best.revision);
+        if let Some(config) = config
+            && config.revision > best_revision
+        {
+            recovery.best = Some(config.clone());
+        }
+        for info in instances {
+            if info.availability_zone == self.info.availability_zone {
+                recovery.instances.insert(info.id.clone(), info.clone());
+            }
+        }
+    }
+
+    /// Returns the identities of the instances in the view, for an answer to `AskConfig`.
+    pub fn known_instances(&self) -> Vec<InstanceInfo> {
+        self.view
+            .instances
+            .iter()
+            .map(|instance| instance.info.clone())
+            .collect()
+    }
+
+    fn report(&mut self, now_ms: u64, is_stopping: bool, out: &mut Vec<Outgoing>) {
+        if self.unanswered.len() >= UNANSWERED_LIMIT {
+            self.leader = None;
+            self.unanswered.pop_first();
+        }
+        self.sequence += 1;
+        self.unanswered.insert(self.sequence, now_ms);
+        let report = PeerMessage::Report(InstanceReport {
+            info: self.info.clone(),
+            sequence: self.sequence,
+            revision: self.revision(),
+            stopping: is_stopping,
+            view_version: self.view.version,
+        });
+        for voter in &self.voters {
+            if self
+                .leader
+                .as_ref()
+                .is_none_or(|leader| *leader == voter.id)
+            {
+                out.push(outgoing(&voter.id, &voter.peer_address, report.clone()));
+            }
+        }
+    }
+
+    // A hint names the leader after an election; the next report goes there at once.
+    fn follow_hint(&mut self, from: &Name, reply: &LeaderReply, now_ms: u64) {
+        if reply.leader.is_some()
+            && reply.leader != self.leader
+            && reply.leader.as_ref() != Some(from)
+        {
+            self.leader = reply.leader.clone();
+            self.hurry_report(now_ms);
+        }
+    }
+
+    fn adopt(&mut self, config: Option<ConfigRevision>) -> bool {
+        let Some(config) = config else {
+            return false;
+        };
+        if config.revision <= self.revision() {
+            return false;
+        }
+        self.config = Some(config);
+        true
+    }
+
+    fn adopt_view(&mut self, view: Option<&ClusterView>) -> bool {
+        let Some(view) = view else {
+            return false;
+        };
+        let changed = view.version != self.view.version;
+        self.view = view.clone();
+        changed
+    }
+
+    // Leases run from the time at which the report was sent, because the leader's promise cannot
+    // be older than that.
+    fn renew_leases(&mut self, sent_at_ms: u64, reply: &LeaderReply) {
+        let gate_deadline_ms = sent_at_ms + self.timing.gate_lease_ms;
+        self.gate_lease_deadline_ms = self.gate_lease_deadline_ms.max(gate_deadline_ms);
+        if self.revision() >= reply.revision {
+            let config_deadline_ms = sent_at_ms + self.timing.config_lease_ms;
+            self.config_lease_deadline_ms = self.config_lease_deadline_ms.max(config_deadline_ms);
+        }
+    }
+
+    fn recover(&mut self, now_ms: u64, out: &mut Vec<Outgoing>) {
+        if self.is_settled || now_ms < self.started_at_ms + self.timing.config_lease_ms {
+            return;
+        }
+        match &self.recovery {
+            Some(recovery) if now_ms < recovery.deadline_ms => {}
+            Some(recovery) if recovery.answered => self.finish_recovery(),
+            _ => self.start_recovery(now_ms, out),
+        }
+    }
+
+    fn start_recovery(&mut self, now_ms: u64, out: &mut Vec<Outgoing>) {
+        let earlier = self.recovery.take();
+        let instances = earlier
+            .map(|recovery| recovery.instances)
+            .unwrap_or_default();
+        let ask = PeerMessage::AskConfig { token: now_ms };
+        for voter in self.voters.iter().filter(|voter| voter.id != self.info.id) {
+            out.push(outgoing(&voter.id, &voter.peer_address, ask.clone()));
+        }
+        for info in instances.values().filter(|info| info.id != self.info.id) {
+            out.push(outgoing(&info.id, &info.peer_address, ask.clone()));
+        }
+        self.recovery = Some(Recovery {
+            deadline_ms: now_ms + RECOVERY_WINDOW_MS,
+            answered: false,
+            best: None,
+            instances,
+        });
+    }
+
+    fn finish_recovery(&mut self) {
+        let Some(recovery) = self.recovery.take() else {
+            return;
+        };
+        self.adopt(recovery.best);
+        self.is_settled = self.config.is_some();
+    }
+}
+
+fn outgoing(to: &Name, address: &Name, message: PeerMessage) -> Outgoing {
+    Outgoing {
+        to: to.clone(),
+        address: address.clone(),
+        message,
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,13 +2,25 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod control;
+pub mod follower;
+
+pub mod grant;
 pub mod message;
+pub mod order_gate;
+pub mod platform;
+pub mod roster;
 
 pub use command::{
     Command, CommandReply, ConfigRevision, Configure, ConfigureReply, GateHolder, GrantEvidence,
     Order, OrderChange, OrderOutcome, Proposal, ProposalId,
 };
+pub use control::{ControlParts, ControlState, GateState, engines};
+pub use follower::Follower;
 pub use message::{
     ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LoadDigest,
     PeerMessage, ProposeReply,
 };
+pub use order_gate::{EngineState, GateAction, OrderAnswer, OrderGate};
+pub use platform::{ListedState, PlatformList};
+pub use roster::{InForce, Roster};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -26,7 +26,7 @@
     Digest(Vec<LoadDigest>),
     /// Asks for the highest revision that the receiver has in force.
     AskConfig { token: u64 },
-    /// Answers `AskConfig`.
+    /// Answers `AskConfig`, with the instances that the sender knows.
     Config {
         token: u64,
         config: Option<ConfigRevision>,
@@ -71,7 +71,7 @@
 }
 
 /// The right to write orders to one upstream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Gate {
     /// The upstream.
     pub upstream: Name,
@@ -107,7 +107,7 @@
 }
 
 /// What the leader knows of instances and upstreams.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ClusterView {
     /// Hash of the content.
     pub version: u64,
