Implement the replicated log as a pure state machine

The control replicas need an agreed log; only the types existed.

Votes and entries count only after Persisted.

Founding is an election in which the candidate's set is what all initial voters answered; an unsynced promise was ruled out, because a founder that is wiped in between could leave two different first entries with the same term.

Vote requests name the storage id they are meant for, so that a wiped voter does not answer for its former identity. Join carries the index of the last member set seen, so that a delayed request of a replica that is gone has no effect.

--- /dev/null
+++ b/crates/quorum/src/append.rs
@@ -0,0 +1,202 @@
+//! Appending on a follower, and on the leader what is needed to commit.
+
+use bytes::Bytes;
+
+use crate::message::{Entry, EntryBody, Message, Output, ReplicaId, Write};
+use crate::replica::{Replica, Role};
+use crate::writes::Followup;
+
+/// Header of an append as the follower sees it.
+struct Header {
+    term: u64,
+    prev_index: u64,
+    prev_term: u64,
+    read_sequence: u64,
+}
+
+impl Replica {
+    pub(crate) fn on_propose(&mut self, token: u64, command: Bytes, out: &mut Vec<Output>) {
+        if !self.is_leader() {
+            let leader = self.leader_instance();
+            return out.push(Output::NotLeader { token, leader });
+        }
+        let index = self.append_own(EntryBody::Command(command), out);
+        out.push(Output::Appended {
+            token,
+            index,
+            term: self.term,
+        });
+        self.send_entries(out);
+    }
+
+    /// Appends an entry of the leader's own term and returns its index.
+    pub(crate) fn append_own(&mut self, body: EntryBody, out: &mut Vec<Output>) -> u64 {
+        let entry = Entry {
+            index: self.log.last_index() + 1,
+            term: self.term,
+            body,
+        };
+        let index = entry.index;
+        self.append_entries(vec![entry], out);
+        self.update_peers();
+        index
+    }
+
+    /// Moves the commit index to what a majority holds, if that entry is of the leader's own term.
+    pub(crate) fn advance_commit(&mut self, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let index = self.members.current().majority_value(|id| {
+            if *id == self.settings.id {
+                return self.log.synced_index();
+            }
+            leader.peer(id).map_or(0, |peer| peer.match_index)
+        });
+        // An entry of an earlier term may be replaced although a majority holds it.
+        if index <= self.commit_index || self.log.term_at(index) != Some(self.term) {
+            return;
+        }
+        self.commit_index = index;
+        self.release_reads(out);
+        self.after_commit(out);
+    }
+
+    pub(crate) fn on_append(&mut self, from: ReplicaId, message: Message, out: &mut Vec<Output>) {
+        let Message::Append {
+            term,
+            prev_index,
+            prev_term,
+            commit,
+            read_sequence,
+            entries,
+        } = message
+        else {
+            return;
+        };
+        let header = Header {
+            term,
+            prev_index,
+            prev_term,
+            read_sequence,
+        };
+        if !is_contiguous(prev_index, &entries) || (term == self.term && self.is_leader()) {
+            return;
+        }
+        if term < self.term {
+            return self.reject(from, &header, out);
+        }
+        self.follow(from.clone(), term, out);
+        if !self.agrees_at(&header) {
+            return self.reject(from, &header, out);
+        }
+        let match_index = prev_index + entries.len() as u64;
+        let is_new = self.take_entries(entries, out);
+        self.commit_index = self.commit_index.max(commit.min(match_index));
+        self.accept(from, &header, match_index, is_new, out);
+    }
+
+    /// Returns whether the log agrees with the leader's up to the header's position.
+    fn agrees_at(&self, header: &Header) -> bool {
+        header.prev_index <= self.commit_index
+            || self.log.term_at(header.prev_index) == Some(header.prev_term)
+    }
+
+    /// Appends the entries that the log does not hold yet and returns whether there were any.
+    fn take_entries(&mut self, mut entries: Vec<Entry>, out: &mut Vec<Output>) -> bool {
+        let known = entries.iter().take_while(|entry| {
+            entry.index <= self.commit_index || self.log.term_at(entry.index) == Some(entry.term)
+        });
+        entries.drain(..known.count());
+        if entries.is_empty() {
+            return false;
+        }
+        self.append_entries(entries, out);
+        true
+    }
+
+    /// Replaces the log from the first entry's index on, and persists that.
+    fn append_entries(&mut self, entries: Vec<Entry>, out: &mut Vec<Output>) {
+        let from_index = entries[0].index;
+        self.truncate_from(from_index);
+        for entry in &entries {
+            if let EntryBody::Members(set) = &entry.body {
+                self.members.push(entry.index, set.clone());
+            }
+            self.log.push(entry.clone());
+        }
+        let last_index = self.log.last_index();
+        let write = Write::Append {
+            from_index,
+            entries,
+        };
+        self.writes.persist(write, out);
+        self.writes.after(Followup::Synced { last_index });
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: u64) {
+        if index > self.log.last_index() {
+            return;
+        }
+        self.log.truncate_from(index);
+        self.members.truncate_from(index);
+        self.writes.truncate_from(index);
+    }
+
+    /// Answers a successful append. New entries are acknowledged once synced; otherwise the answer covers what is synced
+    /// already, so that a slow disk does not hold back heartbeats.
+    fn accept(
+        &mut self,
+        to: ReplicaId,
+        header: &Header,
+        match_index: u64,
+        is_new: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let synced_index = self.log.synced_index();
+        let is_immediate = !is_new && self.writes.is_term_synced();
+        let match_index = match is_immediate {
+            true => match_index.min(synced_index),
+            false => match_index,
+        };
+        let message = Message::AppendReply {
+            term: self.term,
+            success: true,
+            match_index,
+            match_term: 0,
+            read_sequence: header.read_sequence,
+        };
+        if is_immediate {
+            out.push(Output::Send { to, message });
+        } else {
+            self.send_synced(to, message, out);
+        }
+    }
+
+    /// Answers an append that does not fit with the latest position at which the logs may agree.
+    fn reject(&mut self, to: ReplicaId, header: &Header, out: &mut Vec<Output>) {
+        let highest = header.prev_index.saturating_sub(1);
+        let highest = highest.min(self.log.last_index());
+        let index = self.log.last_at_most(highest, header.prev_term);
+        let index = index.max(self.commit_index);
+        let message = Message::AppendReply {
+            term: self.term,
+            success: false,
+            match_index: index,
+            match_term: self.log.term_at(index).unwrap_or(0),
+            read_sequence: match header.term == self.term {
+                true => header.read_sequence,
+                false => 0,
+            },
+        };
+        self.send_synced(to, message, out);
+    }
+}
+
+fn is_contiguous(prev_index: u64, entries: &[Entry]) -> bool {
+    let indexes = prev_index + 1..;
+    entries
+        .iter()
+        .zip(indexes)
+        .all(|(e, index)| e.index == index)
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -4,8 +4,20 @@
 //! time and every input to [`Replica::step`] and carries the outputs out in order.
 #![forbid(unsafe_code)]
 
+mod append;
+mod change;
+mod election;
+mod join;
+mod log;
+mod members;
 pub mod message;
+mod peer;
+mod random;
+mod read;
 pub mod replica;
+mod replicate;
+mod snapshot;
+mod writes;
 
 pub use message::{
     Entry, EntryBody, Input, MemberSet, Message, Output, Recovered, ReplicaId, Snapshot, Status,
--- /dev/null
+++ b/crates/quorum/src/members.rs
@@ -0,0 +1,118 @@
+//! Member sets and their history along the log.
+
+use std::collections::VecDeque;
+
+use faststr::FastStr;
+
+use crate::message::{MemberSet, ReplicaId};
+
+impl MemberSet {
+    /// Returns whether `id` votes.
+    pub fn is_voter(&self, id: &ReplicaId) -> bool {
+        self.voters.contains(id)
+    }
+
+    /// Returns whether `id` votes or learns.
+    pub fn contains(&self, id: &ReplicaId) -> bool {
+        self.is_voter(id) || self.learners.contains(id)
+    }
+
+    /// Returns the number of voters that make a majority.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns the voters and the learners.
+    pub fn replicas(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    /// Returns the highest value that a majority of the voters has reached, given each voter's value.
+    pub(crate) fn majority_value(&self, value: impl Fn(&ReplicaId) -> u64) -> u64 {
+        let mut values: Vec<u64> = self.voters.iter().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.majority() - 1).copied().unwrap_or(0)
+    }
+
+    /// Returns another identity of the instance of `id`.
+    pub(crate) fn other_identity(&self, id: &ReplicaId) -> Option<&ReplicaId> {
+        self.replicas()
+            .find(|other| other.instance == id.instance && *other != id)
+    }
+
+    pub(crate) fn without(&self, id: &ReplicaId) -> Self {
+        let mut set = self.clone();
+        set.voters.retain(|voter| voter != id);
+        set.learners.retain(|learner| learner != id);
+        set
+    }
+
+    pub(crate) fn with_learner(&self, id: &ReplicaId) -> Self {
+        let mut set = self.without(id);
+        set.learners.push(id.clone());
+        set.learners.sort_unstable();
+        set
+    }
+
+    pub(crate) fn with_voter(&self, id: &ReplicaId) -> Self {
+        let mut set = self.without(id);
+        set.voters.push(id.clone());
+        set.voters.sort_unstable();
+        set
+    }
+
+    pub(crate) fn with_instance(&self, old: &FastStr, new: &FastStr) -> Self {
+        let mut set = self.clone();
+        set.instances.retain(|instance| instance != old);
+        set.instances.push(new.clone());
+        set.instances.sort_unstable();
+        set
+    }
+}
+
+/// The member sets along the log, oldest first. The last one is in force; truncating the log restores the one before.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberHistory {
+    sets: VecDeque<(u64, MemberSet)>,
+}
+
+impl MemberHistory {
+    pub(crate) fn new(index: u64, members: MemberSet) -> Self {
+        Self {
+            sets: VecDeque::from([(index, members)]),
+        }
+    }
+
+    pub(crate) fn current(&self) -> &MemberSet {
+        &self.sets[self.sets.len() - 1].1
+    }
+
+    /// Returns the index of the entry that carries the current set.
+    pub(crate) fn current_index(&self) -> u64 {
+        self.sets[self.sets.len() - 1].0
+    }
+
+    /// Returns the set in force at `index`.
+    pub(crate) fn at(&self, index: u64) -> &MemberSet {
+        let position = self.sets.iter().rposition(|(at, _)| *at <= index);
+        &self.sets[position.unwrap_or(0)].1
+    }
+
+    pub(crate) fn push(&mut self, index: u64, members: MemberSet) {
+        self.sets.push_back((index, members));
+    }
+
+    /// Forgets the sets from `index` on.
+    pub(crate) fn truncate_from(&mut self, index: u64) {
+        while self.sets.len() > 1 && self.current_index() >= index {
+            self.sets.pop_back();
+        }
+    }
+
+    /// Forgets the sets that `index` has superseded.
+    pub(crate) fn compact_to(&mut self, index: u64) {
+        while self.sets.len() > 1 && self.sets[1].0 <= index {
+            self.sets.pop_front();
+        }
+    }
+}
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -8,7 +8,8 @@
 pub struct ReplicaId {
     /// Instance that runs the replica.
     pub instance: FastStr,
-    /// Random id, written when the data folder is created.
+    /// Random id, written when the data folder is created. Zero in `Output::Send` stands for whichever replica runs
+    /// on the instance; no replica has it.
     pub storage_id: u64,
 }
 
@@ -19,6 +20,8 @@
     pub voters: Vec<ReplicaId>,
     /// Replicas that receive the log without counting, sorted.
     pub learners: Vec<ReplicaId>,
+    /// Instances that may run a voter, sorted: the initial voters until an operator replaces one.
+    pub instances: Vec<FastStr>,
 }
 
 /// Content of a log entry.
@@ -59,19 +62,22 @@
 /// A message between replicas. Any message may be lost, duplicated or reordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
-    /// Asks whether a vote in `term` would be granted; changes nothing at the receiver.
+    /// Asks whether a vote in `term` would be granted; changes nothing at the receiver. `voter_storage_id` names the
+    /// identity that the candidate's member set lists as a voter; another replica of the instance does not answer.
     PreVote {
         term: u64,
         last_index: u64,
         last_term: u64,
+        voter_storage_id: u64,
     },
     /// Answers `PreVote`.
     PreVoteReply { term: u64, granted: bool },
-    /// Asks for a vote in `term`.
+    /// Asks for a vote in `term`. `voter_storage_id` has the same meaning as in `PreVote`.
     Vote {
         term: u64,
         last_index: u64,
         last_term: u64,
+        voter_storage_id: u64,
     },
     /// Answers `Vote`, once the vote is synced.
     VoteReply { term: u64, granted: bool },
@@ -84,11 +90,13 @@
         read_sequence: u64,
         entries: Vec<Entry>,
     },
-    /// Answers `Append`, once the entries are synced. `match_index` is the last index known to agree with the leader.
+    /// Answers `Append`. On success, `match_index` is the last synced index that agrees with the leader. Otherwise,
+    /// `match_index` and `match_term` are the latest position of the sender at which the logs may still agree.
     AppendReply {
         term: u64,
         success: bool,
         match_index: u64,
+        match_term: u64,
         read_sequence: u64,
     },
     /// One chunk of a snapshot, from `offset_bytes` of `total_bytes`.
@@ -107,10 +115,17 @@
         index: u64,
         received_bytes: u64,
     },
-    /// Sent by a replica that is in no member set it knows of: asks to be let in.
-    Join { formed: bool },
-    /// Answers `Join` while the log has not been formed, or tells the member set.
-    JoinReply { formed: bool, members: MemberSet },
+    /// Sent by a replica that is in no member set it knows of: asks to be let in. `members_index` is the latest one
+    /// received in a `JoinReply`; it proves to the leader that the replica has been alive since that change.
+    Join { formed: bool, members_index: u64 },
+    /// Answers `Join` of the replica with `storage_id`. `formed` is false while the sender holds no log.
+    /// `members_index` is the index of the committed member set if the sender leads, otherwise 0.
+    JoinReply {
+        storage_id: u64,
+        formed: bool,
+        members_index: u64,
+        members: MemberSet,
+    },
 }
 
 /// A durable write. Writes are carried out in order.
@@ -154,6 +169,13 @@
     Persisted { ticket: u64 },
     /// Appends a command if this replica leads; answered by `Output::Appended` or `Output::NotLeader`.
     Propose { token: u64, command: Bytes },
+    /// Lets `new` run a voter in place of `old`; answered by `Output::Appended`, `Output::NotLeader` or
+    /// `Output::ChangeRefused`. The voter of `old` is removed once the replica of `new` has been promoted.
+    ReplaceVoter {
+        token: u64,
+        old: FastStr,
+        new: FastStr,
+    },
     /// Asks for an index at which a current read may be served; answered by `Output::ReadReady` or `Output::NotLeader`.
     Read { token: u64 },
     /// The state machine's encoded state at `index`, in answer to `Output::TakeSnapshot`.
@@ -171,13 +193,16 @@
     Appended { token: u64, index: u64, term: u64 },
     /// The proposal or read `token` was refused.
     NotLeader { token: u64, leader: Option<FastStr> },
+    /// The member change `token` was refused: another one is in progress, `old` may not run a voter or `new` already may.
+    ChangeRefused { token: u64 },
     /// A read at `index` is current: every write acknowledged before the read is at or below it.
     ReadReady { token: u64, index: u64 },
     /// A committed entry, in order of its index.
     Apply(Entry),
-    /// Replace the state machine's state.
+    /// Replace the state machine's state. Emitted by the first step if the disk held a snapshot.
     Restore(Snapshot),
-    /// The log has grown: pass the state machine's state back as `Input::StateAt`.
+    /// The log has grown: pass the state machine's state back as `Input::StateAt`. All entries up to `index` and none
+    /// after it have been applied when this output is reached.
     TakeSnapshot { index: u64 },
     /// The leader known to this replica has changed.
     LeaderChanged { term: u64, leader: Option<FastStr> },
