Add the first version of the rank queues

Cause: the reducer needs the interface of admit before its figures are tuned. Change: queues by service, rank and tenant, floors over a sliding window, early refusal, tenant rates, displacement, preemption, single-queue baseline.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,2 +1,30 @@
-//! Placeholder.
+//! Admission: rank queues with deadlines, floors, fair shares of tenants and early refusal.
+//!
+//! ```
+//! use admit::{Discipline, Queues, Waiting};
+//!
+//! let mut queues = Queues::new(Discipline::Ranked);
+//! queues.apply_config(&conf::ServiceConfig {
+//!     ranks: vec![conf::RankPolicy::default(); conf::service::RANK_COUNT],
+//!     ..Default::default()
+//! });
+//! let waiting = |id, rank| Waiting { id, rank, tokens: 100, deadline_ms: 9_000, ..Default::default() };
+//! queues.offer(0, waiting(1, 2)).unwrap();
+//! queues.offer(0, waiting(2, 0)).unwrap();
+//! assert_eq!(queues.next(0, |_| true).unwrap().id, 2);
+//! assert_eq!(queues.next(0, |_| true).unwrap().id, 1);
+//! ```
 #![forbid(unsafe_code)]
+
+mod lane;
+pub mod limit;
+pub mod preempt;
+pub mod queues;
+mod share;
+mod speed;
+pub mod waiting;
+
+pub use limit::TenantLimits;
+pub use preempt::{Preemption, Running, victim};
+pub use queues::Queues;
+pub use waiting::{Discipline, Refusal, Refused, Waiting};
