--- a/crates/reducer/src/effect.rs
+++ b/crates/reducer/src/effect.rs
@@ -199,3 +199,25 @@
     /// A role change was ordered.
     RoleChanged { service: Name },
 }
+
+impl Refusal {
+    /// Returns the reason as a metric label.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Refusal::UnknownModel => "unknown_model",
+            Refusal::RankNotAllowed => "rank_not_allowed",
+            Refusal::OverLimit { .. } => "over_limit",
+            Refusal::NoCapacity { .. } => "no_capacity",
+            Refusal::TooLate { .. } => "too_late",
+            Refusal::Stopping => "stopping",
+            Refusal::NotReady => "not_ready",
+            Refusal::LedgerUnavailable { .. } => "ledger_unavailable",
+            Refusal::Running => "running",
+            Refusal::MayHaveRun => "may_have_run",
+            Refusal::KeyReused => "key_reused",
+            Refusal::UpstreamFailed => "upstream_failed",
+            Refusal::TimedOutWaiting => "timed_out_waiting",
+            Refusal::TimedOutRunning => "timed_out_running",
+        }
+    }
+}
--- /dev/null
+++ b/crates/reducer/src/leader.rs
@@ -0,0 +1,84 @@
+//! Duties of the leader: the roster of instances, gates and the cluster clock.
+
+use conf::Name;
+use fleet::grant::{GrantSettings, due_grants};
+use fleet::{Command, ControlState, InstanceReport, LeaderReply, PlatformList, Roster};
+
+/// Interval of the leader's duties, in milliseconds.
+const DUTY_INTERVAL_MS: u64 = 200;
+
+/// Volatile state of an instance while its replica leads.
+#[derive(Clone, Debug)]
+pub(crate) struct Leadership {
+    term: u64,
+    roster: Roster,
+    next_duty_ms: u64,
+}
+
+impl Leadership {
+    pub fn new(now_ms: u64, term: u64, lease_ms: u64) -> Self {
+        Self {
+            term,
+            roster: Roster::new(now_ms, lease_ms),
+            next_duty_ms: now_ms,
+        }
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Takes an instance's report and answers it.
+    pub fn on_report(
+        &mut self,
+        now_ms: u64,
+        own_id: &Name,
+        report: &InstanceReport,
+        control: &ControlState,
+        platform: &PlatformList,
+    ) -> LeaderReply {
+        self.roster.on_report(now_ms, report);
+        let revision = control.revision();
+        let counts = self.roster.in_force(now_ms, revision);
+        let view = self.roster.view(now_ms, control, platform);
+        LeaderReply {
+            sequence: report.sequence,
+            is_leader: true,
+            leader: Some(own_id.clone()),
+            term: self.term,
+            revision,
+            config: control
+                .current()
+                .filter(|current| report.revision < current.revision)
+                .cloned(),
+            view: (view.version != report.view_version).then_some(view),
+            live_instances: counts.live,
+            instances_in_force: counts.in_force,
+        }
+    }
+
+    /// Returns the commands that are due.
+    pub fn duties(
+        &mut self,
+        now_ms: u64,
+        unix_ms: u64,
+        settings: GrantSettings,
+        control: &ControlState,
+        platform: &PlatformList,
+    ) -> Vec<Command> {
+        if now_ms < self.next_duty_ms {
+            return Vec::new();
+        }
+        self.next_duty_ms = now_ms + DUTY_INTERVAL_MS;
+        let mut commands = due_grants(now_ms, settings, control, &self.roster, platform);
+        let deadline_ms = control.ledger.next_deadline_ms();
+        if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= unix_ms) {
+            commands.push(Command::Advance);
+        }
+        commands
+    }
+}
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -4,13 +4,21 @@
 //! sockets, timers and disks into events and carries the effects out in order.
 #![forbid(unsafe_code)]
 
+mod admin;
+mod control;
 pub mod effect;
 pub mod event;
+mod exchange;
+mod leader;
+mod proposer;
+mod replication;
+mod serve;
 pub mod state;
+mod watch;
 
 pub use effect::{Effect, Level, Part, Refusal, Sample};
 pub use event::{
-    AdminReply, AdminRequest, Arrival, CacheEvent, End, EngineState, Event, ExchangeId, Listed,
-    ListedState, LoadReport, OrderAnswer, Work,
+    AdminReply, AdminRequest, Arrival, CacheEvent, End, Event, ExchangeId, Listed, LoadReport, Work,
 };
+pub use fleet::{EngineState, ListedState, OrderAnswer};
 pub use state::{Start, State, step};
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -1,10 +1,25 @@
 //! The state of an instance and its transition function.
 
-use conf::Settings;
-use quorum::Recovered;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
-use crate::effect::Effect;
-use crate::event::Event;
+use admit::{Discipline, Queues};
+use conf::{Map, Name, ServiceConfig, Settings};
+use fleet::{Follower, GateHolder, OrderGate, PeerMessage, PlatformList};
+use quorum::{Recovered, Replica, ReplicaId, ReplicaSettings};
+use route::{Policy, Table};
+
+use crate::effect::{Effect, Level, Part};
+use crate::event::{Event, ExchangeId, LoadReport};
+use crate::exchange::Exchange;
+use crate::leader::Leadership;
+use crate::proposer::Proposer;
+use crate::replication::Replication;
+use crate::watch::Watch;
+use crate::{control, serve};
+
+/// Log entries after which a snapshot is taken.
+const SNAPSHOT_ENTRIES: u64 = 2_000;
 
 /// What an instance knows at its start.
 #[derive(Clone, Debug, Default)]
@@ -17,25 +32,231 @@
     pub replica: Option<(u64, Recovered)>,
     /// Seed of every generator in the state.
     pub seed: u64,
+    /// How upstreams are chosen.
+    pub policy: Policy,
+    /// How queues are served.
+    pub discipline: Discipline,
 }
 
 /// The state of an instance.
 #[derive(Debug)]
 pub struct State {
-    start: Start,
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: u64,
+    pub(crate) now_ms: u64,
+    pub(crate) unix_ms: u64,
+    pub(crate) follower: Follower,
+    pub(crate) replication: Option<Replication>,
+    pub(crate) leadership: Option<Leadership>,
+    pub(crate) platform: PlatformList,
+    pub(crate) order_gate: OrderGate,
+    pub(crate) proposer: Proposer,
+    pub(crate) services: Arc<ServiceConfig>,
+    pub(crate) table: Table,
+    pub(crate) queues: Queues,
+    pub(crate) policy: Policy,
+    pub(crate) exchanges: BTreeMap<ExchangeId, Exchange>,
+    pub(crate) next_attempt: u64,
+    pub(crate) watch: Watch,
+    pub(crate) speeds: Map<Name, serve::Speed>,
+    pub(crate) loads: Map<Name, LoadReport>,
+    pub(crate) next_preempt_ms: u64,
+    pub(crate) stopping_since_ms: Option<u64>,
+    pub(crate) has_exited: bool,
+    pub(crate) readiness: Option<(bool, bool)>,
+    pub(crate) local_messages: VecDeque<PeerMessage>,
 }
 
 impl State {
     /// Creates the state of a process that has just started.
-    pub fn new(start: Start, _now_ms: u64) -> Self {
-        Self { start }
+    pub fn new(start: Start, now_ms: u64) -> Self {
+        let settings = start.settings;
+        let replication = start
+            .replica
+            .map(|(storage_id, recovered)| {
+                new_replication(&settings, storage_id, recovered, start.seed, now_ms)
+            });
+        let id = settings.instance.id.clone();
+        Self {
+            incarnation: start.incarnation,
+            now_ms,
+            unix_ms: 0,
+            follower: Follower::new(&settings, start.incarnation, now_ms),
+            replication,
+            leadership: None,
+            platform: PlatformList::default(),
+            order_gate: OrderGate::new(GateHolder {
+                instance: id.clone(),
+                incarnation: start.incarnation,
+            }),
+            proposer: Proposer::new(id, start.incarnation),
+            services: Arc::default(),
+            table: Table::new(start.seed),
+            queues: Queues::new(start.discipline),
+            policy: start.policy,
+            exchanges: BTreeMap::new(),
+            next_attempt: 0,
+            watch: Watch::new(&settings),
+            speeds: Map::default(),
+            loads: Map::default(),
+            next_preempt_ms: 0,
+            stopping_since_ms: None,
+            has_exited: false,
+            readiness: None,
+            local_messages: VecDeque::new(),
+            settings,
+        }
     }
 
     /// Returns the settings of the instance.
     pub fn settings(&self) -> &Settings {
-        &self.start.settings
+        &self.settings
+    }
+
+    /// Returns the replicated control state, on a voter.
+    pub fn control(&self) -> Option<&fleet::ControlState> {
+        self.replication.as_ref().map(Replication::control)
+    }
+
+    /// Returns the revision in force, 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.follower.revision()
+    }
+
+    /// Returns whether this instance leads the replicated log.
+    pub fn leads(&self) -> bool {
+        self.replication.as_ref().is_some_and(Replication::leads)
+    }
+
+    /// Returns the number of open exchanges.
+    pub fn open_exchanges(&self) -> usize {
+        self.exchanges.len()
+    }
+
+    pub(crate) fn id(&self) -> &Name {
+        &self.settings.instance.id
+    }
+
+    /// Sends a message, or handles it after the current event if it goes to this instance.
+    pub(crate) fn send(&mut self, to: Name, message: PeerMessage, effects: &mut Vec<Effect>) {
+        if to == *self.id() {
+            self.local_messages.push_back(message);
+            return;
+        }
+        let Some(address) = self.follower.address_of(&to) else {
+            return;
+        };
+        effects.push(Effect::Send {
+            to,
+            address,
+            message,
+        });
+    }
+
+    /// Returns whether the instance is stopping or has a drain mark.
+    pub(crate) fn is_draining(&self) -> bool {
+        let id = self.id();
+        let is_marked = self
+            .follower
+            .view()
+            .instances
+            .iter()
+            .any(|instance| instance.info.id == *id && instance.draining);
+        self.stopping_since_ms.is_some() || is_marked
     }
 }
 
 /// Handles one event and appends the effects.
-pub fn step(_state: &mut State, _now_ms: u64, _event: Event, _effects: &mut Vec<Effect>) {}
+pub fn step(state: &mut State, now_ms: u64, event: Event, effects: &mut Vec<Effect>) {
+    state.now_ms = state.now_ms.max(now_ms);
+    // Authority is judged by the present time before anything is decided on it, also when the
+    // process was frozen between two events.
+    control::tick_replica(state, effects);
+    match event {
+        Event::Tick { unix_ms } => {
+            state.unix_ms = state.unix_ms.max(unix_ms);
+            control::tick(state, effects);
+            serve::tick(state, effects);
+        }
+        Event::Arrived(arrival) => serve::on_arrival(state, *arrival, effects),
+        Event::Started { exchange, attempt } => serve::on_started(state, exchange, attempt, effects),
+        Event::Progress {
+            exchange,
+            attempt,
+            output_tokens,
+        } => serve::on_progress(state, exchange, attempt, output_tokens, effects),
+        Event::Ended {
+            exchange,
+            attempt,
+            end,
+        } => serve::on_ended(state, exchange, attempt, end, effects),
+        Event::CallerGone { exchange } => serve::on_caller_gone(state, exchange, effects),
+        Event::Load { upstream, report } => serve::on_load(state, &upstream, report, effects),
+        Event::CacheEvents {
+            upstream,
+            first,
+            events,
+        } => serve::on_cache_events(state, &upstream, first, &events),
+        Event::PlatformList(list) => control::on_platform_list(state, list),
+        Event::Peer { from, message } => control::on_message(state, from, message, effects),
+        Event::Persisted { ticket } => {
+            control::input(state, quorum::Input::Persisted { ticket }, effects);
+        }
+        Event::OrderAnswered {
+            upstream,
+            epoch,
+            sequence,
+            answer,
+        } => {
+            let now_ms = state.now_ms;
+            state
+                .order_gate
+                .on_answer(now_ms, &upstream, epoch, sequence, &answer);
+        }
+        Event::EngineRead {
+            upstream,
+            state: engine,
+        } => {
+            let now_ms = state.now_ms;
+            state.order_gate.on_read(now_ms, &upstream, engine.as_ref());
+        }
+        Event::Admin { token, request } => crate::admin::on_request(state, token, request, effects),
+        Event::Stop => control::on_stop(state, effects),
+    }
+    while let Some(message) = state.local_messages.pop_front() {
+        let id = state.id().clone();
+        control::on_message(state, id, message, effects);
+    }
+    control::settle(state, effects);
+}
+
+pub(crate) fn log(effects: &mut Vec<Effect>, level: Level, part: Part, text: impl Into<String>) {
+    effects.push(Effect::Log {
+        level,
+        part,
+        text: text.into(),
+    });
+}
+
+fn new_replication(
+    settings: &Settings,
+    storage_id: u64,
+    recovered: Recovered,
+    seed: u64,
+    now_ms: u64,
+) -> Replication {
+    let id = ReplicaId {
+        instance: settings.instance.id.clone(),
+        storage_id,
+    };
+    let replica_settings = ReplicaSettings {
+        id: id.clone(),
+        initial_voters: settings.voters.iter().map(|voter| voter.id.clone()).collect(),
+        heartbeat_interval_ms: settings.timing.heartbeat_interval_ms,
+        election_timeout_min_ms: settings.timing.election_timeout_min_ms,
+        election_timeout_max_ms: settings.timing.election_timeout_max_ms,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        seed,
+    };
+    Replication::new(id, Replica::new(replica_settings, recovered, now_ms))
+}
