Add the stand-in engine, plain service and platform

Cause: the system needs upstreams and a platform that tests can crash, slow down and read back. Ruled out: volo-http's own shutdown for a crash, because Server::run finishes open exchanges for up to 30 s and its accept task outlives the future. Change: each stand-in runs on a runtime of its own, so a crash drops every task and socket at once and the address is free again; the engine's batching is a pure model in simulated time that a 5 ms step drives. Answers depend on the prompt alone, so a resumed answer is checked against the whole one.

--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,264 @@
+//! HTTP client for tests and workloads. It tells whole answers from cut ones.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use conf::Name;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::Value;
+use volo_http::{
+    body::Body,
+    client::{Client as HttpClient, ClientBuilder},
+    response::Response,
+};
+
+use crate::{Error, Result, prompt::ChatRequest};
+
+/// How an exchange ended, as the caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The response arrived to its end.
+    Whole,
+    /// The response began and broke off.
+    Cut,
+    /// No response came.
+    NoResponse,
+    /// The caller's time limit passed.
+    TimedOut,
+}
+
+/// One request and what came back.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// Status, if a response began.
+    pub status: Option<StatusCode>,
+    /// Headers of the response.
+    pub headers: HeaderMap,
+    /// Body of a whole response, or the generated text of a streamed one.
+    pub text: String,
+    /// How it ended.
+    pub ending: Ending,
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// When each token of a streamed answer arrived.
+    pub token_times: Vec<Instant>,
+    /// When it ended.
+    pub ended_at: Instant,
+}
+
+impl Exchange {
+    fn new(sent_at: Instant) -> Self {
+        Self {
+            status: None,
+            headers: HeaderMap::new(),
+            text: String::new(),
+            ending: Ending::NoResponse,
+            sent_at,
+            token_times: Vec::new(),
+            ended_at: sent_at,
+        }
+    }
+
+    /// Whether a response arrived whole with status 200.
+    pub fn is_whole_ok(&self) -> bool {
+        self.ending == Ending::Whole && self.status == Some(StatusCode::OK)
+    }
+
+    /// The body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or_default()
+    }
+
+    /// The `run` field of a refusal.
+    pub fn run(&self) -> Option<String> {
+        Some(self.json().get("run")?.as_str()?.to_owned())
+    }
+
+    /// Text of a whole chat completion.
+    pub fn completion_text(&self) -> Option<String> {
+        let json = self.json();
+        let content = json.pointer("/choices/0/message/content")?;
+        Some(content.as_str()?.to_owned())
+    }
+}
+
+/// HTTP client.
+#[derive(Clone)]
+pub struct Client {
+    http: HttpClient,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Creates a client that gives up an exchange after `timeout`. A client that keeps no
+    /// connections never meets one that its server has closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be built.
+    pub fn new(timeout: Duration, keep_connections: bool) -> Result<Self> {
+        let mut builder = ClientBuilder::new();
+        if !keep_connections {
+            builder.set_max_idle_per_host(0);
+        }
+        let http = builder
+            .build()
+            .map_err(|error| Error::Client(Name::from(error.to_string())))?;
+        Ok(Self { http, timeout })
+    }
+
+    /// Sends a request and reads the whole response.
+    pub async fn send(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Exchange {
+        self.exchange(method, url, headers, body.into()).await
+    }
+
+    /// Gets JSON. Returns null if there is no whole response with status 200.
+    pub async fn get_json(&self, url: &str, headers: &[(&str, &str)]) -> Value {
+        let exchange = self.send(Method::GET, url, headers, Bytes::new()).await;
+        match exchange.is_whole_ok() {
+            true => exchange.json(),
+            false => Value::Null,
+        }
+    }
+
+    /// Sends a chat completion to the server at `base_url`.
+    pub async fn chat(
+        &self,
+        base_url: &str,
+        headers: &[(&str, &str)],
+        request: &ChatRequest,
+    ) -> Exchange {
+        let url = format!("{base_url}/v1/chat/completions");
+        let body = serde_json::to_vec(request).unwrap_or_default();
+        self.exchange(Method::POST, &url, headers, Bytes::from(body))
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Exchange {
+        let mut exchange = Exchange::new(Instant::now());
+        let work = self.receive(method, url, headers, body, &mut exchange);
+        if tokio::time::timeout(self.timeout, work).await.is_err() {
+            exchange.ending = Ending::TimedOut;
+        }
+        exchange.ended_at = Instant::now();
+        exchange
+    }
+
+    async fn receive(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        exchange: &mut Exchange,
+    ) {
+        let mut request = self
+            .http
+            .request(method, url.to_owned())
+            .data(Body::from(body));
+        request.headers_mut().extend(header_map(headers));
+        let Ok(response) = request.send::<Body>().await else {
+            return;
+        };
+        exchange.status = Some(response.status());
+        exchange.headers = response.headers().clone();
+        exchange.ending = match is_event_stream(&response) {
+            true => read_events(response.into_body(), exchange).await,
+            false => read_whole(response.into_body(), exchange).await,
+        };
+    }
+}
+
+fn header_map(headers: &[(&str, &str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    map.insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    for (name, value) in headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(*name), HeaderValue::try_from(*value))
+        {
+            map.insert(name, value);
+        }
+    }
+    map
+}
+
+fn is_event_stream(response: &Response) -> bool {
+    response
+        .headers()
+        .get(http::header::CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
+async fn read_whole(body: Body, exchange: &mut Exchange) -> Ending {
+    match body.collect().await {
+        Ok(collected) => {
+            exchange.text = String::from_utf8_lossy(&collected.to_bytes()).into_owned();
+            Ending::Whole
+        }
+        Err(_) => Ending::Cut,
+    }
+}
+
+/// Reads server-sent events. The answer is whole if the last one is `[DONE]` after a finish
+/// reason of `stop` or `length`.
+async fn read_events(mut body: Body, exchange: &mut Exchange) -> Ending {
+    let mut pending = Vec::new();
+    let mut finished = false;
+    let mut done = false;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Ending::Cut;
+        };
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        pending.extend_from_slice(data);
+        while let Some(event) = take_event(&mut pending) {
+            match event.as_str() {
+                "[DONE]" => done = true,
+                event => finished |= read_chunk(event, exchange),
+            }
+        }
+    }
+    match finished && done {
+        true => Ending::Whole,
+        false => Ending::Cut,
+    }
+}
+
+fn take_event(pending: &mut Vec<u8>) -> Option<String> {
+    let end = pending.windows(2).position(|pair| pair == b"\n\n")?;
+    let event: Vec<u8> = pending.drain(..end + 2).collect();
+    let text = String::from_utf8_lossy(&event[..end]).into_owned();
+    Some(text.strip_prefix("data: ").unwrap_or(&text).to_owned())
+}
+
+/// Adds the text of a chunk and returns whether it finishes the answer.
+fn read_chunk(event: &str, exchange: &mut Exchange) -> bool {
+    let chunk: Value = serde_json::from_str(event).unwrap_or_default();
+    let content = chunk.pointer("/choices/0/delta/content");
+    if let Some(content) = content.and_then(Value::as_str).filter(|c| !c.is_empty()) {
+        exchange.text.push_str(content);
+        exchange.token_times.push(Instant::now());
+    }
+    let reason = chunk.pointer("/choices/0/finish_reason");
+    matches!(
+        reason.and_then(Value::as_str),
+        Some("stop") | Some("length")
+    )
+}
--- /dev/null
+++ b/crates/standin/tests/batch.rs
@@ -0,0 +1,159 @@
+//! The engine's batch under simulated time.
+
+use conf::{Name, Role};
+use quickcheck::quickcheck;
+use standin::batch::{Batch, Job, Speeds};
+
+fn speeds() -> Speeds {
+    Speeds {
+        prefill_tokens_per_s: 10_000.0,
+        decode_tokens_per_s: 1_000.0,
+        request_tokens_per_s: 100.0,
+        off_role_speed: 0.25,
+        mixed_speed: 0.75,
+        max_running: 2,
+        max_waiting: 2,
+        chunk_tokens: 1_000,
+    }
+}
+
+fn job(id: &'static str, priority: u32, prompt_tokens: u32, answer_tokens: u32) -> Job {
+    Job {
+        id: Name::from_static_str(id),
+        priority,
+        prompt_tokens,
+        answer_tokens,
+        ..Job::default()
+    }
+}
+
+/// Steps of 1 ms until the request ends.
+fn time_of(batch: &mut Batch, id: &str, role: Role) -> u32 {
+    let ends = |batch: &mut Batch| {
+        let progress = batch.step(1.0, role);
+        progress.iter().any(|p| p.id == id && p.finished)
+    };
+    (1..100_000)
+        .find(|_| ends(batch))
+        .expect("the request ends")
+}
+
+/// Guards against speeds that do not follow the settings.
+#[test]
+fn a_lone_request_takes_prompt_time_plus_output_time() {
+    let mut batch = Batch::new(speeds(), 8);
+    batch.push(job("a", 0, 5_000, 100));
+    // 5,000 prompt tokens take 500 ms and 100 output tokens take 1,000 ms.
+    let time_ms = time_of(&mut batch, "a", Role::Mixed);
+    assert!((1_498..=1_502).contains(&time_ms), "{time_ms} ms");
+    assert!(batch.is_idle());
+}
+
+/// Guards against a role that makes no difference to the planner.
+#[test]
+fn work_off_the_role_is_slower() {
+    let mut mixed = Batch::new(speeds(), 8);
+    mixed.push(job("a", 0, 5_000, 10));
+    let mixed_ms = time_of(&mut mixed, "a", Role::Mixed);
+    let mut decode = Batch::new(speeds(), 8);
+    decode.push(job("a", 0, 5_000, 10));
+    let decode_ms = time_of(&mut decode, "a", Role::Decode);
+    assert!(decode_ms > 3 * mixed_ms, "{decode_ms} ms, {mixed_ms} ms");
+}
+
+/// Guards against a queue that ignores priority or arrival.
+#[test]
+fn the_most_urgent_waiting_request_runs_next() {
+    let mut batch = Batch::new(
+        Speeds {
+            max_running: 1,
+            ..speeds()
+        },
+        8,
+    );
+    batch.push(job("running", 2, 10, 10));
+    batch.step(1.0, Role::Mixed);
+    batch.push(job("late", 2, 10, 10));
+    batch.push(job("urgent", 0, 10, 10));
+    batch.push(job("urgent2", 0, 10, 10));
+    let mut order = Vec::new();
+    while !batch.is_idle() {
+        let progress = batch.step(1.0, Role::Mixed);
+        order.extend(progress.into_iter().filter(|p| p.finished).map(|p| p.id));
+    }
+    assert_eq!(order, ["running", "urgent", "urgent2", "late"]);
+}
+
+/// Guards against queues without a bound.
+#[test]
+fn the_running_set_and_the_queue_are_bounded() {
+    let mut batch = Batch::new(speeds(), 8);
+    for id in ["a", "b", "c"] {
+        batch.push(job(id, 0, 100, 10));
+        batch.step(0.0, Role::Mixed);
+        assert!(!batch.is_full());
+    }
+    batch.push(job("d", 0, 100, 10));
+    assert!(batch.is_full());
+    let counts = batch.counts();
+    assert_eq!((counts.running, counts.waiting), (2, 2));
+    assert_eq!(counts.prompt_tokens_waiting, 400);
+}
+
+/// Guards against a cache hit that saves no work, and against eviction in the wrong order.
+#[test]
+fn a_cached_prefix_is_not_computed_again_until_it_is_evicted() {
+    let mut batch = Batch::new(speeds(), 2);
+    let with_chunks = |id, chunks: &[u64]| Job {
+        chunks: chunks.to_vec(),
+        ..job(id, 0, 2_000, 1)
+    };
+    batch.push(with_chunks("a", &[1, 2]));
+    let cold_ms = time_of(&mut batch, "a", Role::Mixed);
+    batch.push(with_chunks("b", &[1, 2]));
+    let warm_ms = time_of(&mut batch, "b", Role::Mixed);
+    assert!(warm_ms + 150 < cold_ms, "{warm_ms} ms, {cold_ms} ms");
+    batch.cache_mut().store(&[3]);
+    assert!(!batch.cache().contains(1));
+    assert!(batch.cache().contains(2));
+    assert_eq!(batch.cache().len(), 2);
+}
+
+/// Guards against cancelled work that goes on.
+#[test]
+fn a_cancelled_request_yields_nothing_more() {
+    let mut batch = Batch::new(speeds(), 8);
+    batch.push(job("a", 0, 10, 100));
+    batch.step(50.0, Role::Mixed);
+    batch.step(50.0, Role::Mixed);
+    assert_eq!(batch.cancel(&"a".into()), Some(5));
+    assert_eq!(batch.cancel(&"a".into()), None);
+    assert!(batch.step(50.0, Role::Mixed).is_empty());
+}
+
+quickcheck! {
+    /// Guards against lost or repeated tokens, whatever the lengths and step sizes.
+    fn every_token_comes_exactly_once(lengths: Vec<(u8, u8)>, steps: Vec<u8>) -> bool {
+        let mut batch = Batch::new(speeds(), 4);
+        let lengths: Vec<(u8, u8)> = lengths.into_iter().take(4).collect();
+        for (number, (prompt, answer)) in lengths.iter().enumerate() {
+            let id = Name::from(number.to_string());
+            batch.push(Job { id, ..job("", 0, (*prompt).into(), (*answer).into()) });
+        }
+        let mut next = vec![0; lengths.len()];
+        let mut finished = 0;
+        let steps = steps.into_iter().map(f64::from).chain(std::iter::repeat(20.0));
+        for elapsed_ms in steps.take(5_000) {
+            for progress in batch.step(elapsed_ms, Role::Mixed) {
+                let number: usize = progress.id.parse().expect("a number");
+                if progress.from != next[number] {
+                    return false;
+                }
+                next[number] = progress.to;
+                finished += usize::from(progress.finished);
+            }
+        }
+        let expected: Vec<u32> = lengths.iter().map(|(_, answer)| (*answer).into()).collect();
+        next == expected && finished == lengths.len() && batch.is_idle()
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/order.rs
@@ -0,0 +1,82 @@
+//! Orders, fencing and loaded models.
+
+use conf::{Fencing, Name, Role};
+use standin::order::{Order, Orders, Outcome};
+
+fn orders(fencing: Fencing) -> Orders {
+    Orders::new(fencing, Role::Mixed, vec!["assistant@1".into()])
+}
+
+fn to_role(epoch: u64, sequence: u64, role: Role) -> Order {
+    Order {
+        epoch,
+        sequence,
+        role: Some(role),
+        ..Order::default()
+    }
+}
+
+/// Guards against an order of a process that has lost its authority.
+#[test]
+fn an_old_fencing_number_is_refused_only_where_it_is_enforced() {
+    let mut enforced = orders(Fencing::Enforced);
+    let newer = to_role(4, 2, Role::Mixed);
+    assert_eq!(enforced.receive(newer.clone(), 0.0, 0.0), Outcome::Accepted);
+    assert_eq!(enforced.receive(newer.clone(), 0.0, 0.0), Outcome::Repeated);
+    let older = to_role(3, 9, Role::Decode);
+    assert_eq!(enforced.receive(older.clone(), 0.0, 0.0), Outcome::Stale);
+    assert_eq!(enforced.state().role, Role::Mixed);
+    let mut ignored = orders(Fencing::Ignored);
+    assert_eq!(ignored.receive(newer, 0.0, 0.0), Outcome::Accepted);
+    assert_eq!(ignored.receive(older, 0.0, 0.0), Outcome::Accepted);
+    let outcomes: Vec<Outcome> = enforced.records().iter().map(|r| r.outcome).collect();
+    let expected = [Outcome::Accepted, Outcome::Repeated, Outcome::Stale];
+    assert_eq!(outcomes, expected);
+}
+
+/// Guards against two orders in progress on one engine.
+#[test]
+fn a_role_change_waits_for_its_time_and_for_running_work() {
+    let mut orders = orders(Fencing::Enforced);
+    orders.receive(to_role(1, 1, Role::Decode), 0.0, 100.0);
+    let next = to_role(1, 2, Role::Prefill);
+    assert_eq!(orders.receive(next.clone(), 50.0, 100.0), Outcome::Busy);
+    orders.finish_role_change(50.0, true);
+    assert!(orders.is_changing());
+    orders.finish_role_change(150.0, false);
+    assert!(orders.is_changing());
+    orders.finish_role_change(150.0, true);
+    assert_eq!(orders.state().role, Role::Decode);
+    assert_eq!(orders.receive(next, 150.0, 100.0), Outcome::Accepted);
+}
+
+/// Guards against an engine that serves two versions of a model, or one that it lost.
+#[test]
+fn a_new_version_replaces_the_old_one() {
+    let mut orders = orders(Fencing::Enforced);
+    let load = |sequence, name: &'static str| Order {
+        epoch: 1,
+        sequence,
+        load: Some(Name::from_static_str(name)),
+        ..Order::default()
+    };
+    orders.receive(load(1, "assistant@2"), 0.0, 0.0);
+    assert_eq!(orders.state().models, ["assistant@1"]);
+    orders.finish_load(&"assistant@2".into());
+    assert_eq!(orders.state().models, ["assistant@2"]);
+    orders.receive(load(2, "assistant:rota"), 0.0, 0.0);
+    orders.finish_load(&"assistant:rota".into());
+    assert!(orders.serves("assistant"));
+    assert!(orders.serves("assistant:rota"));
+    let unload = Order {
+        epoch: 1,
+        sequence: 3,
+        unload: Some("assistant".into()),
+        ..Order::default()
+    };
+    orders.receive(unload, 0.0, 0.0);
+    assert!(!orders.serves("assistant"));
+    orders.receive(load(4, "broken@1"), 0.0, 0.0);
+    orders.fail_load(&"broken@1".into());
+    assert!(!orders.serves("broken"));
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,62 @@
+//! The stand-in platform over HTTP.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde_json::json;
+use standin::{
+    client::Client,
+    platform::{self, InstanceList, Listed, Presence, Settings},
+};
+
+fn client() -> Client {
+    Client::new(Duration::from_secs(30), false).expect("client")
+}
+
+fn list(state: Presence) -> Vec<Listed> {
+    let id = "a".into();
+    vec![Listed { id, state }]
+}
+
+/// Guards against a list without its lag, and against a change that is never shown.
+#[tokio::test]
+async fn a_change_is_shown_after_the_lag() {
+    for (list_lag_ms, shown) in [(0.0, "leaving"), (3_600_000.0, "live")] {
+        let settings = Settings {
+            instances: list(Presence::Live),
+            list_lag_ms,
+            ..Settings::default()
+        };
+        let platform = platform::start(settings).expect("platform");
+        let change = InstanceList {
+            instances: list(Presence::Leaving),
+        };
+        let body = json!(change).to_string();
+        let url = platform.url("/debug/instances");
+        let changed = client().send(Method::PUT, &url, &[], body).await;
+        assert!(changed.is_whole_ok());
+        let list = client().get_json(&platform.url("/instances"), &[]).await;
+        assert_eq!(
+            list,
+            json!({ "instances": [{ "id": "a", "state": shown }] })
+        );
+    }
+}
+
+/// Guards against a weight store without a limit or without a time to retry.
+#[tokio::test]
+async fn the_weight_store_is_limited() {
+    let settings = Settings {
+        downloads_per_s: 1e-6,
+        weights_bytes: 200_000,
+        ..Settings::default()
+    };
+    let platform = platform::start(settings).expect("platform");
+    let url = platform.url("/weights/assistant/2");
+    let first = client().send(Method::GET, &url, &[], "").await;
+    assert!(first.is_whole_ok());
+    assert_eq!(first.text.len(), 200_000);
+    let second = client().send(Method::GET, &url, &[], "").await;
+    assert_eq!(second.status, Some(StatusCode::TOO_MANY_REQUESTS));
+    assert!(second.headers.contains_key("retry-after"));
+}
