--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -4,7 +4,7 @@
 use conf::admin::{DrainTarget, FileText};
 use conf::{Name, Role};
 use fleet::*;
-use ledger::{Answer, AttemptId, Begin, BeginReply, Finish, Key, Outcome};
+use ledger::{Answer, AttemptId, Begin, BeginReply, Finish, Key, Outcome, Record, RecordState};
 use quickcheck::{Arbitrary, Gen};
 use quorum::{Entry, EntryBody, MemberSet, Message, ReplicaId};
 
@@ -14,6 +14,23 @@
 #[derive(Clone, Debug)]
 pub struct AnyProposal(pub Proposal);
 
+#[derive(Clone, Debug)]
+pub struct AnyControl(pub ControlParts);
+
+impl Arbitrary for AnyControl {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(ControlParts {
+            time_ms: number(g),
+            revisions: list(g, revision),
+            gates: list(g, |g| (name(g), gate_state(g))),
+            drains: list(g, drain_target),
+            dead: list(g, |g| (name(g), number(g))),
+            applied_orders: list(g, proposal_id),
+            records: list(g, |g| (key(g), record(g))),
+        })
+    }
+}
+
 impl Arbitrary for AnyMessage {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(message(g))
@@ -206,12 +223,21 @@
         }),
         3 => Command::GrantGate {
             upstream: name(g),
-            gate: name(g),
+            holder: holder(g),
             from_epoch: number(g),
+            evidence: *g
+                .choose(&[
+                    GrantEvidence::Vacant,
+                    GrantEvidence::LeaseExpired,
+                    GrantEvidence::Restarted,
+                    GrantEvidence::ReportedGone,
+                    GrantEvidence::ConfirmedDead,
+                ])
+                .unwrap(),
         },
         4 => Command::ReleaseGate {
             upstream: name(g),
-            gate: name(g),
+            holder: holder(g),
             epoch: number(g),
         },
         5 => Command::Order {
@@ -230,7 +256,10 @@
             target: drain_target(g),
             draining: flag(g),
         },
-        8 => Command::ConfirmDead { instance: name(g) },
+        8 => Command::ConfirmDead {
+            instance: name(g),
+            incarnation: number(g),
+        },
         _ => Command::Advance,
     }
 }
@@ -366,12 +395,36 @@
 fn gate(g: &mut Gen) -> Gate {
     Gate {
         upstream: name(g),
-        gate: option(g, name),
+        holder: option(g, holder),
         epoch: number(g),
         order: option(g, order),
     }
 }
 
+fn holder(g: &mut Gen) -> GateHolder {
+    GateHolder {
+        instance: name(g),
+        incarnation: number(g),
+    }
+}
+
+fn instance(g: &mut Gen) -> InstanceView {
+    InstanceView {
+        info: info(g),
+        draining: flag(g),
+        revision: number(g),
+    }
+}
+
+fn view(g: &mut Gen) -> ClusterView {
+    ClusterView {
+        version: number(g),
+        instances: list(g, instance),
+        draining_upstreams: list(g, name),
+        gates: list(g, gate),
+    }
+}
+
 fn leader_reply(g: &mut Gen) -> LeaderReply {
     LeaderReply {
         sequence: number(g),
@@ -380,10 +433,8 @@
         term: number(g),
         revision: number(g),
         config: option(g, revision),
-        instances: list(g, info),
-        draining_instances: list(g, name),
-        draining_upstreams: list(g, name),
-        gates: list(g, gate),
+        view: option(g, view),
+        live_instances: number(g),
         instances_in_force: number(g),
     }
 }
@@ -398,3 +449,33 @@
         kv_chunks_used: u32::arbitrary(g),
     }
 }
+
+fn order_outcome(g: &mut Gen) -> OrderOutcome {
+    *g.choose(&[OrderOutcome::Done, OrderOutcome::Refused])
+        .unwrap()
+}
+
+fn gate_state(g: &mut Gen) -> GateState {
+    GateState {
+        holder: option(g, holder),
+        epoch: number(g),
+        order: option(g, order),
+        outcome: option(g, order_outcome),
+    }
+}
+
+fn record(g: &mut Gen) -> Record {
+    Record {
+        body_sha256: std::array::from_fn(|_| u8::arbitrary(g)),
+        attempt: attempt(g),
+        answer_deadline_ms: number(g),
+        expiry_deadline_ms: number(g),
+        ended_attempts: list(g, attempt),
+        state: match below(g, 4) {
+            0 => RecordState::Begun,
+            1 => RecordState::Answered(answer(g)),
+            2 => RecordState::NotRun,
+            _ => RecordState::Unknown,
+        },
+    }
+}
