Load, check and compare configurations

The crate had only the types. A folder of TOML files is now merged in the order of the names into a tree whose values keep file and line; all errors are reported at once, and an invalid configuration is refused as a whole. One table of keys (kinds, units, ranges, meanings) serves loading, range checks and, next, the reference page.

The canonical text is JSON and not TOML, because TOML integers end at 2^63 and the text must hold any value of the types. Ruled out: deserialising each file with serde, which stops at the first error and loses the origin of values.

A file with a syntax error suppresses the checks across files only, because they would report what the file may define.

cargo test -p conf with QUICKCHECK_TESTS=20000 passes.

--- /dev/null
+++ b/crates/conf/src/diff.rs
@@ -0,0 +1,180 @@
+//! The difference between two service configurations, by item and field.
+
+use std::fmt;
+
+use serde_json::Value;
+
+use crate::keys::{self, Key, Section, Shape};
+use crate::{Name, Path, ServiceConfig};
+
+/// One changed item.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The item.
+    pub path: Path,
+    /// What happened to it.
+    pub kind: ChangeKind,
+}
+
+/// What happened to an item.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChangeKind {
+    /// The item is new. The fields show its values.
+    Added(Vec<FieldChange>),
+    /// The item is gone.
+    Removed,
+    /// Fields of the item have other values.
+    Changed(Vec<FieldChange>),
+    /// The items of the section are in another order. Only the order of ranks has a meaning.
+    Reordered {
+        /// Names in the old order.
+        from: Vec<Name>,
+        /// Names in the new order.
+        to: Vec<Name>,
+    },
+}
+
+/// One changed field.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FieldChange {
+    /// The key.
+    pub key: &'static str,
+    /// The old value. `None` for a new item.
+    pub from: Option<Value>,
+    /// The new value.
+    pub to: Value,
+}
+
+/// Compares two service configurations.
+pub fn service(from: &ServiceConfig, to: &ServiceConfig) -> Vec<Change> {
+    let from = serde_json::to_value(from.canonical()).unwrap_or_default();
+    let to = serde_json::to_value(to.canonical()).unwrap_or_default();
+    let mut changes = Vec::new();
+    for section in keys::SERVICE {
+        if let Shape::List { id } = section.shape {
+            let from = named(&from[section.name], id);
+            let to = named(&to[section.name], id);
+            compare_items(&mut changes, section, &from, &to);
+            compare_order(&mut changes, section, &from, &to);
+        }
+    }
+    changes
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = &self.path;
+        match &self.kind {
+            ChangeKind::Added(fields) => {
+                write!(formatter, "+ {path}")?;
+                fields
+                    .iter()
+                    .try_for_each(|field| write!(formatter, "\n    {field}"))
+            }
+            ChangeKind::Removed => write!(formatter, "- {path}"),
+            ChangeKind::Changed(fields) => {
+                write!(formatter, "~ {path}")?;
+                fields
+                    .iter()
+                    .try_for_each(|field| write!(formatter, "\n    {field}"))
+            }
+            ChangeKind::Reordered { from, to } => {
+                write!(
+                    formatter,
+                    "~ {path}\n    order: {} -> {}",
+                    from.join(", "),
+                    to.join(", ")
+                )
+            }
+        }
+    }
+}
+
+impl fmt::Display for FieldChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.from {
+            Some(from) => write!(formatter, "{}: {from} -> {}", self.key, self.to),
+            None => write!(formatter, "{}: {}", self.key, self.to),
+        }
+    }
+}
+
+type Items<'a> = Vec<(Name, &'a Value)>;
+
+fn named<'a>(items: &'a Value, id: &str) -> Items<'a> {
+    let items = items.as_array().into_iter().flatten();
+    items
+        .map(|item| (Name::new(item[id].as_str().unwrap_or_default()), item))
+        .collect()
+}
+
+fn find<'a>(items: &Items<'a>, name: &Name) -> Option<&'a Value> {
+    let mut items = items.iter();
+    items
+        .find(|(found, _)| found == name)
+        .map(|(_, item)| *item)
+}
+
+fn compare_items(
+    changes: &mut Vec<Change>,
+    section: &'static Section,
+    from: &Items<'_>,
+    to: &Items<'_>,
+) {
+    for (name, _) in from.iter().filter(|(name, _)| find(to, name).is_none()) {
+        changes.push(Change {
+            path: Path::item(section.name, name),
+            kind: ChangeKind::Removed,
+        });
+    }
+    for (name, item) in to {
+        let kind = match find(from, name) {
+            None => ChangeKind::Added(new_fields(section, item)),
+            Some(old) if old != *item => ChangeKind::Changed(changed_fields(section, old, item)),
+            Some(_) => continue,
+        };
+        let path = Path::item(section.name, name);
+        changes.push(Change { path, kind });
+    }
+}
+
+fn compare_order(
+    changes: &mut Vec<Change>,
+    section: &'static Section,
+    from: &Items<'_>,
+    to: &Items<'_>,
+) {
+    let kept = |items: &Items<'_>, others: &Items<'_>| -> Vec<Name> {
+        let names = items.iter().map(|(name, _)| name);
+        names
+            .filter(|name| find(others, name).is_some())
+            .cloned()
+            .collect()
+    };
+    let (from, to) = (kept(from, to), kept(to, from));
+    if from != to {
+        let path = Path::section(section.name);
+        let kind = ChangeKind::Reordered { from, to };
+        changes.push(Change { path, kind });
+    }
+}
+
+fn new_fields(section: &'static Section, item: &Value) -> Vec<FieldChange> {
+    let keys = section.keys.iter().skip(1);
+    keys.map(|key| field(key, None, item)).collect()
+}
+
+fn changed_fields(section: &'static Section, old: &Value, new: &Value) -> Vec<FieldChange> {
+    let keys = section.keys.iter();
+    keys.filter(|key| old[key.name] != new[key.name])
+        .map(|key| field(key, Some(old[key.name].clone()), new))
+        .collect()
+}
+
+fn field(key: &'static Key, from: Option<Value>, item: &Value) -> FieldChange {
+    FieldChange {
+        key: key.name,
+        from,
+        to: item[key.name].clone(),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/keys.rs
@@ -0,0 +1,597 @@
+//! The table of all keys: their kinds, units, ranges and meanings.
+//!
+//! Loading, range checks, `check` and the reference page `docs/settings.md` all read this table.
+
+use serde_json::Value;
+
+const DAY_MS: u64 = 86_400_000;
+const YEAR_MS: u64 = 365 * DAY_MS;
+const GIB: u64 = 1 << 30;
+/// Above this, an integer is not exact in a JSON reader that uses floating point.
+const MAX_BYTES: u64 = 1 << 53;
+
+/// Whether a section is one table or a list of tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// One table, written `[section]`.
+    Table,
+    /// A list of tables, written `[[section]]`. Its items are merged by the value of `id`.
+    List {
+        /// The key that identifies an item.
+        id: &'static str,
+    },
+}
+
+/// What a value may be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A string.
+    Text,
+    /// An array of strings.
+    Texts,
+    /// `true` or `false`.
+    Flag,
+    /// One of a closed set of strings.
+    Choice(&'static [&'static str]),
+    /// An integer between two bounds, which are allowed.
+    Integer {
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+    },
+    /// A number between two bounds, which are allowed.
+    Number {
+        /// Smallest value.
+        min: f64,
+        /// Largest value.
+        max: f64,
+    },
+}
+
+impl Kind {
+    /// Tells whether a value is of this kind and in range.
+    ///
+    /// # Errors
+    /// Returns what the value must be.
+    pub fn accept(&self, value: &Value) -> Result<(), String> {
+        let accepted = match self {
+            Self::Text => value.is_string(),
+            Self::Texts => value
+                .as_array()
+                .is_some_and(|items| items.iter().all(Value::is_string)),
+            Self::Flag => value.is_boolean(),
+            Self::Choice(choices) => value.as_str().is_some_and(|text| choices.contains(&text)),
+            Self::Integer { min, max } => value
+                .as_u64()
+                .is_some_and(|number| (*min..=*max).contains(&number)),
+            Self::Number { min, max } => value
+                .as_f64()
+                .is_some_and(|number| (*min..=*max).contains(&number)),
+        };
+        match accepted {
+            true => Ok(()),
+            false => Err(format!("must be {}", self.expected())),
+        }
+    }
+
+    /// Says what a value of this kind must be.
+    pub fn expected(&self) -> String {
+        match self {
+            Self::Text => "a string".to_owned(),
+            Self::Texts => "an array of strings".to_owned(),
+            Self::Flag => "true or false".to_owned(),
+            Self::Choice(choices) => format!("one of `{}`", choices.join("`, `")),
+            Self::Integer { min, max } => format!("an integer from {min} to {max}"),
+            Self::Number { min, max } => format!("a number from {min} to {max}"),
+        }
+    }
+}
+
+/// One key of a section.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// The key.
+    pub name: &'static str,
+    /// What its value may be.
+    pub kind: Kind,
+    /// Unit of the value. Empty if it has none.
+    pub unit: &'static str,
+    /// What the value means, in one sentence.
+    pub about: &'static str,
+}
+
+/// A table or list of tables of a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Section {
+    /// The section's key.
+    pub name: &'static str,
+    /// One table or a list of tables.
+    pub shape: Shape,
+    /// What the section holds, in one sentence.
+    pub about: &'static str,
+    /// The keys.
+    pub keys: &'static [Key],
+}
+
+impl Section {
+    /// Finds a key by name.
+    pub fn key(&self, name: &str) -> Option<&'static Key> {
+        self.keys.iter().find(|key| key.name == name)
+    }
+}
+
+const fn text(name: &'static str, about: &'static str) -> Key {
+    Key {
+        name,
+        kind: Kind::Text,
+        unit: "",
+        about,
+    }
+}
+
+const fn texts(name: &'static str, about: &'static str) -> Key {
+    Key {
+        name,
+        kind: Kind::Texts,
+        unit: "",
+        about,
+    }
+}
+
+const fn choice(name: &'static str, choices: &'static [&'static str], about: &'static str) -> Key {
+    Key {
+        name,
+        kind: Kind::Choice(choices),
+        unit: "",
+        about,
+    }
+}
+
+const fn integer(
+    name: &'static str,
+    unit: &'static str,
+    min: u64,
+    max: u64,
+    about: &'static str,
+) -> Key {
+    Key {
+        name,
+        kind: Kind::Integer { min, max },
+        unit,
+        about,
+    }
+}
+
+const fn number(
+    name: &'static str,
+    unit: &'static str,
+    min: f64,
+    max: f64,
+    about: &'static str,
+) -> Key {
+    Key {
+        name,
+        kind: Kind::Number { min, max },
+        unit,
+        about,
+    }
+}
+
+/// The sections of the instance settings.
+pub const SETTINGS: &[Section] = &[
+    Section {
+        name: "instance",
+        shape: Shape::Table,
+        about: "Identity and addresses of the instance.",
+        keys: &[
+            text("id", "Unique id of the instance."),
+            text(
+                "availability_zone",
+                "Availability zone that the instance runs in.",
+            ),
+            text(
+                "caller_address",
+                "IP address and port of the callers' listener.",
+            ),
+            text(
+                "admin_address",
+                "IP address and port of the administration listener.",
+            ),
+            text("peer_address", "IP address and port of the peer listener."),
+            text(
+                "admin_token_file",
+                "File that holds the administration token.",
+            ),
+            text(
+                "peer_secret_file",
+                "File that holds the secret shared by all instances.",
+            ),
+            text(
+                "data_folder",
+                "Folder for durable state. Empty on an instance without a disk.",
+            ),
+        ],
+    },
+    Section {
+        name: "voters",
+        shape: Shape::List { id: "id" },
+        about: "The initial voters of the replicated log, the same list on every instance.",
+        keys: &[
+            text("id", "Instance id of the voter."),
+            text("availability_zone", "Availability zone of the voter."),
+            text("peer_address", "IP address and port of its peer listener."),
+        ],
+    },
+    Section {
+        name: "platform",
+        shape: Shape::Table,
+        about: "Addresses of the platform's interfaces.",
+        keys: &[
+            text(
+                "list_url",
+                "URL of the list of live and leaving instances. Empty if there is none.",
+            ),
+            text(
+                "weight_store_url",
+                "URL of the weight store. Empty if there is none.",
+            ),
+        ],
+    },
+    Section {
+        name: "log",
+        shape: Shape::Table,
+        about: "Log output.",
+        keys: &[
+            choice(
+                "level",
+                &["error", "warn", "info", "debug", "trace"],
+                "Lowest level that is written.",
+            ),
+            Key {
+                name: "json",
+                kind: Kind::Flag,
+                unit: "",
+                about: "Whether each line is a JSON object.",
+            },
+        ],
+    },
+    Section {
+        name: "timing",
+        shape: Shape::Table,
+        about: "Intervals and time limits.",
+        keys: &[
+            integer(
+                "tick_interval_ms",
+                "ms",
+                1,
+                1_000,
+                "Interval of the reducer's tick.",
+            ),
+            integer(
+                "heartbeat_interval_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Interval of the leader's heartbeats to replicas.",
+            ),
+            integer(
+                "election_timeout_min_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Shortest election timeout; longer than `heartbeat_interval_ms`.",
+            ),
+            integer(
+                "election_timeout_max_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Longest election timeout; longer than `election_timeout_min_ms`.",
+            ),
+            integer(
+                "report_interval_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Interval at which an instance reports itself to the leader.",
+            ),
+            integer(
+                "config_lease_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time for which a configuration is known to be current after a confirmation; longer than `report_interval_ms`.",
+            ),
+            integer(
+                "gate_lease_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time for which an order gate keeps its upstreams without renewal; longer than `report_interval_ms`.",
+            ),
+            integer(
+                "gate_quarantine_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time after the platform reports an instance gone until its unfenced upstreams are taken over.",
+            ),
+            integer(
+                "begin_timeout_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time within which a non-idempotent request must be sent after its begin record.",
+            ),
+            integer(
+                "load_interval_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Interval at which load reports are read.",
+            ),
+            integer(
+                "platform_interval_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Interval at which the platform's list is read.",
+            ),
+            integer(
+                "drain_timeout_ms",
+                "ms",
+                0,
+                DAY_MS,
+                "Time after which a stop gives up on open exchanges. 0 waits without limit.",
+            ),
+        ],
+    },
+    Section {
+        name: "limits",
+        shape: Shape::Table,
+        about: "Bounds on what callers may send.",
+        keys: &[
+            integer("max_body_bytes", "bytes", 1, GIB, "Largest request body."),
+            integer(
+                "max_header_count",
+                "",
+                1,
+                10_000,
+                "Most headers in a request.",
+            ),
+            integer(
+                "header_timeout_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time allowed for reading a request's headers.",
+            ),
+            integer(
+                "body_timeout_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time allowed for reading a request's body.",
+            ),
+            integer(
+                "max_connections",
+                "",
+                1,
+                1_000_000,
+                "Most connections open at once on the callers' listener.",
+            ),
+        ],
+    },
+];
+
+/// The sections of the service configuration.
+pub const SERVICE: &[Section] = &[
+    Section {
+        name: "ranks",
+        shape: Shape::List { id: "name" },
+        about: "The three ranks of work, most urgent first, in the order of first mention.",
+        keys: &[
+            text("name", "The rank's name."),
+            integer(
+                "target_first_token_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Target for the first token.",
+            ),
+            integer(
+                "target_between_tokens_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Target for the time between tokens.",
+            ),
+            integer(
+                "target_total_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Target for the whole answer; at least `target_first_token_ms`.",
+            ),
+            number(
+                "worth",
+                "",
+                0.0,
+                1e9,
+                "Worth of one answer within target, relative to the other ranks.",
+            ),
+            number(
+                "floor",
+                "",
+                0.0,
+                1.0,
+                "Share of tokens that the rank keeps in a flood of other ranks. The floors add up to at most 1.",
+            ),
+            integer(
+                "queue_limit",
+                "requests",
+                1,
+                10_000_000,
+                "Most requests that wait in this rank's queue on one instance.",
+            ),
+        ],
+    },
+    Section {
+        name: "tenants",
+        shape: Shape::List { id: "name" },
+        about: "The tenants whose callers are served.",
+        keys: &[
+            text("name", "The tenant's name."),
+            text(
+                "key_sha256",
+                "SHA-256 of the tenant's API key, as 64 lower-case hexadecimal digits.",
+            ),
+            texts(
+                "ranks",
+                "Names of the ranks that the tenant may use. The first is its default.",
+            ),
+            number(
+                "requests_per_s",
+                "requests/s",
+                0.001,
+                1e9,
+                "Admitted requests a second on one instance.",
+            ),
+            number(
+                "burst",
+                "requests",
+                1.0,
+                1e9,
+                "Requests that may arrive at once above the rate.",
+            ),
+            number(
+                "weight",
+                "",
+                0.001,
+                1e9,
+                "Weight of the tenant in the fair sharing inside a rank.",
+            ),
+        ],
+    },
+    Section {
+        name: "models",
+        shape: Shape::List { id: "name" },
+        about: "The models and their adapters.",
+        keys: &[
+            text("name", "The model's name."),
+            text("version", "The version that engines are to serve."),
+            texts(
+                "adapters",
+                "Names of the adapters, callable as `MODEL:ADAPTER`.",
+            ),
+            integer(
+                "weights_bytes",
+                "bytes",
+                0,
+                MAX_BYTES,
+                "Size of the weights.",
+            ),
+        ],
+    },
+    Section {
+        name: "services",
+        shape: Shape::List { id: "name" },
+        about: "The model services and plain services.",
+        keys: &[
+            text("name", "The service's name."),
+            choice("kind", &["model", "plain"], "The kind of its upstreams."),
+            texts("models", "Names of the models that a model service serves."),
+        ],
+    },
+    Section {
+        name: "routes",
+        shape: Shape::List { id: "name" },
+        about: "The forwarded paths of plain services.",
+        keys: &[
+            text("name", "The route's name."),
+            text("path_prefix", "Path prefix, for example `/rota/`."),
+            text("service", "Name of the plain service."),
+            texts(
+                "methods",
+                "HTTP methods that the route forwards. Empty means all.",
+            ),
+            choice(
+                "idempotency",
+                &["non_idempotent", "idempotent"],
+                "Whether requests may be repeated.",
+            ),
+            text(
+                "rank",
+                "Name of the rank. Empty means the tenant's default.",
+            ),
+            integer(
+                "timeout_ms",
+                "ms",
+                1,
+                DAY_MS,
+                "Time allowed for the whole answer.",
+            ),
+            integer(
+                "key_retention_ms",
+                "ms",
+                1,
+                YEAR_MS,
+                "Time for which the answer to an idempotency key is kept; at least `timeout_ms`.",
+            ),
+        ],
+    },
+    Section {
+        name: "upstreams",
+        shape: Shape::List { id: "name" },
+        about: "The engines and plain-service workers.",
+        keys: &[
+            text("name", "The upstream's name."),
+            text("service", "Name of the service that it belongs to."),
+            text("address", "IP address and port."),
+            text("availability_zone", "Availability zone that it runs in."),
+            choice(
+                "fencing",
+                &["enforced", "ignored"],
+                "Whether it refuses an order with an older epoch.",
+            ),
+            choice(
+                "role",
+                &["prefill", "decode", "mixed"],
+                "Role at first; orders change it later.",
+            ),
+            text(
+                "order_gate",
+                "Instance that may write orders to it first. Empty lets the leader choose one of the zone.",
+            ),
+            integer(
+                "cache_chunks",
+                "chunks of about 4,000 tokens",
+                0,
+                u32::MAX as u64,
+                "Capacity of the prefix cache.",
+            ),
+            number(
+                "prefill_tokens_per_s",
+                "tokens/s",
+                0.001,
+                1e12,
+                "Prompt tokens computed a second.",
+            ),
+            number(
+                "decode_tokens_per_s",
+                "tokens/s",
+                0.001,
+                1e12,
+                "Output tokens generated a second, over all running requests.",
+            ),
+            integer(
+                "max_running",
+                "requests",
+                1,
+                u32::MAX as u64,
+                "Requests that run at once.",
+            ),
+        ],
+    },
+];
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,11 +4,21 @@
 #![forbid(unsafe_code)]
 
 pub mod admin;
+pub mod canonical;
+pub mod check;
+pub mod diff;
+pub mod keys;
+pub mod load;
+pub mod merge;
 pub mod name;
+pub mod problem;
 pub mod service;
 pub mod settings;
 
+pub use canonical::content_id;
+pub use load::Loaded;
 pub use name::{Map, Name, Set};
+pub use problem::{Origin, Path, Problem, Severity};
 pub use service::{
     Fencing, Idempotency, Model, RankPolicy, Role, Route, Service, ServiceConfig, ServiceKind,
     Tenant, Upstream,
--- /dev/null
+++ b/crates/conf/src/load.rs
@@ -0,0 +1,280 @@
+//! Loads a folder of TOML files, merged in the order of their names.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::io;
+use std::path::{Path as FilePath, PathBuf};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Map as JsonMap, Value};
+
+use crate::admin::FileText;
+use crate::keys::{self, Section, Shape};
+use crate::merge::{self, Item, Merged, Override};
+use crate::problem::{Origin, Path, Problem, Severity};
+use crate::{Name, ServiceConfig, Settings, check};
+
+/// Largest size of one file. It keeps a wrong path from filling the memory.
+const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A valid configuration and where its values come from.
+#[derive(Clone, Debug)]
+pub struct Loaded<T> {
+    /// The merged configuration.
+    pub value: T,
+    /// The files, in the order in which they were merged.
+    pub files: Vec<FileText>,
+    /// Every value with its origin.
+    pub values: Vec<ValueOrigin>,
+    /// What later files changed or removed.
+    pub overrides: Vec<Override>,
+    /// What is doubtful but allowed.
+    pub warnings: Vec<Problem>,
+}
+
+/// A value of the merged configuration and where it is written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ValueOrigin {
+    /// The value's place.
+    pub path: Path,
+    /// The value.
+    pub value: Value,
+    /// File and line. `None` for a default.
+    pub origin: Option<Origin>,
+}
+
+/// Reason for which a configuration was not loaded.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A folder or file could not be read.
+    #[error("cannot read {}: {source}", path.display())]
+    Read {
+        /// The folder or file.
+        path: PathBuf,
+        /// Reason.
+        source: io::Error,
+    },
+    /// The folder has no file whose name ends in `.toml`.
+    #[error("{} has no .toml files", path.display())]
+    Empty {
+        /// The folder.
+        path: PathBuf,
+    },
+    /// The configuration is invalid.
+    #[error("{0}")]
+    Invalid(Problems),
+}
+
+/// Everything found wrong with a configuration, errors and warnings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Problems(pub Vec<Problem>);
+
+impl fmt::Display for Problems {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Loads a service configuration.
+///
+/// # Errors
+/// Returns an error if the folder cannot be read or the configuration is invalid.
+pub fn service(folder: impl AsRef<FilePath>) -> Result<Loaded<ServiceConfig>, Error> {
+    service_from_files(read_folder(folder.as_ref())?).map_err(Error::Invalid)
+}
+
+/// Loads the settings of an instance.
+///
+/// # Errors
+/// Returns an error if the folder cannot be read or the settings are invalid.
+pub fn settings(folder: impl AsRef<FilePath>) -> Result<Loaded<Settings>, Error> {
+    settings_from_files(read_folder(folder.as_ref())?).map_err(Error::Invalid)
+}
+
+/// Loads a service configuration from the texts of its files, in any order.
+///
+/// ```
+/// use conf::admin::FileText;
+///
+/// let file = FileText { name: "00-ranks.toml".into(), text: "[[rank]]\nname = \"urgent\"\n".into() };
+/// let problems = conf::load::service_from_files(vec![file]).unwrap_err();
+/// assert!(problems.to_string().starts_with(
+///     "00-ranks.toml:1: error: unknown key `rank`; the nearest valid key is `ranks`"
+/// ));
+/// ```
+///
+/// # Errors
+/// Returns everything that is wrong if the configuration is invalid.
+pub fn service_from_files(files: Vec<FileText>) -> Result<Loaded<ServiceConfig>, Problems> {
+    let mut loaded = load(keys::SERVICE, files, check::service)?;
+    loaded.value = loaded.value.canonical();
+    Ok(loaded)
+}
+
+/// Loads the settings of an instance from the texts of its files, in any order.
+///
+/// # Errors
+/// Returns everything that is wrong if the settings are invalid.
+pub fn settings_from_files(files: Vec<FileText>) -> Result<Loaded<Settings>, Problems> {
+    load(keys::SETTINGS, files, check::settings)
+}
+
+/// Reads the files of a folder whose names end in `.toml`, in the order of their names.
+///
+/// # Errors
+/// Returns an error if the folder or a file cannot be read, or if there is no such file.
+pub fn read_folder(folder: &FilePath) -> Result<Vec<FileText>, Error> {
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(|source| unreadable(folder, source))? {
+        let entry = entry.map_err(|source| unreadable(folder, source))?;
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if name.ends_with(".toml") && !name.starts_with('.') {
+            files.push(read_file(&entry.path(), name)?);
+        }
+    }
+    if files.is_empty() {
+        let path = folder.to_owned();
+        return Err(Error::Empty { path });
+    }
+    files.sort_by(|left, right| left.name.cmp(&right.name));
+    Ok(files)
+}
+
+fn read_file(path: &FilePath, name: String) -> Result<FileText, Error> {
+    let size_bytes = std::fs::metadata(path)
+        .map_err(|source| unreadable(path, source))?
+        .len();
+    if size_bytes > MAX_FILE_BYTES {
+        let source = io::Error::other(format!("larger than {MAX_FILE_BYTES} bytes"));
+        return Err(unreadable(path, source));
+    }
+    let text = std::fs::read_to_string(path).map_err(|source| unreadable(path, source))?;
+    Ok(FileText {
+        name: Name::from(name),
+        text: Name::from(text),
+    })
+}
+
+fn unreadable(path: &FilePath, source: io::Error) -> Error {
+    let path = path.to_owned();
+    Error::Read { path, source }
+}
+
+fn load<T: Serialize + DeserializeOwned>(
+    sections: &'static [Section],
+    mut files: Vec<FileText>,
+    check: fn(&T) -> Vec<Problem>,
+) -> Result<Loaded<T>, Problems> {
+    files.sort_by(|left, right| left.name.cmp(&right.name));
+    let mut merged = merge::merge(sections, &files);
+    let mut problems = std::mem::take(&mut merged.problems);
+    if merged.incomplete {
+        // Checks across files would report what the unparsed file may well define.
+        return Err(Problems(problems));
+    }
+    let value: T = match serde_json::from_value(tree(sections, &merged)) {
+        Ok(value) => value,
+        Err(error) => {
+            problems.push(Problem::error(Path::default(), error.to_string()));
+            return Err(Problems(problems));
+        }
+    };
+    let reported: BTreeSet<Path> = problems.iter().map(|found| found.path.clone()).collect();
+    for mut found in check(&value) {
+        // A refused value is missing from the tree, so that its default is no news.
+        if found.path.key.is_empty() || !reported.contains(&found.path) {
+            found.origin = merged.origin(&found.path).cloned();
+            problems.push(found);
+        }
+    }
+    problems.sort_by_key(|found| (found.origin.is_none(), found.origin.clone()));
+    if problems
+        .iter()
+        .any(|found| found.severity == Severity::Error)
+    {
+        return Err(Problems(problems));
+    }
+    let values = value_origins(sections, &merged, &value);
+    Ok(Loaded {
+        value,
+        files,
+        values,
+        overrides: merged.overrides,
+        warnings: problems,
+    })
+}
+
+fn tree(sections: &[Section], merged: &Merged) -> Value {
+    let mut tree = JsonMap::new();
+    for section in sections {
+        let Some(items) = merged.items.get(section.name) else {
+            continue;
+        };
+        let mut tables = items.iter().map(table);
+        let value = match section.shape {
+            Shape::Table => tables.next().unwrap_or_else(|| JsonMap::new().into()),
+            Shape::List { .. } => tables.collect(),
+        };
+        tree.insert(section.name.to_owned(), value);
+    }
+    Value::Object(tree)
+}
+
+fn table(item: &Item) -> Value {
+    let fields = item.fields.iter();
+    let pairs = fields.map(|(key, placed)| ((*key).to_owned(), placed.value.clone()));
+    Value::Object(pairs.collect())
+}
+
+fn value_origins<T: Serialize>(
+    sections: &'static [Section],
+    merged: &Merged,
+    value: &T,
+) -> Vec<ValueOrigin> {
+    let whole = serde_json::to_value(value).unwrap_or_default();
+    let mut values = Vec::new();
+    for section in sections {
+        let items = merged
+            .items
+            .get(section.name)
+            .map_or(&[][..], Vec::as_slice);
+        match section.shape {
+            Shape::Table => {
+                let item = items.first();
+                add_values(&mut values, section, item, &whole[section.name]);
+            }
+            Shape::List { .. } => {
+                for (index, item) in items.iter().enumerate() {
+                    let written = &whole[section.name][index];
+                    add_values(&mut values, section, Some(item), written);
+                }
+            }
+        }
+    }
+    values
+}
+
+fn add_values(
+    values: &mut Vec<ValueOrigin>,
+    section: &'static Section,
+    item: Option<&Item>,
+    whole: &Value,
+) {
+    let name = item.map(|item| item.name.clone()).unwrap_or_default();
+    let path = Path::item(section.name, &name);
+    for key in section.keys {
+        let placed = item.and_then(|item| item.fields.get(key.name));
+        values.push(ValueOrigin {
+            path: path.key(key.name),
+            value: whole[key.name].clone(),
+            origin: placed.map(|placed| placed.origin.clone()),
+        });
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/scripts.rs
@@ -0,0 +1,131 @@
+//! Runs the scripts in `tests/scripts`, which load configurations from files in memory.
+
+use std::error::Error;
+use std::fmt::{Display, Write};
+
+use conf::admin::FileText;
+use conf::load::{self, Loaded, Problems};
+use conf::merge::Override;
+use conf::{ServiceConfig, diff};
+
+const SERVICE: &str = include_str!("data/service.toml");
+const SETTINGS: &str = include_str!("data/settings.toml");
+
+#[test]
+fn scripts() -> Result<(), Box<dyn Error>> {
+    for entry in std::fs::read_dir("tests/scripts")? {
+        goldenscript::run(&mut Runner::default(), entry?.path())?;
+    }
+    Ok(())
+}
+
+#[derive(Default)]
+struct Runner {
+    files: Vec<FileText>,
+    kept: ServiceConfig,
+}
+
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Starts a configuration without a value.
+    Empty,
+    /// Starts a valid service configuration.
+    Service,
+    /// Starts valid settings.
+    Settings,
+    /// Adds a file by name and text.
+    File(String, String),
+    LoadService,
+    LoadSettings,
+    /// Prints the values of a section with their origins.
+    Values(String),
+    /// Keeps the service configuration for a later `diff`.
+    Keep,
+    Diff,
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &goldenscript::Context,
+    ) -> Result<String, Box<dyn Error>> {
+        let files = self.files.clone();
+        match command {
+            Command::Empty => self.start(""),
+            Command::Service => self.start(SERVICE),
+            Command::Settings => self.start(SETTINGS),
+            Command::File(name, text) => self.files.push(FileText {
+                name: name.clone().into(),
+                text: text.clone().into(),
+            }),
+            Command::LoadService => return Ok(report(load::service_from_files(files))),
+            Command::LoadSettings => return Ok(report(load::settings_from_files(files))),
+            Command::Values(section) => return Ok(self.values(section)?),
+            Command::Keep => self.kept = self.service()?.value,
+            Command::Diff => {
+                return Ok(lines(diff::service(&self.kept, &self.service()?.value)));
+            }
+        }
+        Ok(String::new())
+    }
+}
+
+impl Runner {
+    fn start(&mut self, text: &'static str) {
+        self.files = vec![FileText {
+            name: "00.toml".into(),
+            text: text.into(),
+        }];
+    }
+
+    fn service(&self) -> Result<Loaded<ServiceConfig>, String> {
+        load::service_from_files(self.files.clone()).map_err(text)
+    }
+
+    fn values(&self, section: &str) -> Result<String, String> {
+        let loaded = self.service()?;
+        let values = loaded.values.iter();
+        Ok(lines(
+            values
+                .filter(|value| value.path.section == section)
+                .map(|value| {
+                    let origin = value.origin.as_ref().map_or("default".to_owned(), text);
+                    format!("{} = {} # {origin}", value.path, value.value)
+                }),
+        ))
+    }
+}
+
+fn report<T>(loaded: Result<Loaded<T>, Problems>) -> String {
+    match loaded {
+        Ok(loaded) => lines(loaded.warnings) + &lines(loaded.overrides.iter().map(overridden)),
+        Err(problems) => problems.to_string(),
+    }
+}
+
+fn overridden(found: &Override) -> String {
+    let shown = |value: &Option<_>| value.as_ref().map_or("item".to_owned(), text);
+    let earlier = shown(&found.earlier_value);
+    let later = match &found.later_value {
+        Some(value) => text(value),
+        None => "removed".to_owned(),
+    };
+    format!(
+        "{}: {earlier} ({}) -> {later} ({})",
+        found.path, found.earlier, found.later
+    )
+}
+
+fn lines(items: impl IntoIterator<Item = impl Display>) -> String {
+    items.into_iter().fold(String::new(), |mut all, item| {
+        let _ = writeln!(all, "{item}");
+        all
+    })
+}
+
+fn text(item: impl Display) -> String {
+    item.to_string()
+}
