--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -30,6 +30,7 @@
     Config {
         token: u64,
         config: Option<ConfigRevision>,
+        instances: Vec<InstanceInfo>,
     },
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,7 +1,7 @@
 //! The leader's volatile view of instances, built from their reports.
 
 use std::collections::BTreeMap;
-use std::hash::{BuildHasher, Hash, Hasher};
+use std::hash::BuildHasher;
 
 use conf::Name;
 use conf::admin::DrainTarget;
@@ -148,7 +148,5 @@
 }
 
 fn hash(view: &ClusterView) -> u64 {
-    let mut hasher = foldhash::fast::FixedState::default().build_hasher();
-    view.hash(&mut hasher);
-    hasher.finish()
+    foldhash::fast::FixedState::default().hash_one(view)
 }
--- a/crates/reducer/src/admin.rs
+++ b/crates/reducer/src/admin.rs
@@ -62,11 +62,7 @@
 }
 
 /// Answers an apply after its command was applied or given up.
-pub(crate) fn on_apply_settled(
-    token: u64,
-    reply: Option<CommandReply>,
-    effects: &mut Vec<Effect>,
-) {
+pub(crate) fn on_apply_settled(token: u64, reply: Option<CommandReply>, effects: &mut Vec<Effect>) {
     let reply = match reply {
         Some(CommandReply::Configure(ConfigureReply::Accepted { revision })) => {
             ApplyReply::Accepted { revision }
@@ -134,8 +130,7 @@
         return vec!["the content id does not match the canonical text".into()];
     }
     match ServiceConfig::from_canonical_text(&request.canonical) {
-        Ok(config) => config
-            .check()
+        Ok(config) => conf::check::service(&config)
             .into_iter()
             .filter(|problem| problem.severity == conf::Severity::Error)
             .map(|problem| problem.to_string().into())
@@ -230,7 +225,10 @@
 
 fn status(state: &State) -> StatusReply {
     let replica = state.replication.as_ref().map(|r| r.status());
-    let members = replica.as_ref().map(|r| r.members.clone()).unwrap_or_default();
+    let members = replica
+        .as_ref()
+        .map(|r| r.members.clone())
+        .unwrap_or_default();
     let (live_instances, instances_in_force) = state.follower.in_force_counts();
     StatusReply {
         instance: state.id().clone(),
@@ -283,7 +281,10 @@
 
 fn upstream_status(state: &State, upstream: &Upstream) -> UpstreamStatus {
     let view = state.follower.view();
-    let gate = view.gates.iter().find(|gate| gate.upstream == upstream.name);
+    let gate = view
+        .gates
+        .iter()
+        .find(|gate| gate.upstream == upstream.name);
     let holder = gate.and_then(|gate| gate.holder.as_ref());
     let load = state.loads.get(&upstream.name);
     UpstreamStatus {
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -131,8 +131,8 @@
         return;
     };
     // Storage id 0 stands for whichever replica runs on the instance.
-    let is_addressed = to == replication.id()
-        || (to.instance == replication.id().instance && to.storage_id == 0);
+    let is_addressed =
+        to == replication.id() || (to.instance == replication.id().instance && to.storage_id == 0);
     if is_addressed {
         input(state, Input::Receive { from, message }, effects);
     }
@@ -336,12 +336,7 @@
     });
 }
 
-fn on_report_reply(
-    state: &mut State,
-    from: &Name,
-    reply: &LeaderReply,
-    effects: &mut Vec<Effect>,
-) {
+fn on_report_reply(state: &mut State, from: &Name, reply: &LeaderReply, effects: &mut Vec<Effect>) {
     let change = state.follower.on_reply(state.now_ms, from, reply);
     if change.view {
         state.order_gate.on_view(state.follower.view());
@@ -384,7 +379,12 @@
     state.speeds = serve::speeds(&config);
     state.services = config.clone();
     apply_drain_marks(state);
-    log(effects, Level::Info, Part::Fleet, format!("revision {revision} is in force"));
+    log(
+        effects,
+        Level::Info,
+        Part::Fleet,
+        format!("revision {revision} is in force"),
+    );
     effects.push(Effect::InForce { revision, config });
 }
 
@@ -409,9 +409,17 @@
     let (Some(leadership), Some(replication)) = (&mut state.leadership, &state.replication) else {
         return;
     };
-    let duties = leadership.duties(now_ms, unix_ms, settings, replication.control(), &state.platform);
+    let duties = leadership.duties(
+        now_ms,
+        unix_ms,
+        settings,
+        replication.control(),
+        &state.platform,
+    );
     for command in duties {
-        state.proposer.propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
+        state
+            .proposer
+            .propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
     }
 }
 
@@ -447,9 +455,16 @@
             }
             GateAction::Propose(command) => {
                 if let Command::OrderDone { outcome, .. } = &command {
-                    log(effects, Level::Info, Part::Fleet, format!("order ended: {outcome:?}"));
+                    log(
+                        effects,
+                        Level::Info,
+                        Part::Fleet,
+                        format!("order ended: {outcome:?}"),
+                    );
                 }
-                state.proposer.propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
+                state
+                    .proposer
+                    .propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
             }
         }
     }
@@ -478,7 +493,12 @@
     let is_released = state.order_gate.is_empty() || waited_ms >= RELEASE_WAIT_MS;
     if !state.has_exited && (is_timed_out || (is_drained && is_released)) {
         state.has_exited = true;
-        log(effects, Level::Info, Part::Fleet, "stopped; nothing is open");
+        log(
+            effects,
+            Level::Info,
+            Part::Fleet,
+            "stopped; nothing is open",
+        );
         effects.push(Effect::Exit);
     }
 }
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -108,7 +108,11 @@
         let wanted = arrival
             .rank
             .clone()
-            .or_else(|| route.map(|route| route.rank.clone()).filter(|r| !r.is_empty()))
+            .or_else(|| {
+                route
+                    .map(|route| route.rank.clone())
+                    .filter(|r| !r.is_empty())
+            })
             .or_else(|| tenant.ranks.first().cloned())
             .ok_or(Refusal::RankNotAllowed)?;
         if !tenant.ranks.contains(&wanted) {
@@ -201,10 +205,20 @@
         }
     }
 
-    /// Returns whether the answer has met its targets so far.
+    /// Returns the mean time between the output tokens, if there were at least two.
+    pub fn between_tokens_ms(&self, now_ms: u64) -> Option<f64> {
+        let first_ms = self.first_token_ms?;
+        let intervals = self.output_tokens.checked_sub(1).filter(|n| *n > 0)?;
+        Some((now_ms - first_ms) as f64 / f64::from(intervals))
+    }
+
+    /// Returns whether an answer that ends now has met every target of its rank.
     pub fn is_in_target(&self, now_ms: u64) -> bool {
         let first_ms = self.first_token_ms.unwrap_or(now_ms) - self.arrived_ms;
-        first_ms <= self.target_first_token_ms && now_ms - self.arrived_ms <= self.target_total_ms
+        let between_ms = self.between_tokens_ms(now_ms).unwrap_or_default();
+        first_ms <= self.target_first_token_ms
+            && between_ms <= self.target_between_tokens_ms as f64
+            && now_ms - self.arrived_ms <= self.target_total_ms
     }
 
     /// Returns the command that asks for the right to run the current attempt.
--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -28,10 +28,6 @@
         self.term
     }
 
-    pub fn roster(&self) -> &Roster {
-        &self.roster
-    }
-
     /// Takes an instance's report and answers it.
     pub fn on_report(
         &mut self,
--- a/crates/reducer/src/replication.rs
+++ b/crates/reducer/src/replication.rs
@@ -32,13 +32,32 @@
 /// What the replica asks of the rest of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Request {
-    Persist { ticket: u64, write: quorum::Write },
-    Send { to: ReplicaId, message: quorum::Message },
-    Applied { proposal: Proposal, reply: CommandReply, origin: Option<Name> },
-    Refused { id: ProposalId, origin: Option<Name>, leader: Option<Name> },
+    Persist {
+        ticket: u64,
+        write: quorum::Write,
+    },
+    Send {
+        to: ReplicaId,
+        message: quorum::Message,
+    },
+    Applied {
+        proposal: Proposal,
+        reply: CommandReply,
+        origin: Option<Name>,
+    },
+    Refused {
+        id: ProposalId,
+        origin: Option<Name>,
+        leader: Option<Name>,
+    },
     Restored,
-    LeaderChanged { term: u64, leader: Option<Name> },
-    Undecodable { index: u64 },
+    LeaderChanged {
+        term: u64,
+        leader: Option<Name>,
+    },
+    Undecodable {
+        index: u64,
+    },
 }
 
 impl Replication {
@@ -166,7 +185,10 @@
             return Request::Undecodable { index };
         };
         let reply = self.control.apply(&proposal);
-        let origin = self.origins.remove(&proposal.id).map(|origin| origin.instance);
+        let origin = self
+            .origins
+            .remove(&proposal.id)
+            .map(|origin| origin.instance);
         Request::Applied {
             proposal,
             reply,
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -39,7 +39,9 @@
         let speed = speeds.entry(upstream.service.clone()).or_default();
         let decode_tokens_per_s =
             upstream.decode_tokens_per_s / f64::from(upstream.max_running.max(1));
-        speed.prefill_tokens_per_s = speed.prefill_tokens_per_s.max(upstream.prefill_tokens_per_s);
+        speed.prefill_tokens_per_s = speed
+            .prefill_tokens_per_s
+            .max(upstream.prefill_tokens_per_s);
         speed.decode_tokens_per_s = speed.decode_tokens_per_s.max(decode_tokens_per_s);
     }
     speeds
@@ -75,7 +77,12 @@
 pub(crate) fn pump(state: &mut State, effects: &mut Vec<Effect>) {
     let now_ms = state.now_ms;
     for refused in state.queues.expire(now_ms) {
-        end_queued(state, refused.waiting.id, from_admission(refused.refusal), effects);
+        end_queued(
+            state,
+            refused.waiting.id,
+            from_admission(refused.refusal),
+            effects,
+        );
     }
     loop {
         let mut choice = None;
@@ -177,11 +184,7 @@
 
 /// Gives up a request whose caller has left. A non-idempotent one that was sent runs to its end,
 /// so that its answer is recorded.
-pub(crate) fn on_caller_gone(
-    state: &mut State,
-    exchange: ExchangeId,
-    effects: &mut Vec<Effect>,
-) {
+pub(crate) fn on_caller_gone(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
     let Some(open) = state.exchanges.get_mut(&exchange) else {
         return;
     };
@@ -216,11 +219,18 @@
         false => Presence::Live,
     };
     if report.leaving && state.table.accepts(now_ms, upstream) {
-        log(effects, Level::Info, Part::Route, format!("{upstream} reports that it is leaving"));
+        log(
+            effects,
+            Level::Info,
+            Part::Route,
+            format!("{upstream} reports that it is leaving"),
+        );
     }
     state.table.set_observed(upstream, presence);
     state.loads.insert(upstream.clone(), report.clone());
-    state.table.on_report(now_ms, upstream, &route_report(report));
+    state
+        .table
+        .on_report(now_ms, upstream, &route_report(report));
 }
 
 /// Takes what a peer has seen of upstreams.
@@ -513,8 +523,7 @@
         return;
     };
     let (tenant, rank) = (open.tenant.clone(), open.rank_name.clone());
-    if let (Some(first_ms), true) = (open.first_token_ms, open.output_tokens > 1) {
-        let elapsed_ms = (now_ms - first_ms) as f64 / f64::from(open.output_tokens - 1);
+    if let Some(elapsed_ms) = open.between_tokens_ms(now_ms) {
         effects.push(Effect::Record(Sample::BetweenTokens {
             tenant: tenant.clone(),
             rank: rank.clone(),
@@ -602,7 +611,10 @@
     refusal: Refusal,
     effects: &mut Vec<Effect>,
 ) {
-    let was_sent = state.exchanges.get(&exchange).is_some_and(|open| open.was_sent);
+    let was_sent = state
+        .exchanges
+        .get(&exchange)
+        .is_some_and(|open| open.was_sent);
     let refusal = match was_sent {
         true => Refusal::TimedOutRunning,
         false => refusal,
@@ -698,7 +710,12 @@
     // A preemption is not a failure and leaves the number of attempts for failures.
     open.deadline_ms = open.answer_deadline_ms(state.now_ms);
     effects.push(Effect::Cancel { exchange, attempt });
-    log(effects, Level::Debug, Part::Admit, format!("request {exchange} gives up its place"));
+    log(
+        effects,
+        Level::Debug,
+        Part::Admit,
+        format!("request {exchange} gives up its place"),
+    );
     release_place(state, exchange, attempt, &End::Cancelled);
     requeue(state, exchange, effects);
 }
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -71,11 +71,9 @@
     /// Creates the state of a process that has just started.
     pub fn new(start: Start, now_ms: u64) -> Self {
         let settings = start.settings;
-        let replication = start
-            .replica
-            .map(|(storage_id, recovered)| {
-                new_replication(&settings, storage_id, recovered, start.seed, now_ms)
-            });
+        let replication = start.replica.map(|(storage_id, recovered)| {
+            new_replication(&settings, storage_id, recovered, start.seed, now_ms)
+        });
         let id = settings.instance.id.clone();
         Self {
             incarnation: start.incarnation,
@@ -179,7 +177,9 @@
             serve::tick(state, effects);
         }
         Event::Arrived(arrival) => serve::on_arrival(state, *arrival, effects),
-        Event::Started { exchange, attempt } => serve::on_started(state, exchange, attempt, effects),
+        Event::Started { exchange, attempt } => {
+            serve::on_started(state, exchange, attempt, effects)
+        }
         Event::Progress {
             exchange,
             attempt,
@@ -251,7 +251,11 @@
     };
     let replica_settings = ReplicaSettings {
         id: id.clone(),
-        initial_voters: settings.voters.iter().map(|voter| voter.id.clone()).collect(),
+        initial_voters: settings
+            .voters
+            .iter()
+            .map(|voter| voter.id.clone())
+            .collect(),
         heartbeat_interval_ms: settings.timing.heartbeat_interval_ms,
         election_timeout_min_ms: settings.timing.election_timeout_min_ms,
         election_timeout_max_ms: settings.timing.election_timeout_max_ms,
--- a/crates/reducer/src/watch.rs
+++ b/crates/reducer/src/watch.rs
@@ -76,7 +76,10 @@
 
     pub fn due(&mut self, now_ms: u64) -> Vec<Read> {
         let mut due = Vec::new();
-        if self.next_platform_ms.is_some_and(|next_ms| now_ms >= next_ms) {
+        if self
+            .next_platform_ms
+            .is_some_and(|next_ms| now_ms >= next_ms)
+        {
             self.next_platform_ms = Some(now_ms + self.platform_interval_ms);
             due.push(Read::PlatformList);
         }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -39,6 +39,7 @@
     config :group {
       token @10 :UInt64;
       config @11 :ConfigRevision;
+      instances @12 :List(InstanceInfo);
     }
   }
 }
@@ -51,6 +52,7 @@
 struct MemberSet {
   voters @0 :List(ReplicaId);
   learners @1 :List(ReplicaId);
+  instances @2 :List(Text);
 }
 
 struct Entry {
@@ -69,6 +71,7 @@
     preVote :group {
       lastIndex @1 :UInt64;
       lastTerm @2 :UInt64;
+      voterStorageId @26 :UInt64;
     }
     preVoteReply :group {
       granted @3 :Bool;
@@ -76,6 +79,7 @@
     vote :group {
       lastIndex @4 :UInt64;
       lastTerm @5 :UInt64;
+      voterStorageId @27 :UInt64;
     }
     voteReply :group {
       granted @6 :Bool;
@@ -91,6 +95,7 @@
       success @12 :Bool;
       matchIndex @13 :UInt64;
       readSequence @14 :UInt64;
+      matchTerm @28 :UInt64;
     }
     snapshotChunk :group {
       index @15 :UInt64;
@@ -106,10 +111,13 @@
     }
     join :group {
       formed @23 :Bool;
+      membersIndex @29 :UInt64;
     }
     joinReply :group {
       formed @24 :Bool;
       members @25 :MemberSet;
+      storageId @30 :UInt64;
+      membersIndex @31 :UInt64;
     }
   }
 }
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -12,14 +12,14 @@
 use crate::error::DecodeError;
 use crate::peer_capnp as schema;
 
-fn write_info(info: &InstanceInfo, mut builder: schema::instance_info::Builder<'_>) {
+pub fn write_info(info: &InstanceInfo, mut builder: schema::instance_info::Builder<'_>) {
     builder.set_id(info.id.as_str());
     builder.set_incarnation(info.incarnation);
     builder.set_availability_zone(info.availability_zone.as_str());
     builder.set_peer_address(info.peer_address.as_str());
 }
 
-fn read_info(reader: schema::instance_info::Reader<'_>) -> Result<InstanceInfo, DecodeError> {
+pub fn read_info(reader: schema::instance_info::Reader<'_>) -> Result<InstanceInfo, DecodeError> {
     Ok(InstanceInfo {
         id: read_name(reader.get_id())?,
         incarnation: reader.get_incarnation(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,8 @@
 use crate::error::{DecodeError, EncodeError};
 use crate::frame;
 use crate::membership::{
-    read_digests, read_leader_reply, read_report, write_digests, write_leader_reply, write_report,
+    read_digests, read_info, read_leader_reply, read_report, write_digests, write_info,
+    write_leader_reply, write_report,
 };
 use crate::peer_capnp as schema;
 use crate::quorum::{read_message, read_replica, write_message, write_replica};
@@ -52,9 +53,17 @@
             write_digests(digests, root.init_digest(digests.len() as u32));
         }
         PeerMessage::AskConfig { token } => root.init_ask_config().set_token(*token),
-        PeerMessage::Config { token, config } => {
+        PeerMessage::Config {
+            token,
+            config,
+            instances,
+        } => {
             let mut builder = root.init_config();
             builder.set_token(*token);
+            let mut list = builder.reborrow().init_instances(instances.len() as u32);
+            for (index, info) in (0..).zip(instances) {
+                write_info(info, list.reborrow().get(index));
+            }
             if let Some(config) = config {
                 write_revision(config, builder.init_config());
             }
@@ -87,6 +96,11 @@
                 .has_config()
                 .then(|| read_revision(config.get_config()?))
                 .transpose()?,
+            instances: config
+                .get_instances()?
+                .iter()
+                .map(read_info)
+                .collect::<Result<_, _>>()?,
         },
     })
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2858,6 +2858,7 @@
             self.builder.set_data_field::<u16>(0, 7);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.reborrow().get_pointer_field(1).clear();
             self.builder.into()
         }
         #[inline]
@@ -4338,6 +4339,21 @@
             pub fn has_config(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_instances(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::instance_info::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_instances(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -4473,6 +4489,43 @@
             pub fn has_config(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_instances(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_instances(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::instance_info::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_instances(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_instances(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline {
@@ -4491,7 +4544,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(201, 79, 82, 174, 47, 56, 52, 186),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
@@ -4501,28 +4554,35 @@
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 77),
                 ::capnp::word(101, 115, 115, 97, 103, 101, 46, 99),
                 ::capnp::word(111, 110, 102, 105, 103, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 111, 107, 101, 110, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4539,11 +4599,25 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::config_revision::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4562,9 +4636,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
             pub(crate) const TYPE_ID: u64 = 0xba34_382f_ae52_4fc9;
         }
     }
@@ -5039,6 +5113,17 @@
         pub fn has_learners(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_instances(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_instances(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5048,7 +5133,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 0,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5200,6 +5285,35 @@
         pub fn has_learners(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_instances(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_instances(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_instances(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_instances(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -5214,38 +5328,45 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 239, 126, 252, 177, 207, 76, 185),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
             ::capnp::word(114, 83, 101, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 111, 116, 101, 114, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5271,11 +5392,25 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::struct_list::Owned<crate::peer_capnp::replica_id::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::replica_id::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5294,9 +5429,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
         pub(crate) const TYPE_ID: u64 = 0xb94c_cfb1_fc7e_eff4;
     }
 }
@@ -6295,6 +6430,7 @@
             self.builder.set_data_field::<u16>(12, 0);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_data_field::<u64>(4, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6310,6 +6446,7 @@
             self.builder.set_data_field::<u16>(12, 2);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_data_field::<u64>(4, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6336,6 +6473,7 @@
             self.builder.set_bool_field(64, false);
             self.builder.set_data_field::<u64>(2, 0u64);
             self.builder.set_data_field::<u64>(4, 0u64);
+            self.builder.set_data_field::<u64>(5, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6364,6 +6502,7 @@
         pub fn init_join(self) -> crate::peer_capnp::quorum_message::join::Builder<'a> {
             self.builder.set_data_field::<u16>(12, 8);
             self.builder.set_bool_field(64, false);
+            self.builder.set_data_field::<u64>(2, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6373,6 +6512,8 @@
             self.builder.set_data_field::<u16>(12, 9);
             self.builder.set_bool_field(64, false);
             self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_data_field::<u64>(4, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6714,6 +6855,10 @@
             pub fn get_last_term(self) -> u64 {
                 self.reader.get_data_field::<u64>(2)
             }
+            #[inline]
+            pub fn get_voter_storage_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6826,6 +6971,14 @@
             pub fn set_last_term(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(2, value);
             }
+            #[inline]
+            pub fn get_voter_storage_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_voter_storage_id(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6840,7 +6993,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(83, 203, 219, 56, 108, 36, 126, 142),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
@@ -6850,7 +7003,7 @@
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -6858,21 +7011,28 @@
                 ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
                 ::capnp::word(46, 112, 114, 101, 86, 111, 116, 101),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(85, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 97, 115, 116, 73, 110, 100, 101),
                 ::capnp::word(120, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6891,11 +7051,21 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 111, 116, 101, 114, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 73, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6914,9 +7084,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
             pub(crate) const TYPE_ID: u64 = 0x8e7e_246c_38db_cb53;
         }
     }
@@ -7328,6 +7498,10 @@
             pub fn get_last_term(self) -> u64 {
                 self.reader.get_data_field::<u64>(2)
             }
+            #[inline]
+            pub fn get_voter_storage_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> {
@@ -7440,6 +7614,14 @@
             pub fn set_last_term(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(2, value);
             }
+            #[inline]
+            pub fn get_voter_storage_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_voter_storage_id(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline {
@@ -7454,7 +7636,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(239, 1, 181, 112, 180, 94, 131, 139),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
@@ -7464,28 +7646,35 @@
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 81, 117, 111, 114, 117),
                 ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
                 ::capnp::word(46, 118, 111, 116, 101, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(85, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 97, 115, 116, 73, 110, 100, 101),
                 ::capnp::word(120, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -7504,11 +7693,21 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 111, 116, 101, 114, 83, 116, 111),
+                ::capnp::word(114, 97, 103, 101, 73, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7527,9 +7726,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
             pub(crate) const TYPE_ID: u64 = 0x8b83_5eb4_70b5_01ef;
         }
     }
@@ -8392,6 +8591,10 @@
             pub fn get_read_sequence(self) -> u64 {
                 self.reader.get_data_field::<u64>(4)
             }
+            #[inline]
+            pub fn get_match_term(self) -> u64 {
+                self.reader.get_data_field::<u64>(5)
+            }
         }
 
         pub struct Builder<'a> {
@@ -8512,6 +8715,14 @@
             pub fn set_read_sequence(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(4, value);
             }
+            #[inline]
+            pub fn get_match_term(self) -> u64 {
+                self.builder.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn set_match_term(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(5, value);
+            }
         }
 
         pub struct Pipeline {
@@ -8526,7 +8737,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(107, 185, 245, 112, 168, 207, 244, 141),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
@@ -8536,7 +8747,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -8544,28 +8755,35 @@
                 ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
                 ::capnp::word(46, 97, 112, 112, 101, 110, 100, 82),
                 ::capnp::word(101, 112, 108, 121, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8592,12 +8810,22 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 97, 116, 99, 104, 84, 101, 114),
+                ::capnp::word(109, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8616,9 +8844,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 3, 2, 0];
             pub(crate) const TYPE_ID: u64 = 0x8df4_cfa8_70f5_b96b;
         }
     }
@@ -9542,6 +9770,10 @@
             pub fn get_formed(self) -> bool {
                 self.reader.get_bool_field(64)
             }
+            #[inline]
+            pub fn get_members_index(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> {
@@ -9646,6 +9878,14 @@
             pub fn set_formed(&mut self, value: bool) {
                 self.builder.set_bool_field(64, value);
             }
+            #[inline]
+            pub fn get_members_index(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_members_index(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline {
@@ -9660,7 +9900,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(149, 30, 56, 118, 159, 191, 101, 200),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
@@ -9670,21 +9910,28 @@
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 81, 117, 111, 114, 117),
                 ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
                 ::capnp::word(46, 106, 111, 105, 110, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 114, 109, 101, 100, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9693,10 +9940,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 73),
+                ::capnp::word(110, 100, 101, 120, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9715,9 +9972,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xc865_bf9f_7638_1e95;
         }
     }
@@ -9844,6 +10101,14 @@
             pub fn has_members(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_storage_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_members_index(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> {
@@ -9979,6 +10244,22 @@
             pub fn has_members(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_storage_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_storage_id(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_members_index(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_members_index(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline {
@@ -9997,7 +10278,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(39, 237, 141, 0, 111, 212, 42, 229),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
@@ -10007,7 +10288,7 @@
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -10015,21 +10296,35 @@
                 ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
                 ::capnp::word(46, 106, 111, 105, 110, 82, 101, 112),
                 ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 114, 109, 101, 100, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10046,11 +10341,31 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 111, 114, 97, 103, 101, 73),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 73),
+                ::capnp::word(110, 100, 101, 120, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::member_set::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10069,9 +10384,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 3, 2];
             pub(crate) const TYPE_ID: u64 = 0xe52a_d46f_008d_ed27;
         }
     }
--- a/crates/wire/src/quorum.rs
+++ b/crates/wire/src/quorum.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use quorum::{Entry, EntryBody, MemberSet, Message, ReplicaId};
 
-use crate::config::read_name;
+use crate::config::{read_name, read_names, write_names};
 use crate::error::DecodeError;
 use crate::peer_capnp as schema;
 
@@ -40,7 +40,13 @@
     );
     write_replicas(
         &members.learners,
-        builder.init_learners(members.learners.len() as u32),
+        builder
+            .reborrow()
+            .init_learners(members.learners.len() as u32),
+    );
+    write_names(
+        &members.instances,
+        builder.init_instances(members.instances.len() as u32),
     );
 }
 
@@ -48,6 +54,7 @@
     Ok(MemberSet {
         voters: read_replicas(reader.get_voters()?)?,
         learners: read_replicas(reader.get_learners()?)?,
+        instances: read_names(reader.get_instances()?)?,
     })
 }
 
@@ -97,11 +104,13 @@
             term,
             last_index,
             last_term,
+            voter_storage_id,
         } => {
             root.set_term(*term);
             let mut builder = root.init_pre_vote();
             builder.set_last_index(*last_index);
             builder.set_last_term(*last_term);
+            builder.set_voter_storage_id(*voter_storage_id);
         }
         Message::PreVoteReply { term, granted } => {
             root.set_term(*term);
@@ -111,11 +120,13 @@
             term,
             last_index,
             last_term,
+            voter_storage_id,
         } => {
             root.set_term(*term);
             let mut builder = root.init_vote();
             builder.set_last_index(*last_index);
             builder.set_last_term(*last_term);
+            builder.set_voter_storage_id(*voter_storage_id);
         }
         Message::VoteReply { term, granted } => {
             root.set_term(*term);
@@ -141,12 +152,14 @@
             term,
             success,
             match_index,
+            match_term,
             read_sequence,
         } => {
             root.set_term(*term);
             let mut builder = root.init_append_reply();
             builder.set_success(*success);
             builder.set_match_index(*match_index);
+            builder.set_match_term(*match_term);
             builder.set_read_sequence(*read_sequence);
         }
         Message::SnapshotChunk {
@@ -177,10 +190,24 @@
             builder.set_index(*index);
             builder.set_received_bytes(*received_bytes);
         }
-        Message::Join { formed } => root.init_join().set_formed(*formed),
-        Message::JoinReply { formed, members } => {
+        Message::Join {
+            formed,
+            members_index,
+        } => {
+            let mut builder = root.init_join();
+            builder.set_formed(*formed);
+            builder.set_members_index(*members_index);
+        }
+        Message::JoinReply {
+            storage_id,
+            formed,
+            members_index,
+            members,
+        } => {
             let mut builder = root.init_join_reply();
+            builder.set_storage_id(*storage_id);
             builder.set_formed(*formed);
+            builder.set_members_index(*members_index);
             write_members(members, builder.init_members());
         }
     }
@@ -194,6 +221,7 @@
             term,
             last_index: vote.get_last_index(),
             last_term: vote.get_last_term(),
+            voter_storage_id: vote.get_voter_storage_id(),
         },
         q::PreVoteReply(reply) => Message::PreVoteReply {
             term,
@@ -203,6 +231,7 @@
             term,
             last_index: vote.get_last_index(),
             last_term: vote.get_last_term(),
+            voter_storage_id: vote.get_voter_storage_id(),
         },
         q::VoteReply(reply) => Message::VoteReply {
             term,
@@ -220,6 +249,7 @@
             term,
             success: reply.get_success(),
             match_index: reply.get_match_index(),
+            match_term: reply.get_match_term(),
             read_sequence: reply.get_read_sequence(),
         },
         q::SnapshotChunk(chunk) => Message::SnapshotChunk {
@@ -238,9 +268,12 @@
         },
         q::Join(join) => Message::Join {
             formed: join.get_formed(),
+            members_index: join.get_members_index(),
         },
         q::JoinReply(reply) => Message::JoinReply {
+            storage_id: reply.get_storage_id(),
             formed: reply.get_formed(),
+            members_index: reply.get_members_index(),
             members: read_members(reply.get_members()?)?,
         },
     })
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -96,6 +96,7 @@
         _ => PeerMessage::Config {
             token: number(g),
             config: option(g, revision),
+            instances: list(g, info),
         },
     }
 }
@@ -111,6 +112,7 @@
     MemberSet {
         voters: list(g, replica),
         learners: list(g, replica),
+        instances: list(g, name),
     }
 }
 
@@ -134,6 +136,7 @@
             term,
             last_index: number(g),
             last_term: number(g),
+            voter_storage_id: number(g),
         },
         1 => Message::PreVoteReply {
             term,
@@ -143,6 +146,7 @@
             term,
             last_index: number(g),
             last_term: number(g),
+            voter_storage_id: number(g),
         },
         3 => Message::VoteReply {
             term,
@@ -160,6 +164,7 @@
             term,
             success: flag(g),
             match_index: number(g),
+            match_term: number(g),
             read_sequence: number(g),
         },
         6 => Message::SnapshotChunk {
@@ -176,9 +181,14 @@
             index: number(g),
             received_bytes: number(g),
         },
-        8 => Message::Join { formed: flag(g) },
+        8 => Message::Join {
+            formed: flag(g),
+            members_index: number(g),
+        },
         _ => Message::JoinReply {
+            storage_id: number(g),
             formed: flag(g),
+            members_index: number(g),
             members: members(g),
         },
     }
