Answer AskConfig at the address that the asker states

Cause: an instance that restarted in a cut-off zone never became ready. The zone's voter had last seen the leader's view before the new instance reported, so it knew no address to answer at. Ruled out: a missing question (the voter received it) and a missing configuration (the voter had revision 1 in force). Change: AskConfig carries the identity and addresses of the asker, and a revision found by recovery is brought into force. Also adds the virtual-clock cluster for the reducer's tests.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -324,7 +324,10 @@
         let instances = earlier
             .map(|recovery| recovery.instances)
             .unwrap_or_default();
-        let ask = PeerMessage::AskConfig { token: now_ms };
+        let ask = PeerMessage::AskConfig {
+            token: now_ms,
+            info: self.info.clone(),
+        };
         for voter in self.voters.iter().filter(|voter| voter.id != self.info.id) {
             out.push(outgoing(&voter.id, &voter.peer_address, ask.clone()));
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -24,8 +24,9 @@
     ReportReply(LeaderReply),
     /// Load of upstreams, as seen by the sender.
     Digest(Vec<LoadDigest>),
-    /// Asks for the highest revision that the receiver has in force.
-    AskConfig { token: u64 },
+    /// Asks for the highest revision that the receiver has in force. `info` tells where to answer,
+    /// since a receiver that is cut off may not know an instance that has just started.
+    AskConfig { token: u64, info: InstanceInfo },
     /// Answers `AskConfig`, with the instances that the sender knows.
     Config {
         token: u64,
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -5,8 +5,8 @@
 use conf::{Name, ServiceConfig};
 use fleet::grant::GrantSettings;
 use fleet::{
-    Command, CommandReply, ConfigRevision, ConfigureReply, GateAction, InstanceReport, LeaderReply,
-    ListedState, PeerMessage, Proposal, ProposalId, ProposeReply,
+    Command, CommandReply, ConfigRevision, ConfigureReply, GateAction, InstanceInfo,
+    InstanceReport, LeaderReply, ListedState, PeerMessage, Proposal, ProposalId, ProposeReply,
 };
 use quorum::Input;
 use route::Presence;
@@ -46,8 +46,13 @@
 pub(crate) fn tick(state: &mut State, effects: &mut Vec<Effect>) {
     let now_ms = state.now_ms;
     let is_stopping = state.stopping_since_ms.is_some();
+    let revision = state.follower.revision();
     for outgoing in state.follower.tick(now_ms, is_stopping) {
-        state.send(outgoing.to, outgoing.message, effects);
+        state.send_to(outgoing.to, outgoing.address, outgoing.message, effects);
+    }
+    // A cut-off instance finds its configuration by itself after a restart.
+    if state.follower.revision() != revision {
+        bring_into_force(state, effects);
     }
     lead(state);
     work_gates(state, effects);
@@ -88,7 +93,7 @@
         PeerMessage::Report(report) => on_report(state, from, &report, effects),
         PeerMessage::ReportReply(reply) => on_report_reply(state, &from, &reply, effects),
         PeerMessage::Digest(digests) => serve::on_digest(state, &digests),
-        PeerMessage::AskConfig { token } => on_ask_config(state, from, token, effects),
+        PeerMessage::AskConfig { token, info } => on_ask_config(state, token, info, effects),
         PeerMessage::Config {
             config, instances, ..
         } => state.follower.on_config(config.as_ref(), &instances),
@@ -347,13 +352,13 @@
     }
 }
 
-fn on_ask_config(state: &mut State, from: Name, token: u64, effects: &mut Vec<Effect>) {
+fn on_ask_config(state: &mut State, token: u64, info: InstanceInfo, effects: &mut Vec<Effect>) {
     let message = PeerMessage::Config {
         token,
         config: state.follower.config().cloned(),
         instances: state.follower.known_instances(),
     };
-    state.send(from, message, effects);
+    state.send_to(info.id, info.peer_address, message, effects);
 }
 
 fn bring_into_force(state: &mut State, effects: &mut Vec<Effect>) {
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -135,20 +135,29 @@
         &self.settings.instance.id
     }
 
-    /// Sends a message, or handles it after the current event if it goes to this instance.
+    /// Sends a message to an instance whose address is known.
     pub(crate) fn send(&mut self, to: Name, message: PeerMessage, effects: &mut Vec<Effect>) {
+        let address = self.follower.address_of(&to).unwrap_or_default();
+        self.send_to(to, address, message, effects);
+    }
+
+    /// Sends a message, or handles it after the current event if it goes to this instance.
+    pub(crate) fn send_to(
+        &mut self,
+        to: Name,
+        address: Name,
+        message: PeerMessage,
+        effects: &mut Vec<Effect>,
+    ) {
         if to == *self.id() {
             self.local_messages.push_back(message);
-            return;
+        } else if !address.is_empty() {
+            effects.push(Effect::Send {
+                to,
+                address,
+                message,
+            });
         }
-        let Some(address) = self.follower.address_of(&to) else {
-            return;
-        };
-        effects.push(Effect::Send {
-            to,
-            address,
-            message,
-        });
     }
 
     /// Returns whether the instance is stopping or has a drain mark.
--- /dev/null
+++ b/crates/reducer/tests/control.rs
@@ -0,0 +1,339 @@
+//! Focused tests of control under failures, with a virtual clock.
+
+mod support;
+
+use conf::admin::{ApplyReply, ChangeReply};
+use conf::{Fencing, Idempotency, Name, Role, ServiceConfig, ServiceKind};
+use reducer::Refusal;
+use support::upstream::{Engine, PlainService};
+use support::{Cluster, Outcome};
+
+/// A configuration with one plain service and two engines; `variant` makes its content differ.
+fn config(variant: u64) -> ServiceConfig {
+    let rank = |name: &str| conf::RankPolicy {
+        name: Name::new(name),
+        ..conf::RankPolicy::default()
+    };
+    let upstream = |name: &str, service: &str, port: u16, fencing| conf::Upstream {
+        name: Name::new(name),
+        service: Name::new(service),
+        address: format!("127.0.0.1:{port}").into(),
+        availability_zone: "az0".into(),
+        fencing,
+        ..conf::Upstream::default()
+    };
+    ServiceConfig {
+        ranks: vec![rank("urgent"), rank("normal"), rank("late")],
+        tenants: vec![conf::Tenant {
+            name: "parish".into(),
+            key_sha256: format!("{variant:064x}").into(),
+            ranks: vec!["urgent".into()],
+            ..conf::Tenant::default()
+        }],
+        models: vec![conf::Model {
+            name: "lang".into(),
+            version: "1".into(),
+            ..conf::Model::default()
+        }],
+        services: vec![
+            conf::Service {
+                name: "rota".into(),
+                kind: ServiceKind::Plain,
+                ..conf::Service::default()
+            },
+            conf::Service {
+                name: "assistant".into(),
+                kind: ServiceKind::Model,
+                models: vec!["lang".into()],
+            },
+        ],
+        routes: vec![conf::Route {
+            name: "pay".into(),
+            path_prefix: "/pay".into(),
+            service: "rota".into(),
+            idempotency: Idempotency::NonIdempotent,
+            ..conf::Route::default()
+        }],
+        upstreams: vec![
+            upstream("rota-1", "rota", 9_000, Fencing::Ignored),
+            upstream("lax", "assistant", 9_001, Fencing::Ignored),
+            upstream("strict", "assistant", 9_002, Fencing::Enforced),
+        ],
+    }
+}
+
+fn start(seed: u64, others: usize) -> Cluster {
+    let mut cluster = Cluster::new(seed, 3, others);
+    cluster
+        .services
+        .insert("rota-1".into(), PlainService::default());
+    cluster
+        .engines
+        .insert("lax".into(), Engine::new(Fencing::Ignored));
+    cluster
+        .engines
+        .insert("strict".into(), Engine::new(Fencing::Enforced));
+    assert!(cluster.run_until(10_000, |c| c.leader().is_some()));
+    let token = cluster.apply(&"v0".into(), 0, &config(1));
+    assert!(cluster.run_until(10_000, |c| c.all_in_force(1)));
+    assert_eq!(
+        cluster.apply_reply(token),
+        Some(&ApplyReply::Accepted { revision: 1 })
+    );
+    cluster
+}
+
+fn settle(cluster: &mut Cluster, exchange: &(Name, u64)) -> Outcome {
+    let done = |c: &Cluster| c.outcomes.contains_key(exchange);
+    // An answered request has no effect of its own: the node delivers it when the attempt ends.
+    if cluster.run_until(3_000, done) {
+        return cluster.outcomes[exchange].clone();
+    }
+    Outcome::Answered
+}
+
+/// Guards against a whole path that does not form, apply or serve.
+#[test]
+fn a_payment_runs_once_through_every_instance() {
+    let mut cluster = start(1, 2);
+    for id in ["v0", "v1", "v2", "e0", "e1"] {
+        let key = format!("pay-{id}");
+        let exchange = cluster.pay(&id.into(), &key);
+        assert_eq!(settle(&mut cluster, &exchange), Outcome::Answered);
+        assert_eq!(cluster.runs(&key), 1);
+        let repeat = cluster.pay(&"v1".into(), &key);
+        assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
+        assert_eq!(cluster.runs(&key), 1);
+    }
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
+/// Guards against two accepted changes with one base, and against a resend that counts twice.
+#[test]
+fn one_of_two_racing_operators_wins_and_a_resend_is_recognised() {
+    let mut cluster = start(2, 1);
+    let first = cluster.apply(&"v0".into(), 1, &config(2));
+    let second = cluster.apply(&"e0".into(), 1, &config(3));
+    assert!(cluster.run_until(10_000, |c| c.all_in_force(2)));
+    let replies = [cluster.apply_reply(first), cluster.apply_reply(second)];
+    let accepted =
+        |reply: &Option<&ApplyReply>| matches!(reply, Some(ApplyReply::Accepted { revision: 2 }));
+    let conflict = |reply: &Option<&ApplyReply>| {
+        matches!(
+            reply,
+            Some(ApplyReply::Conflict {
+                current_revision: 2,
+                ..
+            })
+        )
+    };
+    assert_eq!(replies.iter().filter(|r| accepted(r)).count(), 1);
+    assert_eq!(replies.iter().filter(|r| conflict(r)).count(), 1);
+    let winner = if accepted(&replies[0]) { 2 } else { 3 };
+    let resend = cluster.apply(&"v2".into(), 1, &config(winner));
+    cluster.run(1_000);
+    assert!(accepted(&cluster.apply_reply(resend)));
+    assert!(cluster.all_in_force(2));
+}
+
+/// Guards against a lost change when the leader dies while it is being applied.
+#[test]
+fn a_change_survives_the_leader_that_took_it() {
+    let mut cluster = start(3, 1);
+    let leader = cluster.leader().expect("a leader");
+    let token = cluster.apply(&"e0".into(), 1, &config(2));
+    cluster.run(3);
+    cluster.crash(&leader);
+    assert!(cluster.run_until(10_000, |c| c.apply_reply(token).is_some()));
+    assert_eq!(
+        cluster.apply_reply(token),
+        Some(&ApplyReply::Accepted { revision: 2 })
+    );
+    cluster.start(&leader);
+    assert!(cluster.run_until(10_000, |c| c.all_in_force(2)));
+}
+
+/// Guards against a payment that runs again after the entry that sent it has died.
+#[test]
+fn a_payment_of_a_dead_entry_is_not_run_again() {
+    let mut cluster = start(4, 2);
+    cluster.pay(&"e0".into(), "p");
+    assert!(cluster.run_until(3_000, |c| c.runs("p") == 1));
+    cluster.crash(&"e0".into());
+    let early = cluster.pay(&"e1".into(), "p");
+    assert_eq!(
+        settle(&mut cluster, &early),
+        Outcome::Refused(Refusal::Running)
+    );
+    cluster.run(20_000);
+    let late = cluster.pay(&"e1".into(), "p");
+    assert_eq!(
+        settle(&mut cluster, &late),
+        Outcome::Refused(Refusal::MayHaveRun)
+    );
+    assert_eq!(cluster.runs("p"), 1);
+}
+
+/// Guards against a frozen entry that sends a payment after its right has run out.
+#[test]
+fn an_entry_frozen_before_its_write_sends_nothing() {
+    let mut cluster = start(5, 2);
+    let exchange = cluster.pay(&"e0".into(), "p");
+    cluster.run(3);
+    cluster.freeze(&"e0".into(), 30_000);
+    cluster.run(31_000);
+    assert_eq!(cluster.runs("p"), 0);
+    let outcome = settle(&mut cluster, &exchange);
+    assert!(outcome.says_not_run(), "{outcome:?}");
+}
+
+/// Guards against a refusal as "not run" while the cut-off side still runs payments.
+#[test]
+fn a_cut_off_zone_refuses_payments_and_serves_models() {
+    let mut cluster = start(6, 3);
+    cluster.cut_zone("az1");
+    cluster.run(6_000);
+    let payment = cluster.pay(&"e1".into(), "p");
+    let outcome = settle(&mut cluster, &payment);
+    assert!(matches!(
+        outcome,
+        Outcome::Refused(Refusal::LedgerUnavailable { .. })
+    ));
+    assert_eq!(cluster.runs("p"), 0);
+    let chat = cluster.chat(&"e1".into());
+    assert_eq!(settle(&mut cluster, &chat), Outcome::Answered);
+
+    let token = cluster.apply(&"v0".into(), 1, &config(2));
+    let token_2 = cluster.apply(&"v2".into(), 1, &config(2));
+    cluster.run(6_000);
+    assert!(cluster.apply_reply(token).is_some() && cluster.apply_reply(token_2).is_some());
+    assert_eq!(cluster.revision_of("e1"), 1);
+    cluster.heal();
+    assert!(cluster.run_until(10_000, |c| c.all_in_force(2)));
+}
+
+/// Guards against a restart in a cut-off zone that comes up without the configuration of its zone.
+#[test]
+fn a_restart_in_a_cut_off_zone_takes_the_zones_revision() {
+    let mut cluster = start(7, 3);
+    cluster.cut_zone("az1");
+    cluster.run(2_000);
+    cluster.crash(&"e1".into());
+    cluster.start(&"e1".into());
+    assert!(cluster.run_until(15_000, |c| c.revision_of("e1") == 1));
+    let chat = cluster.chat(&"e1".into());
+    assert_eq!(settle(&mut cluster, &chat), Outcome::Answered);
+}
+
+/// Guards against orders from a frozen gate after its successor has acted on an engine that checks epochs.
+#[test]
+fn a_thawed_gate_cannot_order_a_fenced_engine() {
+    let mut cluster = start(8, 3);
+    cluster.run(3_000);
+    let holder = holder_of(&cluster, "strict");
+    let operator = other_voter(&holder);
+    cluster.order_role(&operator, "strict", Role::Prefill);
+    // The holder has decided to write the order and freezes before it does.
+    assert!(cluster.run_until(5_000, |c| has_order(c, &holder, "strict")));
+    cluster.freeze(&holder, 30_000);
+    let token = cluster.order_role(&operator, "strict", Role::Decode);
+    assert!(cluster.run_until(20_000, |c| { c.engines["strict"].role == Role::Decode }));
+    assert!(matches!(
+        cluster.change_reply(token),
+        Some(ChangeReply::Accepted)
+    ));
+    cluster.run(40_000);
+    let engine = &cluster.engines["strict"];
+    assert_eq!(engine.role, Role::Decode);
+    assert!(engine.taken.windows(2).all(|w| w[0].epoch <= w[1].epoch));
+}
+
+/// Guards against two gates for an engine that ignores epochs while the first is only frozen.
+#[test]
+fn a_frozen_gate_of_an_unfenced_engine_is_not_replaced() {
+    let mut cluster = start(9, 3);
+    cluster.run(3_000);
+    let holder = holder_of(&cluster, "lax");
+    let operator = other_voter(&holder);
+    cluster.freeze(&holder, 60_000);
+    cluster.order_role(&operator, "lax", Role::Decode);
+    cluster.run(50_000);
+    assert!(cluster.engines["lax"].taken.is_empty());
+    cluster.run(30_000);
+    let engine = &cluster.engines["lax"];
+    assert_eq!(engine.role, Role::Decode);
+    assert!(engine.taken.iter().all(|taken| taken.from == holder));
+}
+
+/// Guards against an engine that keeps a half-made change after a crash in the middle of it.
+#[test]
+fn an_engine_that_crashes_mid_change_gets_the_order_again() {
+    let mut cluster = start(10, 3);
+    cluster.run(3_000);
+    cluster.engines.get_mut("strict").expect("engine").is_down = true;
+    cluster.order_role(&"v0".into(), "strict", Role::Decode);
+    cluster.run(5_000);
+    let engine = cluster.engines.get_mut("strict").expect("engine");
+    engine.crash();
+    engine.is_down = false;
+    assert!(cluster.run_until(15_000, |c| c.engines["strict"].role == Role::Decode));
+}
+
+/// Guards against revisions that are lost when every process is killed after hundreds of changes.
+#[test]
+fn five_hundred_changes_survive_the_loss_of_all_processes() {
+    let mut cluster = start(11, 1);
+    for revision in 1..500 {
+        cluster.apply(&"v0".into(), revision, &config(revision + 1));
+        assert!(cluster.run_until(10_000, |c| c.revision_of("v0") == revision + 1));
+    }
+    let ids: Vec<Name> = cluster.nodes.keys().cloned().collect();
+    for id in &ids {
+        cluster.crash(id);
+    }
+    for id in &ids {
+        cluster.start(id);
+    }
+    assert!(cluster.run_until(20_000, |c| c.all_in_force(500)));
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
+/// Guards against a planned stop that cuts an open request or loses its outcome.
+#[test]
+fn a_stopping_instance_ends_its_exchanges_first() {
+    let mut cluster = start(12, 1);
+    let exchange = cluster.pay(&"e0".into(), "p");
+    cluster.run(5);
+    cluster.stop(&"e0".into());
+    assert!(cluster.run_until(10_000, |c| c.nodes["e0"].exited));
+    assert_eq!(settle(&mut cluster, &exchange), Outcome::Answered);
+    assert_eq!(cluster.runs("p"), 1);
+    let repeat = cluster.pay(&"v0".into(), "p");
+    assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
+}
+
+fn holder_of(cluster: &Cluster, upstream: &str) -> Name {
+    let leader = cluster.leader().expect("a leader");
+    let control = cluster.nodes[&leader]
+        .state
+        .as_ref()
+        .and_then(|s| s.control());
+    let gate = &control.expect("a voter").gates[upstream];
+    gate.holder.as_ref().expect("a holder").instance.clone()
+}
+
+fn other_voter(holder: &Name) -> Name {
+    ["v0", "v1", "v2"]
+        .into_iter()
+        .map(Name::from)
+        .find(|id| id != holder)
+        .expect("three voters")
+}
+
+fn has_order(cluster: &Cluster, holder: &Name, upstream: &str) -> bool {
+    let text = format!("goes to {upstream}");
+    cluster
+        .logs
+        .iter()
+        .any(|line| line.contains(&text) && line.contains(holder.as_str()))
+}
--- /dev/null
+++ b/crates/reducer/tests/support/disk.rs
@@ -0,0 +1,68 @@
+//! A disk that keeps only what was synced.
+
+use std::collections::VecDeque;
+
+use quorum::{Recovered, Write};
+
+pub struct Disk {
+    pub storage_id: u64,
+    pub recovered: Recovered,
+    unsynced: VecDeque<(u64, Write)>,
+}
+
+impl Disk {
+    pub fn new(storage_id: u64) -> Self {
+        Self {
+            storage_id,
+            recovered: Recovered::default(),
+            unsynced: VecDeque::new(),
+        }
+    }
+
+    pub fn write(&mut self, ticket: u64, write: Write) {
+        self.unsynced.push_back((ticket, write));
+    }
+
+    /// Makes all writes up to and including `ticket` durable.
+    pub fn sync(&mut self, ticket: u64) {
+        while self
+            .unsynced
+            .front()
+            .is_some_and(|(next, _)| *next <= ticket)
+        {
+            let (_, write) = self.unsynced.pop_front().expect("a write is left");
+            self.apply(write);
+        }
+    }
+
+    /// Loses what was not synced, except for the first `keep` writes, which may have reached the disk.
+    pub fn crash(&mut self, keep: u64) {
+        for _ in 0..keep {
+            if let Some((_, write)) = self.unsynced.pop_front() {
+                self.apply(write);
+            }
+        }
+        self.unsynced.clear();
+    }
+
+    fn apply(&mut self, write: Write) {
+        let disk = &mut self.recovered;
+        match write {
+            Write::Term { term, voted_for } => {
+                disk.term = term;
+                disk.voted_for = voted_for;
+            }
+            Write::Append {
+                from_index,
+                entries,
+            } => {
+                disk.entries.retain(|entry| entry.index < from_index);
+                disk.entries.extend(entries);
+            }
+            Write::Snapshot(snapshot) => {
+                disk.entries.retain(|entry| entry.index > snapshot.index);
+                disk.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/reducer/tests/support/mod.rs
@@ -0,0 +1,645 @@
+//! Several reducers with a virtual clock, a lossy network, disks that keep only what was synced,
+//! and small fakes of upstreams.
+#![allow(dead_code)]
+
+pub mod disk;
+pub mod upstream;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use conf::admin::{ApplyReply, ApplyRequest, ChangeReply, OrderRequest};
+use conf::settings::{Instance, Timing, Voter};
+use conf::{Name, Role, ServiceConfig, Settings};
+use reducer::{
+    AdminReply, AdminRequest, Arrival, Effect, End, Event, OrderAnswer, Refusal, Start, State,
+    Work, step,
+};
+
+use disk::Disk;
+use upstream::{Engine, PlainService};
+
+/// Wall clock at virtual time 0.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+pub const TICK_MS: u64 = 20;
+
+/// A generator of the xorshift family.
+#[derive(Clone, Debug)]
+pub struct Random(u64);
+
+impl Random {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
+
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % limit.max(1)
+    }
+}
+
+/// How a caller's request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Answered,
+    Replayed,
+    Refused(Refusal),
+}
+
+impl Outcome {
+    /// Whether the caller was told that the request has not run.
+    pub fn says_not_run(&self) -> bool {
+        match self {
+            Outcome::Answered | Outcome::Replayed => false,
+            Outcome::Refused(refusal) => !matches!(
+                refusal,
+                Refusal::Running
+                    | Refusal::MayHaveRun
+                    | Refusal::UpstreamFailed
+                    | Refusal::TimedOutRunning
+            ),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Action {
+    Event(Event),
+    Sync { tickets: u64 },
+    WriteRequest { effect: Effect },
+    WriteOrder { effect: Effect },
+}
+
+#[derive(Clone, Debug)]
+struct Scheduled {
+    node: Name,
+    /// Process that the action belongs to; `None` for messages to whichever process runs.
+    incarnation: Option<u64>,
+    action: Action,
+}
+
+pub struct Node {
+    pub state: Option<State>,
+    pub settings: Settings,
+    pub disk: Disk,
+    pub incarnation: u64,
+    pub frozen_until_ms: u64,
+    pub in_force: Vec<u64>,
+    pub exited: bool,
+    waiting: Vec<(Option<u64>, Action)>,
+    next_exchange: u64,
+}
+
+pub struct Cluster {
+    pub now_ms: u64,
+    pub nodes: BTreeMap<Name, Node>,
+    pub random: Random,
+    pub cuts: BTreeSet<(Name, Name)>,
+    pub loss_percent: u64,
+    pub services: BTreeMap<Name, PlainService>,
+    pub engines: BTreeMap<Name, Engine>,
+    /// Requests by instance and exchange.
+    pub requests: BTreeMap<(Name, u64), Name>,
+    pub outcomes: BTreeMap<(Name, u64), Outcome>,
+    pub admin_replies: BTreeMap<u64, AdminReply>,
+    /// Content ids by revision, from replies to operators.
+    pub accepted: BTreeMap<u64, Name>,
+    pub violations: Vec<String>,
+    pub logs: Vec<String>,
+    schedule: BTreeMap<(u64, u64), Scheduled>,
+    sequence: u64,
+    next_token: u64,
+}
+
+impl Cluster {
+    /// Creates `voters` voters, one in each of three availability zones in turn, and `others`
+    /// instances without a disk.
+    pub fn new(seed: u64, voters: usize, others: usize) -> Self {
+        let mut cluster = Self {
+            now_ms: 0,
+            nodes: BTreeMap::new(),
+            random: Random::new(seed),
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            services: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            admin_replies: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            violations: Vec::new(),
+            logs: Vec::new(),
+            schedule: BTreeMap::new(),
+            sequence: 0,
+            next_token: 0,
+        };
+        let voter_list: Vec<Voter> = (0..voters)
+            .map(|n| Voter {
+                id: format!("v{n}").into(),
+                availability_zone: zone(n),
+                peer_address: format!("127.0.0.1:{}", 7_000 + n).into(),
+            })
+            .collect();
+        for n in 0..voters + others {
+            let id: Name = match n < voters {
+                true => format!("v{n}").into(),
+                false => format!("e{}", n - voters).into(),
+            };
+            let settings = Settings {
+                instance: Instance {
+                    id: id.clone(),
+                    availability_zone: zone(n),
+                    peer_address: format!("127.0.0.1:{}", 7_000 + n).into(),
+                    ..Instance::default()
+                },
+                voters: voter_list.clone(),
+                timing: Timing {
+                    tick_interval_ms: TICK_MS,
+                    ..Timing::default()
+                },
+                ..Settings::default()
+            };
+            let disk = Disk::new(cluster.random.below(u64::MAX - 1) + 1);
+            cluster.nodes.insert(id.clone(), Node::new(settings, disk));
+            cluster.start(&id);
+        }
+        cluster
+    }
+
+    pub fn is_voter(&self, id: &Name) -> bool {
+        self.nodes[id].settings.voters.iter().any(|v| v.id == *id)
+    }
+
+    /// Starts a process on what its disk holds.
+    pub fn start(&mut self, id: &Name) {
+        let is_voter = self.is_voter(id);
+        let seed = self.random.below(1 << 40);
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(id).expect("node exists");
+        node.incarnation += 1;
+        node.frozen_until_ms = 0;
+        node.waiting.clear();
+        node.in_force.clear();
+        node.exited = false;
+        let start = Start {
+            settings: node.settings.clone(),
+            incarnation: node.incarnation,
+            replica: is_voter.then(|| (node.disk.storage_id, node.disk.recovered.clone())),
+            seed,
+            ..Start::default()
+        };
+        node.state = Some(State::new(start, now_ms));
+        let tick = Event::Tick {
+            unix_ms: EPOCH_MS + now_ms,
+        };
+        self.schedule_own(id, 1, Action::Event(tick));
+    }
+
+    /// Ends a process. Its disk keeps what was synced, and possibly some of what was not.
+    pub fn crash(&mut self, id: &Name) {
+        let keep = self.random.below(4);
+        let node = self.nodes.get_mut(id).expect("node exists");
+        if node.state.take().is_some() {
+            node.disk.crash(keep);
+        }
+    }
+
+    pub fn wipe(&mut self, id: &Name) {
+        self.crash(id);
+        let storage_id = self.random.below(u64::MAX - 1) + 1;
+        self.nodes.get_mut(id).expect("node exists").disk = Disk::new(storage_id);
+    }
+
+    pub fn freeze(&mut self, id: &Name, duration_ms: u64) {
+        let until_ms = self.now_ms + duration_ms;
+        let node = self.nodes.get_mut(id).expect("node exists");
+        node.frozen_until_ms = node.frozen_until_ms.max(until_ms);
+    }
+
+    pub fn cut_off(&mut self, id: &Name) {
+        let others: Vec<Name> = self.nodes.keys().filter(|n| *n != id).cloned().collect();
+        for other in others {
+            self.cuts.insert((id.clone(), other.clone()));
+            self.cuts.insert((other, id.clone()));
+        }
+    }
+
+    pub fn cut_zone(&mut self, zone: &str) {
+        let (inside, outside): (Vec<Name>, Vec<Name>) = self
+            .nodes
+            .keys()
+            .cloned()
+            .partition(|id| self.nodes[id].settings.instance.availability_zone == zone);
+        for a in &inside {
+            for b in &outside {
+                self.cuts.insert((a.clone(), b.clone()));
+                self.cuts.insert((b.clone(), a.clone()));
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Runs until `duration_ms` have passed.
+    pub fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while let Some((&(at_ms, sequence), _)) = self.schedule.first_key_value() {
+            if at_ms > end_ms {
+                break;
+            }
+            self.now_ms = self.now_ms.max(at_ms);
+            let scheduled = self
+                .schedule
+                .remove(&(at_ms, sequence))
+                .expect("action is scheduled");
+            self.deliver(scheduled);
+        }
+        self.now_ms = end_ms;
+    }
+
+    /// Runs until `condition` holds, for at most `limit_ms`. Returns whether it holds.
+    pub fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Self) -> bool) -> bool {
+        let end_ms = self.now_ms + limit_ms;
+        while self.now_ms < end_ms {
+            if condition(self) {
+                return true;
+            }
+            self.run(TICK_MS);
+        }
+        condition(self)
+    }
+
+    /// Returns the instance that leads, as it knows itself.
+    pub fn leader(&self) -> Option<Name> {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| node.frozen_until_ms <= self.now_ms)
+            .find(|(_, node)| node.state.as_ref().is_some_and(State::leads))
+            .map(|(id, _)| id.clone())
+    }
+
+    pub fn revision_of(&self, id: &str) -> u64 {
+        let node = &self.nodes[id];
+        node.state.as_ref().map_or(0, State::revision)
+    }
+
+    /// Returns whether every running instance has `revision` in force.
+    pub fn all_in_force(&self, revision: u64) -> bool {
+        self.nodes
+            .values()
+            .filter_map(|node| node.state.as_ref())
+            .all(|state| state.revision() == revision)
+    }
+
+    /// Applies a configuration through an instance. Returns the token of the reply.
+    pub fn apply(&mut self, id: &Name, base_revision: u64, config: &ServiceConfig) -> u64 {
+        let canonical = config.canonical_text();
+        let request = ApplyRequest {
+            base_revision,
+            content_id: conf::content_id(&canonical),
+            canonical: canonical.into(),
+            files: Vec::new(),
+            author: id.clone(),
+        };
+        self.admin(id, AdminRequest::Apply(request))
+    }
+
+    /// Sends an administration request. Returns the token of the reply.
+    pub fn admin(&mut self, id: &Name, request: AdminRequest) -> u64 {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.schedule_own(id, 0, Action::Event(Event::Admin { token, request }));
+        token
+    }
+
+    pub fn order_role(&mut self, id: &Name, upstream: &str, role: Role) -> u64 {
+        let request = OrderRequest {
+            upstream: Name::new(upstream),
+            role: Some(role),
+            ..OrderRequest::default()
+        };
+        self.admin(id, AdminRequest::Order(request))
+    }
+
+    /// Sends a non-idempotent request through an instance. Returns its exchange.
+    pub fn pay(&mut self, id: &Name, key: &str) -> (Name, u64) {
+        let node = self.nodes.get_mut(id).expect("node exists");
+        node.next_exchange += 1;
+        let exchange = node.next_exchange;
+        self.requests.insert((id.clone(), exchange), Name::new(key));
+        let arrival = Arrival {
+            exchange,
+            tenant: "parish".into(),
+            rank: None,
+            work: Work::Plain {
+                route: "pay".into(),
+                idempotency_key: Some(Name::new(key)),
+                body_sha256: [1; 32],
+            },
+        };
+        self.schedule_own(id, 0, Action::Event(Event::Arrived(Box::new(arrival))));
+        (id.clone(), exchange)
+    }
+
+    /// Sends an idempotent request to a model through an instance. Returns its exchange.
+    pub fn chat(&mut self, id: &Name) -> (Name, u64) {
+        let node = self.nodes.get_mut(id).expect("node exists");
+        node.next_exchange += 1;
+        let exchange = node.next_exchange;
+        let arrival = Arrival {
+            exchange,
+            tenant: "parish".into(),
+            rank: None,
+            work: Work::Chat {
+                model: "lang".into(),
+                prompt_tokens: 100,
+                chunk_hashes: Vec::new(),
+                max_tokens: Some(20),
+            },
+        };
+        self.schedule_own(id, 0, Action::Event(Event::Arrived(Box::new(arrival))));
+        (id.clone(), exchange)
+    }
+
+    pub fn stop(&mut self, id: &Name) {
+        self.schedule_own(id, 0, Action::Event(Event::Stop));
+    }
+
+    /// Returns how often the request `key` ran, on all plain services.
+    pub fn runs(&self, key: &str) -> usize {
+        self.services
+            .values()
+            .map(|service| service.runs(key))
+            .sum()
+    }
+
+    pub fn change_reply(&self, token: u64) -> Option<&ChangeReply> {
+        match self.admin_replies.get(&token) {
+            Some(AdminReply::Change(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    pub fn apply_reply(&self, token: u64) -> Option<&ApplyReply> {
+        match self.admin_replies.get(&token) {
+            Some(AdminReply::Apply(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    fn schedule_own(&mut self, id: &Name, delay_ms: u64, action: Action) {
+        let incarnation = Some(self.nodes[id].incarnation);
+        self.schedule(id, incarnation, delay_ms, action);
+    }
+
+    fn schedule(&mut self, id: &Name, incarnation: Option<u64>, delay_ms: u64, action: Action) {
+        self.sequence += 1;
+        let scheduled = Scheduled {
+            node: id.clone(),
+            incarnation,
+            action,
+        };
+        self.schedule
+            .insert((self.now_ms + delay_ms, self.sequence), scheduled);
+    }
+
+    fn deliver(&mut self, scheduled: Scheduled) {
+        let Scheduled {
+            node: id,
+            incarnation,
+            action,
+        } = scheduled;
+        let node = self.nodes.get_mut(&id).expect("node exists");
+        if node.state.is_none() || incarnation.is_some_and(|i| i != node.incarnation) {
+            return;
+        }
+        if node.frozen_until_ms > self.now_ms {
+            // A frozen process sees everything when it goes on, in order.
+            let delay_ms = node.frozen_until_ms - self.now_ms;
+            return self.schedule(&id, incarnation, delay_ms, action);
+        }
+        match action {
+            Action::Event(event) => self.step(&id, event),
+            Action::Sync { tickets } => {
+                node.disk.sync(tickets);
+                self.step(&id, Event::Persisted { ticket: tickets });
+            }
+            Action::WriteRequest { effect } => self.write_request(&id, &effect),
+            Action::WriteOrder { effect } => self.write_order(&id, &effect),
+        }
+    }
+
+    fn step(&mut self, id: &Name, event: Event) {
+        let is_tick = matches!(event, Event::Tick { .. });
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(id).expect("node exists");
+        let Some(state) = &mut node.state else {
+            return;
+        };
+        let mut effects = Vec::new();
+        step(state, now_ms, event, &mut effects);
+        for effect in effects {
+            self.carry_out(id, effect);
+        }
+        if is_tick {
+            let tick = Event::Tick {
+                unix_ms: EPOCH_MS + now_ms + TICK_MS,
+            };
+            self.schedule_own(id, TICK_MS, Action::Event(tick));
+        }
+    }
+
+    fn carry_out(&mut self, id: &Name, effect: Effect) {
+        match effect {
+            Effect::Send { to, message, .. } => self.send(id, to, message),
+            Effect::Persist { ticket, write } => {
+                let delay_ms = 1 + self.random.below(5);
+                let node = self.nodes.get_mut(id).expect("node exists");
+                node.disk.write(ticket, write);
+                self.schedule_own(id, delay_ms, Action::Sync { tickets: ticket });
+            }
+            Effect::Dispatch { .. } => {
+                self.schedule_own(id, 0, Action::WriteRequest { effect });
+            }
+            Effect::SendOrder { .. } => {
+                self.schedule_own(id, 0, Action::WriteOrder { effect });
+            }
+            Effect::ReadEngine { upstream, .. } => {
+                let state = self.engines.get(&upstream).and_then(Engine::read);
+                let event = Event::EngineRead { upstream, state };
+                self.schedule_own(id, 2, Action::Event(event));
+            }
+            Effect::ReadLoad { upstream, .. } => {
+                let report = self.report_of(&upstream);
+                let event = Event::Load { upstream, report };
+                self.schedule_own(id, 2, Action::Event(event));
+            }
+            Effect::Refuse { exchange, refusal } => {
+                self.end(id, exchange, Outcome::Refused(refusal));
+            }
+            Effect::Replay { exchange, .. } => self.end(id, exchange, Outcome::Replayed),
+            Effect::AdminReply { token, reply } => self.take_admin_reply(token, reply),
+            Effect::InForce { revision, .. } => self.note_in_force(id, revision),
+            Effect::Exit => {
+                let node = self.nodes.get_mut(id).expect("node exists");
+                node.exited = true;
+                node.state = None;
+            }
+            Effect::Log { text, .. } => {
+                self.logs.push(format!("{} {id}: {text}", self.now_ms));
+            }
+            Effect::Cancel { .. }
+            | Effect::ReadCacheEvents { .. }
+            | Effect::ReadPlatformList
+            | Effect::Readiness { .. }
+            | Effect::Record(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: &Name, to: Name, message: fleet::PeerMessage) {
+        if self.cuts.contains(&(from.clone(), to.clone())) || !self.nodes.contains_key(&to) {
+            return;
+        }
+        if self.random.below(100) < self.loss_percent {
+            return;
+        }
+        let copies = 1 + u64::from(self.random.below(100) < self.loss_percent);
+        for _ in 0..copies {
+            let delay_ms = 1 + self.random.below(4);
+            let event = Event::Peer {
+                from: from.clone(),
+                message: message.clone(),
+            };
+            self.schedule(&to, None, delay_ms, Action::Event(event));
+        }
+    }
+
+    // The process writes the request now: the last moment at which the send deadline is checked.
+    fn write_request(&mut self, id: &Name, effect: &Effect) {
+        let Effect::Dispatch {
+            exchange,
+            attempt,
+            upstream,
+            send_deadline_ms,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let (exchange, attempt) = (*exchange, *attempt);
+        let end = if self.now_ms > *send_deadline_ms {
+            End::NotSent
+        } else if let Some(service) = self.services.get_mut(upstream) {
+            let key = self.requests.get(&(id.clone(), exchange)).cloned();
+            service.run(&key.unwrap_or_default(), (id.clone(), exchange))
+        } else if self
+            .engines
+            .get(upstream)
+            .is_some_and(|engine| !engine.is_down)
+        {
+            let progress = Event::Progress {
+                exchange,
+                attempt,
+                output_tokens: 20,
+            };
+            self.schedule_own(id, 10, Action::Event(progress));
+            End::Complete { answer: None }
+        } else {
+            End::NotSent
+        };
+        let delay_ms = 20 + self.random.below(40);
+        let event = Event::Ended {
+            exchange,
+            attempt,
+            end,
+        };
+        self.schedule_own(id, delay_ms, Action::Event(event));
+    }
+
+    fn write_order(&mut self, id: &Name, effect: &Effect) {
+        let Effect::SendOrder {
+            upstream,
+            epoch,
+            order,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let answer = match self.engines.get_mut(upstream) {
+            Some(engine) => engine.take_order(id, *epoch, order),
+            None => OrderAnswer::Lost,
+        };
+        let event = Event::OrderAnswered {
+            upstream: upstream.clone(),
+            epoch: *epoch,
+            sequence: order.sequence,
+            answer,
+        };
+        self.schedule_own(id, 2, Action::Event(event));
+    }
+
+    fn report_of(&self, upstream: &Name) -> Option<reducer::LoadReport> {
+        if let Some(engine) = self.engines.get(upstream) {
+            return engine.load();
+        }
+        let service = self.services.get(upstream)?;
+        (!service.is_down).then(reducer::LoadReport::default)
+    }
+
+    fn end(&mut self, id: &Name, exchange: u64, outcome: Outcome) {
+        self.outcomes.insert((id.clone(), exchange), outcome);
+    }
+
+    fn take_admin_reply(&mut self, token: u64, reply: AdminReply) {
+        self.admin_replies.insert(token, reply);
+    }
+
+    fn note_in_force(&mut self, id: &Name, revision: u64) {
+        let node = self.nodes.get_mut(id).expect("node exists");
+        if node.in_force.last().is_some_and(|last| *last >= revision) {
+            self.violations.push(format!(
+                "{id} went from revision {:?} to {revision}",
+                node.in_force.last()
+            ));
+        }
+        node.in_force.push(revision);
+        let state = node.state.as_ref().expect("the process runs");
+        let content_id = state
+            .control()
+            .and_then(|control| control.current())
+            .filter(|current| current.revision == revision)
+            .map(|current| current.content_id.clone());
+        if let Some(content_id) = content_id {
+            let known = self.accepted.entry(revision).or_insert(content_id.clone());
+            if *known != content_id {
+                self.violations
+                    .push(format!("revision {revision} has two contents"));
+            }
+        }
+    }
+}
+
+impl Node {
+    fn new(settings: Settings, disk: Disk) -> Self {
+        Self {
+            state: None,
+            settings,
+            disk,
+            incarnation: 0,
+            frozen_until_ms: 0,
+            in_force: Vec::new(),
+            exited: false,
+            waiting: Vec::new(),
+            next_exchange: 0,
+        }
+    }
+}
+
+fn zone(n: usize) -> Name {
+    format!("az{}", n % 3).into()
+}
--- /dev/null
+++ b/crates/reducer/tests/support/upstream.rs
@@ -0,0 +1,118 @@
+//! Fakes of a plain service and of an engine that takes orders.
+
+use conf::{Fencing, Name, Role};
+use fleet::{EngineState, Order};
+use ledger::Answer;
+use reducer::{End, LoadReport, OrderAnswer};
+
+/// Counts how often each request ran.
+#[derive(Default)]
+pub struct PlainService {
+    pub executions: Vec<(Name, (Name, u64))>,
+    pub is_down: bool,
+    /// Whether the connection breaks after the request ran and before its answer.
+    pub breaks_after_run: bool,
+}
+
+impl PlainService {
+    pub fn run(&mut self, key: &Name, exchange: (Name, u64)) -> End {
+        if self.is_down {
+            return End::NotSent;
+        }
+        self.executions.push((key.clone(), exchange));
+        if self.breaks_after_run {
+            return End::Broken;
+        }
+        End::Complete {
+            answer: Some(Answer {
+                status: 200,
+                ..Answer::default()
+            }),
+        }
+    }
+
+    pub fn runs(&self, key: &str) -> usize {
+        let runs = self.executions.iter().filter(|(ran, _)| ran == key);
+        runs.count()
+    }
+
+    pub fn ran(&self, exchange: &(Name, u64)) -> bool {
+        self.executions.iter().any(|(_, ran)| ran == exchange)
+    }
+}
+
+/// An order as it took effect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TakenOrder {
+    pub from: Name,
+    pub epoch: u64,
+    pub order: Order,
+}
+
+pub struct Engine {
+    pub fencing: Fencing,
+    pub role: Role,
+    pub epoch: u64,
+    pub sequence: u64,
+    pub is_down: bool,
+    pub taken: Vec<TakenOrder>,
+}
+
+impl Engine {
+    pub fn new(fencing: Fencing) -> Self {
+        Self {
+            fencing,
+            role: Role::Mixed,
+            epoch: 0,
+            sequence: 0,
+            is_down: false,
+            taken: Vec::new(),
+        }
+    }
+
+    pub fn take_order(&mut self, from: &Name, epoch: u64, order: &Order) -> OrderAnswer {
+        if self.is_down {
+            return OrderAnswer::Lost;
+        }
+        if self.fencing == Fencing::Enforced && epoch < self.epoch {
+            return OrderAnswer::Refused("old epoch".into());
+        }
+        self.epoch = epoch;
+        self.sequence = order.sequence;
+        self.role = order.change.role.unwrap_or(self.role);
+        self.taken.push(TakenOrder {
+            from: from.clone(),
+            epoch,
+            order: order.clone(),
+        });
+        OrderAnswer::Accepted
+    }
+
+    /// Ends and starts again without memory of orders.
+    pub fn crash(&mut self) {
+        self.epoch = 0;
+        self.sequence = 0;
+        self.role = Role::Mixed;
+    }
+
+    pub fn read(&self) -> Option<EngineState> {
+        (!self.is_down).then(|| EngineState {
+            epoch: self.epoch,
+            sequence: self.sequence,
+            role: Some(self.role),
+            models: vec!["lang".into()],
+            changing: false,
+        })
+    }
+
+    pub fn load(&self) -> Option<LoadReport> {
+        (!self.is_down).then(|| LoadReport {
+            role: Some(self.role),
+            models: vec!["lang".into()],
+            kv_chunks_total: 64,
+            epoch: self.epoch,
+            sequence: self.sequence,
+            ..LoadReport::default()
+        })
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -35,6 +35,7 @@
     digest @8 :List(LoadDigest);
     askConfig :group {
       token @9 :UInt64;
+      info @13 :InstanceInfo;
     }
     config :group {
       token @10 :UInt64;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,7 +4,10 @@
 //! domain type has one function that writes it and one that reads it.
 //!
 //! ```
-//! let message = fleet::PeerMessage::AskConfig { token: 7 };
+//! let message = fleet::PeerMessage::AskConfig {
+//!     token: 7,
+//!     info: fleet::InstanceInfo::default(),
+//! };
 //! let data = wire::encode_message(&message)?;
 //! assert_eq!(wire::decode_message(&data)?, message);
 //! # Ok::<(), wire::Error>(())
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -52,7 +52,11 @@
         PeerMessage::Digest(digests) => {
             write_digests(digests, root.init_digest(digests.len() as u32));
         }
-        PeerMessage::AskConfig { token } => root.init_ask_config().set_token(*token),
+        PeerMessage::AskConfig { token, info } => {
+            let mut builder = root.init_ask_config();
+            builder.set_token(*token);
+            write_info(info, builder.init_info());
+        }
         PeerMessage::Config {
             token,
             config,
@@ -89,6 +93,7 @@
         p::Digest(digests) => PeerMessage::Digest(read_digests(digests?)?),
         p::AskConfig(ask) => PeerMessage::AskConfig {
             token: ask.get_token(),
+            info: read_info(ask.get_info()?)?,
         },
         p::Config(config) => PeerMessage::Config {
             token: config.get_token(),
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2848,9 +2848,12 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn init_ask_config(self) -> crate::peer_capnp::peer_message::ask_config::Builder<'a> {
+        pub fn init_ask_config(
+            mut self,
+        ) -> crate::peer_capnp::peer_message::ask_config::Builder<'a> {
             self.builder.set_data_field::<u16>(0, 6);
             self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.into()
         }
         #[inline]
@@ -4022,7 +4025,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -4034,6 +4037,17 @@
             pub fn get_token(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_info(self) -> ::capnp::Result<crate::peer_capnp::instance_info::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_info(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -4138,6 +4152,37 @@
             pub fn set_token(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_info(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::instance_info::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_info(
+                &mut self,
+                value: crate::peer_capnp::instance_info::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_info(self) -> crate::peer_capnp::instance_info::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_info(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline {
@@ -4150,9 +4195,13 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_info(&self) -> crate::peer_capnp::instance_info::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(34, 53, 225, 16, 92, 59, 19, 216),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
@@ -4162,7 +4211,7 @@
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4170,14 +4219,21 @@
                 ::capnp::word(101, 115, 115, 97, 103, 101, 46, 97),
                 ::capnp::word(115, 107, 67, 111, 110, 102, 105, 103),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 111, 107, 101, 110, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4186,10 +4242,19 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::instance_info::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4208,9 +4273,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
             pub(crate) const TYPE_ID: u64 = 0xd813_3b5c_10e1_3522;
         }
     }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -92,7 +92,10 @@
         }),
         4 => PeerMessage::ReportReply(leader_reply(g)),
         5 => PeerMessage::Digest(list(g, digest)),
-        6 => PeerMessage::AskConfig { token: number(g) },
+        6 => PeerMessage::AskConfig {
+            token: number(g),
+            info: info(g),
+        },
         _ => PeerMessage::Config {
             token: number(g),
             config: option(g, revision),
