--- a/crates/reducer/tests/support/disk.rs
+++ b/crates/reducer/tests/support/disk.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use quorum::{Recovered, Write};
+use quorum::{EntryBody, MemberSet, Recovered, Write};
 
 pub struct Disk {
     pub storage_id: u64,
@@ -45,6 +45,20 @@
         self.unsynced.clear();
     }
 
+    /// Returns the member set in force by the synced log.
+    pub fn members(&self) -> Option<&MemberSet> {
+        let logged = self
+            .recovered
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.body {
+                EntryBody::Members(members) => Some(members),
+                _ => None,
+            });
+        logged.or(self.recovered.snapshot.as_ref().map(|s| &s.members))
+    }
+
     fn apply(&mut self, write: Write) {
         let disk = &mut self.recovered;
         match write {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! and small fakes of upstreams.
 #![allow(dead_code)]
 
+pub mod config;
 pub mod disk;
 pub mod upstream;
 
