--- /dev/null
+++ b/crates/disk/src/replay.rs
@@ -0,0 +1,65 @@
+//! Rebuilds the recovered state from records.
+
+use quorum::{Entry, Recovered, Snapshot};
+
+use crate::codec::Record;
+
+/// A record does not follow from those before it and the snapshot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Gap;
+
+/// State recovered so far.
+#[derive(Debug)]
+pub(crate) struct Replay {
+    recovered: Recovered,
+    snapshot_index: u64,
+}
+
+impl Replay {
+    pub(crate) fn new(snapshot: Option<Snapshot>) -> Self {
+        Self {
+            snapshot_index: snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
+            recovered: Recovered {
+                snapshot,
+                ..Recovered::default()
+            },
+        }
+    }
+
+    pub(crate) fn apply(&mut self, record: Record) -> Result<(), Gap> {
+        match record {
+            Record::Term { term, voted_for } => {
+                self.recovered.term = term;
+                self.recovered.voted_for = voted_for;
+                Ok(())
+            }
+            Record::Append {
+                from_index,
+                entries,
+            } => self.append(from_index, entries),
+        }
+    }
+
+    pub(crate) fn finish(mut self) -> Recovered {
+        let snapshot_index = self.snapshot_index;
+        self.recovered
+            .entries
+            .retain(|entry| entry.index > snapshot_index);
+        self.recovered
+    }
+
+    fn append(&mut self, from_index: u64, new: Vec<Entry>) -> Result<(), Gap> {
+        let entries = &mut self.recovered.entries;
+        entries.truncate(entries.partition_point(|entry| entry.index < from_index));
+        let next_index = entries.last().map(|entry| entry.index + 1);
+        if next_index != Some(from_index) {
+            // The snapshot covers what is missing, or it has been lost.
+            if from_index > self.snapshot_index + 1 {
+                return Err(Gap);
+            }
+            entries.clear();
+        }
+        entries.extend(new);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/disk/src/storage_id.rs
@@ -0,0 +1,40 @@
+//! The random id of a data folder.
+
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::path::Path;
+
+use crate::error::Error;
+use crate::files;
+
+const NAME: &str = "storage-id";
+
+/// Returns the folder's id, or nothing if it has none yet.
+pub(crate) fn load(folder: &Path) -> Result<Option<u64>, Error> {
+    let path = folder.join(NAME);
+    let Some(content) = files::read(&path)? else {
+        return Ok(None);
+    };
+    decode(&content)
+        .ok_or_else(|| Error::damaged(&path, 0))
+        .map(Some)
+}
+
+/// Creates an id and makes it durable.
+pub(crate) fn create(folder: &Path) -> Result<u64, Error> {
+    // The hasher's keys come from the operating system's random generator. Zero is reserved.
+    let id = RandomState::new().build_hasher().finish().max(1);
+    files::replace(folder, NAME, encode(id).as_bytes())?;
+    Ok(id)
+}
+
+fn encode(id: u64) -> String {
+    let checksum = crc32fast::hash(&id.to_le_bytes());
+    format!("{id:016x} {checksum:08x}\n")
+}
+
+fn decode(content: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(content).ok()?;
+    let (id, _) = text.split_once(' ')?;
+    let id = u64::from_str_radix(id, 16).ok()?;
+    (encode(id) == text).then_some(id)
+}
