Compare routing policies on swinging traces with a queueing model

Cause: the choice of an upstream needs figures before its constants mean anything. Ruled out: a cluster simulator; the fake is an engine with prompt speed, output speed, batch limit and prefix cache, and entries with lagging reports and events.

--- /dev/null
+++ b/crates/route/examples/fake/mod.rs
@@ -0,0 +1,564 @@
+//! Small fakes for comparing policies: a queueing model of an engine, and entries that decide from lagging reports.
+#![allow(dead_code, reason = "each example and test uses a part")]
+
+use admit::{Discipline, Queues, Waiting};
+use conf::{Name, RankPolicy, Role, Service, ServiceConfig, Tenant, Upstream};
+use route::{
+    CHUNK_TOKENS, CacheEvent, Choice, Cost, End, ExchangeId, LoadReport, Policy, Table, Work,
+};
+
+/// Length of a step, in milliseconds.
+pub const STEP_MS: u64 = 5;
+/// Interval of the load reports, in milliseconds.
+const REPORT_MS: u64 = 250;
+/// Share of the batches of cache events that are lost.
+const EVENTS_LOST: f64 = 0.02;
+/// Share of an engine's time that waiting prompts take from running answers.
+const PROMPT_SHARE: f64 = 0.6;
+
+/// A request of a trace.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at_ms: u64,
+    pub entry: usize,
+    pub tenant: Name,
+    pub rank: u8,
+    pub prompt_tokens: u32,
+    pub chunks: Vec<u64>,
+    pub output_tokens: u32,
+    pub first_token_ms: u64,
+    pub total_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    id: usize,
+    priority: u8,
+    chunks: Vec<u64>,
+    prompt_tokens: u32,
+    prompt_left: f64,
+    output_left: f64,
+    started: bool,
+}
+
+/// A queueing model of an engine: prompt speed, output speed, batch limit and prefix cache.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    prefill: f64,
+    decode: f64,
+    max_running: usize,
+    cache_chunks: usize,
+    cache: Vec<u64>,
+    events: Vec<CacheEvent>,
+    events_told: u64,
+    waiting: Vec<Job>,
+    running: Vec<Job>,
+    pub prompt_tokens_computed: f64,
+    pub output_tokens_made: f64,
+}
+
+pub enum EngineEvent {
+    FirstToken(usize),
+    Done(usize),
+}
+
+impl Engine {
+    pub fn new(upstream: &Upstream) -> Self {
+        Self {
+            prefill: upstream.prefill_tokens_per_s / 1_000.0,
+            decode: upstream.decode_tokens_per_s / 1_000.0,
+            max_running: upstream.max_running as usize,
+            cache_chunks: upstream.cache_chunks as usize,
+            cache: Vec::new(),
+            events: Vec::new(),
+            events_told: 0,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            prompt_tokens_computed: 0.0,
+            output_tokens_made: 0.0,
+        }
+    }
+
+    fn submit(&mut self, id: usize, arrival: &Arrival) {
+        let job = Job {
+            id,
+            priority: arrival.rank,
+            chunks: arrival.chunks.clone(),
+            prompt_tokens: arrival.prompt_tokens,
+            prompt_left: 0.0,
+            output_left: f64::from(arrival.output_tokens),
+            started: false,
+        };
+        let after = |other: &Job| other.priority > job.priority;
+        let at = self.waiting.iter().position(after);
+        self.waiting.insert(at.unwrap_or(self.waiting.len()), job);
+    }
+
+    fn cancel(&mut self, id: usize) {
+        self.waiting.retain(|job| job.id != id);
+        self.running.retain(|job| job.id != id);
+    }
+
+    fn cached_tokens(&self, chunks: &[u64]) -> f64 {
+        let held = chunks.iter().take_while(|chunk| self.cache.contains(chunk));
+        held.count() as f64 * f64::from(CHUNK_TOKENS)
+    }
+
+    fn store(&mut self, chunks: &[u64]) {
+        let new = chunks.iter().filter(|chunk| !self.cache.contains(chunk));
+        self.events
+            .extend(new.map(|chunk| CacheEvent::Stored(*chunk)));
+        self.cache.retain(|held| !chunks.contains(held));
+        self.cache.extend(chunks);
+        let excess = self.cache.len().saturating_sub(self.cache_chunks);
+        let evicted = self.cache.drain(..excess);
+        self.events.extend(evicted.map(CacheEvent::Evicted));
+    }
+
+    /// Takes the events since the last call, with the number of the first.
+    fn take_events(&mut self) -> (u64, Vec<CacheEvent>) {
+        let first = self.events_told + 1;
+        self.events_told += self.events.len() as u64;
+        (first, std::mem::take(&mut self.events))
+    }
+
+    fn step(&mut self, events: &mut Vec<EngineEvent>) {
+        while self.running.len() < self.max_running && !self.waiting.is_empty() {
+            let mut job = self.waiting.remove(0);
+            let cached = self.cached_tokens(&job.chunks);
+            job.prompt_left = (f64::from(job.prompt_tokens) - cached).max(1.0);
+            self.running.push(job);
+        }
+        let decoding = self
+            .running
+            .iter()
+            .filter(|job| job.prompt_left <= 0.0)
+            .count();
+        let prompts = self.running.len() - decoding;
+        let prompt_share = match (prompts, decoding) {
+            (0, _) => 0.0,
+            (_, 0) => 1.0,
+            _ => PROMPT_SHARE,
+        };
+        let mut prompt_tokens = prompt_share * self.prefill * STEP_MS as f64;
+        let batch = (decoding as f64).max(self.max_running as f64 / 4.0);
+        let output_tokens = (1.0 - prompt_share) * self.decode * STEP_MS as f64 / batch;
+        let mut stored = Vec::new();
+        for job in &mut self.running {
+            if job.prompt_left > 0.0 {
+                let used = prompt_tokens.min(job.prompt_left);
+                prompt_tokens -= used;
+                job.prompt_left -= used;
+                self.prompt_tokens_computed += used;
+                if job.prompt_left <= 0.0 {
+                    stored.push(job.chunks.clone());
+                }
+                continue;
+            }
+            if !job.started {
+                job.started = true;
+                events.push(EngineEvent::FirstToken(job.id));
+            }
+            job.output_left -= output_tokens;
+            self.output_tokens_made += output_tokens;
+            if job.output_left <= 0.0 {
+                events.push(EngineEvent::Done(job.id));
+            }
+        }
+        self.running.retain(|job| job.output_left > 0.0);
+        stored.iter().for_each(|chunks| self.store(chunks));
+    }
+
+    fn prompt_backlog(&self) -> f64 {
+        let waiting = self.waiting.iter();
+        let waiting =
+            waiting.map(|job| f64::from(job.prompt_tokens) - self.cached_tokens(&job.chunks));
+        let running = self.running.iter().map(|job| job.prompt_left.max(0.0));
+        waiting.sum::<f64>() + running.sum::<f64>()
+    }
+
+    fn report(&self, age_ms: u64) -> LoadReport {
+        LoadReport {
+            age_ms,
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            prompt_tokens_waiting: self.prompt_backlog() as u32,
+            role: Role::Mixed,
+            models: vec!["m".into()],
+            ..LoadReport::default()
+        }
+    }
+
+    /// Expected total time from the true state and length, for the oracle.
+    fn true_total_ms(&self, arrival: &Arrival) -> f64 {
+        let in_flight = (self.running.len() + self.waiting.len() + 1) as f64;
+        let limit = self.max_running as f64;
+        let between_ms = in_flight.clamp(limit / 4.0, limit) / self.decode;
+        let answer_ms = f64::from(arrival.output_tokens) * between_ms;
+        let uncached = f64::from(arrival.prompt_tokens) - self.cached_tokens(&arrival.chunks);
+        let prompt_ms = (self.prompt_backlog() + 2.0 * uncached) / self.prefill;
+        prompt_ms + answer_ms * (1.0 + (in_flight - limit).max(0.0) / limit)
+    }
+}
+
+/// What is compared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Chooser {
+    Entry(Policy),
+    /// Knows the true state of all engines and the lengths of answers.
+    Oracle,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub chooser: Chooser,
+    pub discipline: Discipline,
+    pub entries: usize,
+    pub seed: u64,
+}
+
+/// Counts of one run, by rank.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub offered: [u32; 3],
+    pub in_target: [u32; 3],
+    pub late: [u32; 3],
+    pub refused: [u32; 3],
+    /// Prompt and output tokens of the answers that were whole.
+    pub tokens: [f64; 3],
+    pub prompt_tokens_computed: f64,
+}
+
+impl Outcome {
+    pub fn good(&self) -> u32 {
+        self.in_target.iter().sum()
+    }
+}
+
+struct Progress {
+    engine: Option<usize>,
+    in_target: bool,
+}
+
+/// Runs a trace. Each entry has its own table and queues and sees an engine's load every 250 ms, 20 to 120 ms late.
+pub fn run(config: &ServiceConfig, arrivals: &[Arrival], setup: Setup) -> Outcome {
+    let mut rng = fastrand::Rng::with_seed(setup.seed);
+    let mut engines: Vec<Engine> = config.upstreams.iter().map(Engine::new).collect();
+    let new_table = |entry: usize| {
+        let mut table = Table::new(setup.seed * 1_000 + entry as u64);
+        table.apply_config(config);
+        table
+    };
+    let new_queues = |_| {
+        let mut queues = Queues::new(setup.discipline);
+        queues.apply_config(config);
+        queues
+    };
+    let mut tables: Vec<Table> = (0..setup.entries).map(new_table).collect();
+    let mut queues: Vec<Queues> = (0..setup.entries).map(new_queues).collect();
+    let mut outcome = Outcome::default();
+    let mut progress: Vec<Progress> = Vec::new();
+    let mut open: Vec<usize> = Vec::new();
+    let mut lagging: Vec<(u64, usize, LoadReport)> = Vec::new();
+    let mut lagging_events: Vec<(u64, usize, u64, Vec<CacheEvent>)> = Vec::new();
+    let end_ms = arrivals.last().map_or(0, |arrival| arrival.at_ms) + 60_000;
+    let mut now_ms = 0;
+    let mut events = Vec::new();
+    while now_ms < end_ms && (progress.len() < arrivals.len() || !open.is_empty()) {
+        for (index, engine) in engines.iter_mut().enumerate() {
+            if (now_ms + index as u64 * 35) % REPORT_MS < STEP_MS {
+                let age_ms = rng.u64(20..120);
+                lagging.push((now_ms + age_ms, index, engine.report(age_ms)));
+                let (first, events) = engine.take_events();
+                if rng.f64() >= EVENTS_LOST {
+                    lagging_events.push((now_ms + 2 * age_ms, index, first, events));
+                }
+            }
+        }
+        for (_, index, report) in lagging.extract_if(.., |report| report.0 <= now_ms) {
+            let name = &config.upstreams[index].name;
+            tables
+                .iter_mut()
+                .for_each(|table| table.on_report(now_ms, name, &report));
+        }
+        for (_, index, first, events) in lagging_events.extract_if(.., |late| late.0 <= now_ms) {
+            let name = &config.upstreams[index].name;
+            for table in &mut tables {
+                table.on_cache_events(name, first, &events);
+            }
+        }
+        while progress.len() < arrivals.len() && arrivals[progress.len()].at_ms <= now_ms {
+            let id = progress.len();
+            let arrival = &arrivals[id];
+            outcome.offered[arrival.rank as usize] += 1;
+            progress.push(Progress {
+                engine: None,
+                in_target: true,
+            });
+            let table = &mut tables[arrival.entry];
+            let output_tokens = table.expected_output(&arrival.tenant, &"m".into(), 0);
+            let work = work(config, arrival, output_tokens);
+            let waiting = Waiting {
+                id: id as u64,
+                tenant: arrival.tenant.clone(),
+                service: "chat".into(),
+                model: "m".into(),
+                rank: arrival.rank,
+                tokens: arrival.prompt_tokens + output_tokens,
+                service_ms: table.service_ms(&work).unwrap_or(0),
+                deadline_ms: arrival.at_ms + arrival.total_ms,
+                readmitted: false,
+            };
+            match queues[arrival.entry].offer(now_ms, waiting) {
+                Ok(()) => open.push(id),
+                Err(_) => outcome.refused[arrival.rank as usize] += 1,
+            }
+        }
+        for entry in 0..setup.entries {
+            for refused in queues[entry].expire(now_ms) {
+                outcome.refused[refused.waiting.rank as usize] += 1;
+                open.retain(|id| *id as u64 != refused.waiting.id);
+            }
+            loop {
+                let mut chosen = None;
+                let next = queues[entry].next(now_ms, |waiting| {
+                    let arrival = &arrivals[waiting.id as usize];
+                    chosen = choose(
+                        config,
+                        &engines,
+                        &mut tables[entry],
+                        now_ms,
+                        arrival,
+                        setup.chooser,
+                    );
+                    chosen.is_some()
+                });
+                let (Some(waiting), Some((index, choice))) = (next, chosen) else {
+                    break;
+                };
+                let id = waiting.id as usize;
+                let arrival = &arrivals[id];
+                progress[id].engine = Some(index);
+                let cost = Cost {
+                    tenant: arrival.tenant.clone(),
+                    model: "m".into(),
+                    prompt_tokens: arrival.prompt_tokens - choice.cached_tokens,
+                    output_tokens: 1,
+                    chunks: arrival.chunks.clone(),
+                    total_ms: choice.total_ms,
+                };
+                let exchange = ExchangeId {
+                    request: waiting.id,
+                    attempt: 0,
+                };
+                tables[entry].on_dispatch(now_ms, exchange, &choice.upstream, &cost);
+                engines[index].submit(id, arrival);
+            }
+        }
+        for engine in &mut engines {
+            engine.step(&mut events);
+        }
+        now_ms += STEP_MS;
+        for event in events.drain(..) {
+            match event {
+                EngineEvent::FirstToken(id) => {
+                    let arrival = &arrivals[id];
+                    progress[id].in_target &= now_ms <= arrival.at_ms + arrival.first_token_ms;
+                }
+                EngineEvent::Done(id) => {
+                    let arrival = &arrivals[id];
+                    let rank = arrival.rank as usize;
+                    let in_time = now_ms <= arrival.at_ms + arrival.total_ms;
+                    match progress[id].in_target && in_time {
+                        true => outcome.in_target[rank] += 1,
+                        false => outcome.late[rank] += 1,
+                    }
+                    let tokens = arrival.prompt_tokens + arrival.output_tokens;
+                    outcome.tokens[rank] += f64::from(tokens);
+                    finish(&mut tables, &mut queues, now_ms, id, arrival, true);
+                    open.retain(|other| *other != id);
+                }
+            }
+        }
+        // The entry cancels what runs past its deadline, under every policy.
+        for id in open.extract_if(.., |id| {
+            now_ms > arrivals[*id].at_ms + arrivals[*id].total_ms
+        }) {
+            let Some(engine) = progress[id].engine else {
+                continue;
+            };
+            engines[engine].cancel(id);
+            outcome.late[arrivals[id].rank as usize] += 1;
+            finish(&mut tables, &mut queues, now_ms, id, &arrivals[id], false);
+        }
+    }
+    outcome.prompt_tokens_computed = engines.iter().map(|e| e.prompt_tokens_computed).sum();
+    outcome
+}
+
+fn finish(
+    tables: &mut [Table],
+    queues: &mut [Queues],
+    now_ms: u64,
+    id: usize,
+    arrival: &Arrival,
+    complete: bool,
+) {
+    let exchange = ExchangeId {
+        request: id as u64,
+        attempt: 0,
+    };
+    let end = match complete {
+        true => End::Complete {
+            output_tokens: arrival.output_tokens,
+        },
+        false => End::Cancelled,
+    };
+    tables[arrival.entry].on_finish(now_ms, exchange, end);
+    let tokens = arrival.prompt_tokens + arrival.output_tokens;
+    queues[arrival.entry].on_finish(now_ms, id as u64, tokens);
+}
+
+fn work(config: &ServiceConfig, arrival: &Arrival, output_tokens: u32) -> Work {
+    Work {
+        service: "chat".into(),
+        model: "m".into(),
+        prompt_tokens: arrival.prompt_tokens,
+        chunks: arrival.chunks.clone(),
+        output_tokens,
+        rank: arrival.rank,
+        deadline_ms: arrival.at_ms + arrival.total_ms,
+        exclude: Vec::new(),
+        availability_zone: config.upstreams[arrival.entry % 3]
+            .availability_zone
+            .clone(),
+    }
+}
+
+fn choose(
+    config: &ServiceConfig,
+    engines: &[Engine],
+    table: &mut Table,
+    now_ms: u64,
+    arrival: &Arrival,
+    chooser: Chooser,
+) -> Option<(usize, Choice)> {
+    let policy = match chooser {
+        Chooser::Entry(policy) => policy,
+        Chooser::Oracle => return choose_by_truth(config, engines, arrival),
+    };
+    let output_tokens = table.expected_output(&arrival.tenant, &"m".into(), 0);
+    let choice = table.choose(now_ms, &work(config, arrival, output_tokens), policy)?;
+    let index = config
+        .upstreams
+        .iter()
+        .position(|upstream| upstream.name == choice.upstream)?;
+    Some((index, choice))
+}
+
+fn choose_by_truth(
+    config: &ServiceConfig,
+    engines: &[Engine],
+    arrival: &Arrival,
+) -> Option<(usize, Choice)> {
+    let free = engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| engine.running.len() + engine.waiting.len() < engine.max_running);
+    let times = free.map(|(index, engine)| (engine.true_total_ms(arrival), index, engine));
+    let (total_ms, index, engine) = times.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let choice = Choice {
+        upstream: config.upstreams[index].name.clone(),
+        prefill_upstream: None,
+        first_token_ms: 0,
+        total_ms: total_ms as u64,
+        cached_tokens: engine.cached_tokens(&arrival.chunks) as u32,
+    };
+    Some((index, choice))
+}
+
+/// A service of `engines` engines in three zones, with three ranks.
+pub fn fleet(engines: usize, floors: [f64; 3]) -> ServiceConfig {
+    let rank = |(index, floor): (usize, f64)| RankPolicy {
+        name: format!("r{index}").into(),
+        floor,
+        ..RankPolicy::default()
+    };
+    let upstream = |index: usize| Upstream {
+        name: format!("e{index}").into(),
+        service: "chat".into(),
+        availability_zone: format!("z{}", index % 3).into(),
+        ..Upstream::default()
+    };
+    ServiceConfig {
+        ranks: floors.into_iter().enumerate().map(rank).collect(),
+        tenants: vec![Tenant {
+            name: "t".into(),
+            requests_per_s: 100_000.0,
+            burst: 100_000.0,
+            ..Tenant::default()
+        }],
+        services: vec![Service {
+            name: "chat".into(),
+            models: vec!["m".into()],
+            ..Service::default()
+        }],
+        upstreams: (0..engines).map(upstream).collect(),
+        ..ServiceConfig::default()
+    }
+}
+
+/// Arrivals at `rate` requests a second for an interval; `make` fills in the request.
+pub fn arrivals(
+    rng: &mut fastrand::Rng,
+    from_ms: u64,
+    to_ms: u64,
+    rate: f64,
+    mut make: impl FnMut(&mut fastrand::Rng) -> Arrival,
+) -> Vec<Arrival> {
+    let mut at_ms = from_ms as f64;
+    let mut made = Vec::new();
+    loop {
+        at_ms += -(1.0 - rng.f64()).ln() * 1_000.0 / rate;
+        if at_ms >= to_ms as f64 {
+            return made;
+        }
+        let arrival = make(rng);
+        made.push(Arrival {
+            at_ms: at_ms as u64,
+            ..arrival
+        });
+    }
+}
+
+/// A short question over one of `sheets` long sheets, with a short answer.
+pub fn sheet_question(rng: &mut fastrand::Rng, entries: usize, sheets: u64) -> Arrival {
+    let sheet = rng.u64(..sheets);
+    let chunks = 2 + sheet % 8;
+    Arrival {
+        at_ms: 0,
+        entry: rng.usize(..entries),
+        tenant: "t".into(),
+        rank: 1,
+        prompt_tokens: chunks as u32 * CHUNK_TOKENS + rng.u32(20..400),
+        chunks: (0..chunks).map(|chunk| sheet * 1_000 + chunk + 1).collect(),
+        output_tokens: rng.u32(20..120),
+        first_token_ms: 3_000,
+        total_ms: 10_000,
+    }
+}
+
+/// A short prompt with a long answer.
+pub fn long_answer(rng: &mut fastrand::Rng, entries: usize) -> Arrival {
+    Arrival {
+        at_ms: 0,
+        entry: rng.usize(..entries),
+        tenant: "u".into(),
+        rank: 1,
+        prompt_tokens: rng.u32(100..1_500),
+        chunks: Vec::new(),
+        output_tokens: rng.u32(150..600),
+        first_token_ms: 3_000,
+        total_ms: 25_000,
+    }
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -90,9 +90,25 @@
         chooser.choose()
     }
 
-    /// Whether `choose` would look for an upstream of this service at all.
-    pub fn knows(&self, service: &Name) -> bool {
-        self.groups.contains_key(service)
+    /// Expected time of a request on an upstream without a queue but with a full batch, in milliseconds.
+    ///
+    /// It serves to refuse early while `choose` finds no place. `None` if the service has no upstream.
+    pub fn service_ms(&self, work: &Work) -> Option<u64> {
+        let group = self.groups.get(&work.service)?;
+        let mut views = group
+            .members
+            .iter()
+            .filter_map(|slot| self.slot_view(*slot));
+        let view = views.next()?;
+        if group.kind == ServiceKind::Plain {
+            return Some(group.plain_ms as u64);
+        }
+        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
+        let cached = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
+        let prompt_ms =
+            f64::from(work.prompt_tokens.saturating_sub(cached)) / view.prefill_tokens_per_ms;
+        let between_ms = view.between_tokens_ms(f64::from(view.max_running));
+        Some((prompt_ms + f64::from(work.output_tokens) * between_ms) as u64)
     }
 }
 
