Bound the prompt backlog that requests may join

Cause: 32 requests over long sheets are 35 s of prompts, so the batch limit alone moves the queue into the engine, where answers get late. Ruled out: a lower batch limit; it would idle engines under short prompts. Change: an upstream with more than 1 s of prompt backlog has no place.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -31,6 +31,9 @@
 const UNKNOWN_LOAD_WEIGHT: f64 = 0.2;
 /// Share of the batch limit that the most urgent rank may add on top, so that it does not wait for a place.
 const URGENT_EXTRA_SHARE: f64 = 0.25;
+/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds. In the engine's own queue ranks
+/// would count for less, and a cancelled request would leave its place late.
+const BACKLOG_MAX_MS: f64 = 1_000.0;
 /// Time to move one KV chunk from a prefill engine to a decode engine, in milliseconds.
 const KV_TRANSFER_MS: f64 = 5.0;
 
@@ -312,7 +315,10 @@
             0 => (limit * URGENT_EXTRA_SHARE).ceil(),
             _ => 0.0,
         };
-        view.in_flight(self.now_ms) + 1.0 <= limit + extra && self.may_get(slot)
+        let backlog_ms = view.backlog_tokens(self.now_ms) / view.prefill_tokens_per_ms;
+        view.in_flight(self.now_ms) + 1.0 <= limit + extra
+            && backlog_ms <= BACKLOG_MAX_MS
+            && self.may_get(slot)
     }
 
     fn may_get(&self, slot: u32) -> bool {
