--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -31,6 +31,9 @@
 const UNKNOWN_LOAD_WEIGHT: f64 = 0.2;
 /// Share of the batch limit that the most urgent rank may add on top, so that it does not wait for a place.
 const URGENT_EXTRA_SHARE: f64 = 0.25;
+/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds. In the engine's own queue ranks
+/// would count for less, and a cancelled request would leave its place late.
+const BACKLOG_MAX_MS: f64 = 1_000.0;
 /// Time to move one KV chunk from a prefill engine to a decode engine, in milliseconds.
 const KV_TRANSFER_MS: f64 = 5.0;
 
@@ -90,9 +93,25 @@
         chooser.choose()
     }
 
-    /// Whether `choose` would look for an upstream of this service at all.
-    pub fn knows(&self, service: &Name) -> bool {
-        self.groups.contains_key(service)
+    /// Expected time of a request on an upstream without a queue but with a full batch, in milliseconds.
+    ///
+    /// It serves to refuse early while `choose` finds no place. `None` if the service has no upstream.
+    pub fn service_ms(&self, work: &Work) -> Option<u64> {
+        let group = self.groups.get(&work.service)?;
+        let mut views = group
+            .members
+            .iter()
+            .filter_map(|slot| self.slot_view(*slot));
+        let view = views.next()?;
+        if group.kind == ServiceKind::Plain {
+            return Some(group.plain_ms as u64);
+        }
+        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
+        let cached = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
+        let prompt_ms =
+            f64::from(work.prompt_tokens.saturating_sub(cached)) / view.prefill_tokens_per_ms;
+        let between_ms = view.between_tokens_ms(f64::from(view.max_running));
+        Some((prompt_ms + f64::from(work.output_tokens) * between_ms) as u64)
     }
 }
 
@@ -296,7 +315,10 @@
             0 => (limit * URGENT_EXTRA_SHARE).ceil(),
             _ => 0.0,
         };
-        view.in_flight(self.now_ms) + 1.0 <= limit + extra && self.may_get(slot)
+        let backlog_ms = view.backlog_tokens(self.now_ms) / view.prefill_tokens_per_ms;
+        view.in_flight(self.now_ms) + 1.0 <= limit + extra
+            && backlog_ms <= BACKLOG_MAX_MS
+            && self.may_get(slot)
     }
 
     fn may_get(&self, slot: u32) -> bool {
