Add the commands that check, apply and administer

main was a placeholder. The commands check, apply, status, history, return-to, drain, undrain, order and confirm-dead now exist over volo-http's client; serve, demo, load and standin parse their arguments and report that this build lacks them, each in a module of its own. Exit codes: 0 success, 1 failure, 2 usage or invalid configuration, 3 conflict, 4 unavailable, 5 accepted but not in force.

apply sends the base that the shown difference was made from. A lost answer is followed by a resend with the same base and content id, which the state machine answers with the first result; other commands are not resent, because only the configuration has an id.

return-to reads GET /admin/config?revision=N, since listings carry no files.

cargo test -p conf -p mustardstack passes; the scripts run the binary against a scripted listener on a loopback port.

--- a/crates/conf/tests/canonical.rs
+++ b/crates/conf/tests/canonical.rs
@@ -22,6 +22,36 @@
     );
 }
 
+// Guards against ranges that only the loader checks.
+#[test]
+fn ranges_are_checked() {
+    let mut config = ServiceConfig::default();
+    for name in ["a", "b", "b"] {
+        let name = name.into();
+        let rank = conf::RankPolicy {
+            name,
+            floor: -1.0,
+            ..Default::default()
+        };
+        config.ranks.push(rank);
+    }
+    config.ranks[0].worth = f64::NAN;
+    let errors: Vec<_> = check::service(&config)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        errors,
+        [
+            "error: ranks.a.worth: must be a number from 0 to 1000000000, but is null",
+            "error: ranks.a.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b: the name is used twice",
+        ]
+    );
+}
+
 // Guards against keys of a newer version that are dropped silently.
 #[test]
 fn unknown_keys_are_refused() {
--- /dev/null
+++ b/crates/mustardstack/src/change.rs
@@ -0,0 +1,111 @@
+//! `drain`, `undrain`, `order` and `confirm-dead`: changes outside the configuration.
+
+use conf::Name;
+use conf::admin::{ChangeReply, ConfirmDeadRequest, DrainTarget, OrderRequest};
+use serde::Serialize;
+
+use crate::cli::{ConfirmDead, Drain, Order, Undrain};
+use crate::client::Client;
+use crate::error::Error;
+use crate::terminal::{confirm, print};
+
+/// Stops new work for an instance or an upstream.
+pub async fn drain(options: &Drain) -> Result<(), Error> {
+    let target = target(options.instance.as_ref(), options.upstream.as_ref())?;
+    let client = Client::new(options.admin, &options.token_file)?;
+    let what = describe(&target);
+    let consequence = format!("{what} will get no new work and will finish what it carries.");
+    confirm(&consequence, options.yes)?;
+    request(&client, "/admin/drain", &target).await?;
+    print(format!("{what} is draining"));
+    Ok(())
+}
+
+/// Allows new work for a drained instance or upstream.
+pub async fn undrain(options: &Undrain) -> Result<(), Error> {
+    let target = target(options.instance.as_ref(), options.upstream.as_ref())?;
+    let client = Client::new(options.admin, &options.token_file)?;
+    request(&client, "/admin/undrain", &target).await?;
+    print(format!("{} takes new work", describe(&target)));
+    Ok(())
+}
+
+/// Gives an order to an engine.
+pub async fn order(options: &Order) -> Result<(), Error> {
+    let order = OrderRequest {
+        upstream: Name::new(&options.upstream),
+        role: options.role,
+        load: options.load.as_ref().map(Name::new),
+        unload: options.unload.as_ref().map(Name::new),
+    };
+    if order.role.is_none() && order.load.is_none() && order.unload.is_none() {
+        let message = "give at least one of --role, --load and --unload";
+        return Err(Error::Usage(message.to_owned()));
+    }
+    let client = Client::new(options.admin, &options.token_file)?;
+    let consequence = format!(
+        "upstream {} will {}. While it changes it may take no work.",
+        order.upstream,
+        steps(&order).join(", ")
+    );
+    confirm(&consequence, options.yes)?;
+    request(&client, "/admin/order", &order).await?;
+    print(format!(
+        "the order to upstream {} is committed",
+        order.upstream
+    ));
+    Ok(())
+}
+
+/// Vouches that the process of an instance has ended.
+pub async fn confirm_dead(options: &ConfirmDead) -> Result<(), Error> {
+    let client = Client::new(options.admin, &options.token_file)?;
+    let instance = Name::new(&options.instance);
+    let consequence = format!(
+        "Other instances will take over the order gates of {instance} at once. If its process \
+         still runs, an engine that ignores fencing numbers may get orders from two instances."
+    );
+    confirm(&consequence, options.yes)?;
+    let body = ConfirmDeadRequest { instance };
+    request(&client, "/admin/confirm-dead", &body).await?;
+    print(format!("{} is recorded as dead", body.instance));
+    Ok(())
+}
+
+async fn request<B: Serialize>(client: &Client, path: &str, body: &B) -> Result<(), Error> {
+    match client.post(path, body).await? {
+        ChangeReply::Accepted => Ok(()),
+        ChangeReply::Refused { message } => Err(Error::Refused(message.to_string())),
+        ChangeReply::Unavailable { message } => Err(Error::Unavailable(format!(
+            "no majority: {message}; it is safe to send the request again"
+        ))),
+    }
+}
+
+fn target(instance: Option<&String>, upstream: Option<&String>) -> Result<DrainTarget, Error> {
+    match (instance, upstream) {
+        (Some(instance), None) => Ok(DrainTarget::Instance(Name::new(instance))),
+        (None, Some(upstream)) => Ok(DrainTarget::Upstream(Name::new(upstream))),
+        _ => Err(Error::Usage(
+            "give either --instance or --upstream".to_owned(),
+        )),
+    }
+}
+
+fn describe(target: &DrainTarget) -> String {
+    match target {
+        DrainTarget::Instance(id) => format!("instance {id}"),
+        DrainTarget::Upstream(name) => format!("upstream {name}"),
+    }
+}
+
+fn steps(order: &OrderRequest) -> Vec<String> {
+    let role = order.role.map(|role| match role {
+        conf::Role::Prefill => "change its role to prefill".to_owned(),
+        conf::Role::Decode => "change its role to decode".to_owned(),
+        conf::Role::Mixed => "change its role to mixed".to_owned(),
+    });
+    let load = order.load.as_ref().map(|name| format!("load {name}"));
+    let unload = order.unload.as_ref().map(|name| format!("unload {name}"));
+    [role, load, unload].into_iter().flatten().collect()
+}
--- /dev/null
+++ b/crates/mustardstack/src/error.rs
@@ -0,0 +1,62 @@
+//! Reasons for which a command fails, and their exit codes.
+
+use std::io;
+
+/// The command failed for another reason.
+const FAILURE: u8 = 1;
+/// The command line or the configuration is wrong.
+pub const USAGE: u8 = 2;
+/// The base revision moved.
+const CONFLICT: u8 = 3;
+/// No majority was reached.
+const UNAVAILABLE: u8 = 4;
+/// The change was accepted, but is not in force everywhere.
+const NOT_IN_FORCE: u8 = 5;
+
+/// Reason for which a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The configuration could not be loaded.
+    #[error(transparent)]
+    Configuration(#[from] conf::load::Error),
+    /// The instance found the configuration invalid.
+    #[error("the instance refused the configuration:\n{0}")]
+    Invalid(String),
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// A file or the terminal could not be read.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The operator did not confirm.
+    #[error("nothing was changed")]
+    Declined,
+    /// The instance refused the request.
+    #[error("{0}")]
+    Refused(String),
+    /// Another change came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// No answer came, or no majority was reached.
+    #[error("{0}")]
+    Unavailable(String),
+    /// The change is accepted, but not in force on every live instance.
+    #[error("{0}")]
+    NotInForce(String),
+    /// This build lacks the command.
+    #[error("{0} is not available in this build")]
+    NotBuilt(&'static str),
+}
+
+impl Error {
+    /// Returns the exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Configuration(_) | Self::Invalid(_) | Self::Usage(_) => USAGE,
+            Self::Io(_) | Self::Declined | Self::Refused(_) | Self::NotBuilt(_) => FAILURE,
+            Self::Conflict(_) => CONFLICT,
+            Self::Unavailable(_) => UNAVAILABLE,
+            Self::NotInForce(_) => NOT_IN_FORCE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardstack/src/serve.rs
@@ -0,0 +1,16 @@
+//! `serve`: runs an instance.
+
+use crate::cli::Serve;
+use crate::error::Error;
+use crate::terminal;
+
+/// Loads the settings and serves until the process is told to stop.
+pub fn run(options: &Serve) -> Result<(), Error> {
+    let loaded = conf::load::settings(&options.folder)?;
+    loaded.warnings.iter().for_each(terminal::complain);
+    serve(loaded.value)
+}
+
+fn serve(_settings: conf::Settings) -> Result<(), Error> {
+    Err(Error::NotBuilt("serve"))
+}
--- /dev/null
+++ b/crates/mustardstack/tests/commands.rs
@@ -0,0 +1,165 @@
+//! Runs the scripts in `tests/scripts`, which run the binary against a scripted administration
+//! listener.
+
+mod stub;
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::{Command as Process, Stdio};
+
+use conf::admin::{ApplyRequest, RevisionInfo};
+use stub::Stub;
+use tempfile::TempDir;
+
+const SERVICE: &str = include_str!("../../conf/tests/data/service.toml");
+const SETTINGS: &str = include_str!("../../conf/tests/data/settings.toml");
+
+#[test]
+fn scripts() -> Result<(), Box<dyn Error>> {
+    for entry in std::fs::read_dir("tests/scripts")? {
+        goldenscript::run(&mut Runner::new()?, entry?.path())?;
+    }
+    Ok(())
+}
+
+struct Runner {
+    temporary: TempDir,
+    stub: Stub,
+}
+
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Starts a folder with a valid service configuration.
+    Service,
+    /// Starts a folder with valid settings.
+    Settings,
+    /// Writes a file of the folder.
+    File(String, String),
+    /// Forgets all answers.
+    Clear,
+    /// Answers a request, given as `METHOD PATH`, with a status and a body.
+    Answer(String, u16, String),
+    /// Breaks the connection of a request after it was read.
+    Lose(String),
+    /// Answers a request with the folder as a revision.
+    Revision(String, u64, String),
+    /// Prints the requests that came.
+    Requests,
+    /// Runs the binary with arguments that are separated by spaces.
+    Run(String),
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &goldenscript::Context,
+    ) -> Result<String, Box<dyn Error>> {
+        match command {
+            Command::Service => self.start(SERVICE)?,
+            Command::Settings => self.start(SETTINGS)?,
+            Command::File(name, text) => std::fs::write(self.folder().join(name), text)?,
+            Command::Clear => self.stub.clear(),
+            Command::Answer(request, status, body) => {
+                self.stub.add(request, Some((*status, body.clone())));
+            }
+            Command::Lose(request) => self.stub.add(request, None),
+            Command::Revision(request, revision, author) => {
+                let info = self.revision(*revision, author)?;
+                let body = serde_json::to_string(&info)?;
+                self.stub.add(request, Some((200, body)));
+            }
+            Command::Requests => return Ok(self.requests()),
+            Command::Run(arguments) => return self.run_binary(arguments),
+        }
+        Ok(String::new())
+    }
+}
+
+impl Runner {
+    fn new() -> Result<Self, Box<dyn Error>> {
+        let temporary = TempDir::new()?;
+        std::fs::create_dir(temporary.path().join("folder"))?;
+        std::fs::write(temporary.path().join("token"), "token\n")?;
+        std::fs::write(temporary.path().join("empty"), "\n")?;
+        let stub = Stub::start();
+        Ok(Self { temporary, stub })
+    }
+
+    fn folder(&self) -> PathBuf {
+        self.temporary.path().join("folder")
+    }
+
+    fn start(&self, text: &str) -> Result<(), Box<dyn Error>> {
+        std::fs::remove_dir_all(self.folder())?;
+        std::fs::create_dir(self.folder())?;
+        std::fs::write(self.folder().join("00.toml"), text)?;
+        Ok(())
+    }
+
+    fn revision(&self, revision: u64, author: &str) -> Result<RevisionInfo, Box<dyn Error>> {
+        let loaded = conf::load::service(self.folder())?;
+        Ok(RevisionInfo {
+            revision,
+            content_id: loaded.value.content_id(),
+            author: conf::Name::new(author),
+            at_ms: 1_700_000_000_000,
+            files: loaded.files,
+            canonical: loaded.value.canonical_text().into(),
+        })
+    }
+
+    fn run_binary(&self, arguments: &str) -> Result<String, Box<dyn Error>> {
+        let admin = self.stub.address.to_string();
+        let temporary = self.temporary.path().to_string_lossy().into_owned();
+        let arguments = arguments
+            .replace("LOGIN", "--admin ADMIN --token-file TOKEN")
+            .replace("ADMIN", &admin)
+            .replace("TOKEN", &format!("{temporary}/token"))
+            .replace("EMPTY", &format!("{temporary}/empty"))
+            .replace("FOLDER", &format!("{temporary}/folder"));
+        let output = Process::new(env!("CARGO_BIN_EXE_mustardstack"))
+            .args(arguments.split_whitespace())
+            .env("USER", "tester")
+            .stdin(Stdio::null())
+            .output()?;
+        let status = output.status.code().ok_or("no exit code")?;
+        let stdout = String::from_utf8(output.stdout)?;
+        let stderr = String::from_utf8(output.stderr)?;
+        let text = format!(
+            "{}{}exit {status}",
+            marked(&stdout, ""),
+            marked(&stderr, "stderr: ")
+        );
+        Ok(text.replace(&admin, "ADMIN").replace(&temporary, "TMP"))
+    }
+
+    fn requests(&self) -> String {
+        let requests = self.stub.requests().into_iter();
+        requests
+            .map(|(request, body)| format!("{request} {}\n", shown(&body)))
+            .collect()
+    }
+}
+
+fn marked(text: &str, mark: &str) -> String {
+    text.lines().map(|line| format!("{mark}{line}\n")).collect()
+}
+
+/// Shows an apply request without its long texts, which must agree with each other.
+fn shown(body: &str) -> String {
+    let Ok(request) = serde_json::from_str::<ApplyRequest>(body) else {
+        return body.to_owned();
+    };
+    let files = conf::load::service_from_files(request.files).unwrap();
+    assert_eq!(files.value.canonical_text(), request.canonical.as_str());
+    assert_eq!(files.value.content_id(), request.content_id);
+    format!(
+        "base {} content {} by {}",
+        request.base_revision,
+        &request.content_id[..8],
+        request.author
+    )
+}
