--- a/crates/conf/src/keys.rs
+++ b/crates/conf/src/keys.rs
@@ -99,6 +99,8 @@
     pub unit: &'static str,
     /// What the value means, in one sentence.
     pub about: &'static str,
+    /// Whether a configuration without the value is invalid.
+    pub required: bool,
 }
 
 /// A table or list of tables of a configuration.
@@ -127,6 +129,14 @@
         kind: Kind::Text,
         unit: "",
         about,
+        required: false,
+    }
+}
+
+const fn required(key: Key) -> Key {
+    Key {
+        required: true,
+        ..key
     }
 }
 
@@ -136,6 +146,7 @@
         kind: Kind::Texts,
         unit: "",
         about,
+        required: false,
     }
 }
 
@@ -145,6 +156,7 @@
         kind: Kind::Choice(choices),
         unit: "",
         about,
+        required: false,
     }
 }
 
@@ -160,6 +172,7 @@
         kind: Kind::Integer { min, max },
         unit,
         about,
+        required: false,
     }
 }
 
@@ -175,6 +188,7 @@
         kind: Kind::Number { min, max },
         unit,
         about,
+        required: false,
     }
 }
 
@@ -185,28 +199,31 @@
         shape: Shape::Table,
         about: "Identity and addresses of the instance.",
         keys: &[
-            text("id", "Unique id of the instance."),
-            text(
+            required(text("id", "Unique id of the instance.")),
+            required(text(
                 "availability_zone",
                 "Availability zone that the instance runs in.",
-            ),
-            text(
+            )),
+            required(text(
                 "caller_address",
                 "IP address and port of the callers' listener.",
-            ),
-            text(
+            )),
+            required(text(
                 "admin_address",
                 "IP address and port of the administration listener.",
-            ),
-            text("peer_address", "IP address and port of the peer listener."),
-            text(
+            )),
+            required(text(
+                "peer_address",
+                "IP address and port of the peer listener.",
+            )),
+            required(text(
                 "admin_token_file",
                 "File that holds the administration token.",
-            ),
-            text(
+            )),
+            required(text(
                 "peer_secret_file",
                 "File that holds the secret shared by all instances.",
-            ),
+            )),
             text(
                 "data_folder",
                 "Folder for durable state. Empty on an instance without a disk.",
@@ -218,9 +235,12 @@
         shape: Shape::List { id: "id" },
         about: "The initial voters of the replicated log, the same list on every instance.",
         keys: &[
-            text("id", "Instance id of the voter."),
-            text("availability_zone", "Availability zone of the voter."),
-            text("peer_address", "IP address and port of its peer listener."),
+            required(text("id", "Instance id of the voter.")),
+            required(text("availability_zone", "Availability zone of the voter.")),
+            required(text(
+                "peer_address",
+                "IP address and port of its peer listener.",
+            )),
         ],
     },
     Section {
@@ -253,6 +273,7 @@
                 kind: Kind::Flag,
                 unit: "",
                 about: "Whether each line is a JSON object.",
+                required: false,
             },
         ],
     },
@@ -392,7 +413,7 @@
         shape: Shape::List { id: "name" },
         about: "The three ranks of work, most urgent first, in the order of first mention.",
         keys: &[
-            text("name", "The rank's name."),
+            required(text("name", "The rank's name.")),
             integer(
                 "target_first_token_ms",
                 "ms",
@@ -442,15 +463,15 @@
         shape: Shape::List { id: "name" },
         about: "The tenants whose callers are served.",
         keys: &[
-            text("name", "The tenant's name."),
-            text(
+            required(text("name", "The tenant's name.")),
+            required(text(
                 "key_sha256",
                 "SHA-256 of the tenant's API key, as 64 lower-case hexadecimal digits.",
-            ),
-            texts(
+            )),
+            required(texts(
                 "ranks",
                 "Names of the ranks that the tenant may use. The first is its default.",
-            ),
+            )),
             number(
                 "requests_per_s",
                 "requests/s",
@@ -479,8 +500,8 @@
         shape: Shape::List { id: "name" },
         about: "The models and their adapters.",
         keys: &[
-            text("name", "The model's name."),
-            text("version", "The version that engines are to serve."),
+            required(text("name", "The model's name.")),
+            required(text("version", "The version that engines are to serve.")),
             texts(
                 "adapters",
                 "Names of the adapters, callable as `MODEL:ADAPTER`.",
@@ -499,7 +520,7 @@
         shape: Shape::List { id: "name" },
         about: "The model services and plain services.",
         keys: &[
-            text("name", "The service's name."),
+            required(text("name", "The service's name.")),
             choice("kind", &["model", "plain"], "The kind of its upstreams."),
             texts("models", "Names of the models that a model service serves."),
         ],
@@ -509,9 +530,9 @@
         shape: Shape::List { id: "name" },
         about: "The forwarded paths of plain services.",
         keys: &[
-            text("name", "The route's name."),
-            text("path_prefix", "Path prefix, for example `/rota/`."),
-            text("service", "Name of the plain service."),
+            required(text("name", "The route's name.")),
+            required(text("path_prefix", "Path prefix, for example `/rota/`.")),
+            required(text("service", "Name of the plain service.")),
             texts(
                 "methods",
                 "HTTP methods that the route forwards. Empty means all.",
@@ -546,10 +567,13 @@
         shape: Shape::List { id: "name" },
         about: "The engines and plain-service workers.",
         keys: &[
-            text("name", "The upstream's name."),
-            text("service", "Name of the service that it belongs to."),
-            text("address", "IP address and port."),
-            text("availability_zone", "Availability zone that it runs in."),
+            required(text("name", "The upstream's name.")),
+            required(text("service", "Name of the service that it belongs to.")),
+            required(text("address", "IP address and port.")),
+            required(text(
+                "availability_zone",
+                "Availability zone that it runs in.",
+            )),
             choice(
                 "fencing",
                 &["enforced", "ignored"],
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod merge;
 pub mod name;
 pub mod problem;
+pub mod reference;
 pub mod service;
 pub mod settings;
 
