--- /dev/null
+++ b/crates/conf/tests/canonical.rs
@@ -0,0 +1,56 @@
+//! Checks of a configuration that arrives as canonical text and not from files.
+
+use conf::{ServiceConfig, check};
+
+// Guards against names that a merged folder can't have, but a request can.
+#[test]
+fn names_are_present_and_unique() {
+    for section in conf::keys::SERVICE {
+        let name = section.name;
+        let text = format!(r#"{{"{name}": [{{"name": "m"}}, {{"name": "m"}}, {{}}]}}"#);
+        let config = ServiceConfig::from_canonical_text(&text).unwrap();
+        let errors: Vec<_> = check::service(&config)
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        assert!(errors.contains(&format!("error: {name}.m: the name is used twice")));
+        assert!(errors.contains(&format!("error: {name}: an item has no name")));
+    }
+}
+
+// Guards against ranges that only the loader checks.
+#[test]
+fn ranges_are_checked() {
+    let mut config = ServiceConfig::default();
+    for name in ["a", "b", "b"] {
+        let name = name.into();
+        let rank = conf::RankPolicy {
+            name,
+            floor: -1.0,
+            ..Default::default()
+        };
+        config.ranks.push(rank);
+    }
+    config.ranks[0].worth = f64::NAN;
+    let errors: Vec<_> = check::service(&config)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        errors,
+        [
+            "error: ranks.a.worth: must be a number from 0 to 1000000000, but is null",
+            "error: ranks.a.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b.floor: must be a number from 0 to 1, but is -1.0",
+            "error: ranks.b: the name is used twice",
+        ]
+    );
+}
+
+// Guards against keys of a newer version that are dropped silently.
+#[test]
+fn unknown_keys_are_refused() {
+    assert!(ServiceConfig::from_canonical_text(r#"{"rank": []}"#).is_err());
+    assert!(ServiceConfig::from_canonical_text(r#"{"ranks": [{"flor": 1}]}"#).is_err());
+}
