Add the scenario language and the first scenarios

Ruled out: ports from the system's ephemeral range, which an outgoing connection of another test may take before the process binds them, and refusing relays for a cut, because a partition is silent. Change: a goldenscript runner with processes that end with their guard, ports below the ephemeral range, relays that hold traffic back, configuration templates, callers behind a ready-aware balancer, and two scenarios. The client tells a refused connection from a lost response: volo-http reports a failed connect as a request error with the I/O error as its direct source.

--- /dev/null
+++ b/crates/mustardstack/tests/support/command.rs
@@ -0,0 +1,133 @@
+//! Commands of the scenario language.
+
+use super::standin::Kind;
+
+/// A scenario command.
+#[derive(Debug, goldenscript::Command)]
+pub enum Command {
+    /// Starts a stand-in. Settings are TOML values. Example: standin engine e1 role="\"decode\""
+    Standin {
+        kind: Kind,
+        name: String,
+        #[arg(key, many, optional)]
+        settings: Vec<(String, String)>,
+    },
+
+    /// Defines voters by id and zone, before the first start. Example: voters a=z1 b=z2 c=z3
+    Voters(Vec<(String, String)>),
+
+    /// Defines instances without a disk by id and zone. Example: entries d=z1 e=z2
+    Entries(Vec<(String, String)>),
+
+    /// Starts instances or ended stand-ins.
+    Start(Vec<String>),
+
+    /// Stops processes with SIGTERM and waits for their ends.
+    Stop(Vec<String>),
+
+    /// Sends SIGTERM and does not wait.
+    Terminate(Vec<String>),
+
+    /// Kills processes with SIGKILL.
+    Kill(Vec<String>),
+
+    /// Pauses processes with SIGSTOP.
+    Freeze(Vec<String>),
+
+    /// Lets paused processes go on with SIGCONT.
+    Thaw(Vec<String>),
+
+    /// Stops processes with SIGTERM and starts them again.
+    Restart(Vec<String>),
+
+    /// Deletes the data folders of instances that do not run.
+    Wipe(Vec<String>),
+
+    /// Cuts the peer connections between the first instance and each other one.
+    Cut(Vec<String>),
+
+    /// Heals the peer connections between the first instance and each other one.
+    Heal(Vec<String>),
+
+    /// Applies a configuration template. The base is the current revision if none is given.
+    Apply {
+        template: String,
+        #[arg(key)]
+        through: String,
+        #[arg(key)]
+        base: Option<u64>,
+    },
+
+    /// Waits until a condition holds for each name: `ready`, `not_ready`, `in_force` (the newest
+    /// revision that any named instance knows), `exit`, `idle` (no open exchanges).
+    Wait {
+        condition: String,
+        #[arg(pos, many)]
+        names: Vec<String>,
+    },
+
+    /// Asks a model and prints whether the whole answer to this prompt came.
+    Chat {
+        through: String,
+        prompt: String,
+        #[arg(key, optional)]
+        stream: bool,
+        #[arg(key)]
+        tokens: Option<u32>,
+        #[arg(key)]
+        tenant: Option<String>,
+        #[arg(key)]
+        rank: Option<String>,
+        #[arg(key)]
+        model: Option<String>,
+    },
+
+    /// Calls a plain service and prints the status, the run field and the executions in the reply.
+    Call {
+        through: String,
+        method: String,
+        path: String,
+        body: Option<String>,
+        #[arg(key)]
+        key: Option<String>,
+        #[arg(key)]
+        tenant: Option<String>,
+    },
+
+    /// Starts callers that ask models through the ready ones of the named instances.
+    Load {
+        #[arg(pos, many)]
+        through: Vec<String>,
+        #[arg(key)]
+        callers: usize,
+        #[arg(key)]
+        tokens: u32,
+        #[arg(key)]
+        tenant: Option<String>,
+    },
+
+    /// Waits until the callers have had this many more answers.
+    Answers(usize),
+
+    /// Ends the callers after their current request and prints a summary.
+    Summary,
+
+    /// Crashes stand-ins on command.
+    Crash(Vec<String>),
+
+    /// Prints how often each call ran on plain services, summed over the services.
+    Executions(Vec<String>),
+
+    /// Prints the orders that an engine received, without their numbers.
+    Orders(String),
+
+    /// Sets the platform's list. Example: list p a=live b=leaving
+    List {
+        platform: String,
+        #[arg(key, many)]
+        instances: Vec<(String, String)>,
+    },
+
+    /// Prints a value of an instance's status by JSON pointer.
+    Status { instance: String, pointer: String },
+}
--- /dev/null
+++ b/crates/mustardstack/tests/support/instance.rs
@@ -0,0 +1,199 @@
+//! Settings folders of instances.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use conf::{
+    Name, Settings,
+    settings::{Instance, Platform, Voter},
+};
+use tokio::runtime::Handle;
+
+use super::{Result, port, relay::Relay};
+
+/// Administration token of all instances.
+pub const ADMIN_TOKEN: &str = "scenario-admin-token";
+
+/// Peer secret of all instances.
+const PEER_SECRET: &str = "scenario-peer-secret";
+
+/// One instance and where it listens.
+pub struct InstanceSpec {
+    /// Availability zone.
+    pub zone: String,
+    /// Whether it has a data folder and is a voter.
+    pub is_voter: bool,
+    /// Callers' listener.
+    pub caller: SocketAddr,
+    /// Administration listener.
+    pub admin: SocketAddr,
+    /// Peer listener.
+    pub peer: SocketAddr,
+}
+
+/// All instances and the relays between them.
+pub struct Cluster {
+    folder: PathBuf,
+    /// Instances by id.
+    pub instances: BTreeMap<String, InstanceSpec>,
+    relays: BTreeMap<(String, String), Relay>,
+}
+
+impl Cluster {
+    /// Creates an empty cluster that keeps its files in `folder`.
+    pub fn new(folder: &Path) -> Self {
+        Self {
+            folder: folder.to_owned(),
+            instances: BTreeMap::new(),
+            relays: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an instance with listeners on free ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub fn add(&mut self, id: &str, zone: &str, is_voter: bool) -> Result<()> {
+        let spec = InstanceSpec {
+            zone: zone.to_owned(),
+            is_voter,
+            caller: port::free_address()?,
+            admin: port::free_address()?,
+            peer: port::free_address()?,
+        };
+        self.instances.insert(id.to_owned(), spec);
+        Ok(())
+    }
+
+    /// The instance `id`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none.
+    pub fn get(&self, id: &str) -> Result<&InstanceSpec> {
+        let missing = || format!("no instance {id}");
+        Ok(self.instances.get(id).ok_or_else(missing)?)
+    }
+
+    /// Settings folder of an instance.
+    pub fn settings_folder(&self, id: &str) -> PathBuf {
+        self.folder.join(id).join("settings")
+    }
+
+    /// Data folder of an instance.
+    pub fn data_folder(&self, id: &str) -> PathBuf {
+        self.folder.join(id).join("data")
+    }
+
+    /// File that holds the administration token.
+    pub fn token_file(&self) -> PathBuf {
+        self.folder.join("admin-token")
+    }
+
+    /// Writes the settings folder of an instance. It reaches each other voter through a relay.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file cannot be written or a relay cannot listen.
+    pub fn write_settings(
+        &mut self,
+        runtime: &Handle,
+        id: &str,
+        platform: &Platform,
+    ) -> Result<()> {
+        let voters = self.voters_seen_by(runtime, id)?;
+        let settings = Settings {
+            instance: self.instance_settings(id)?,
+            voters,
+            platform: platform.clone(),
+            ..Settings::default()
+        };
+        fs::write(self.token_file(), ADMIN_TOKEN)?;
+        fs::write(self.folder.join("peer-secret"), PEER_SECRET)?;
+        let folder = self.settings_folder(id);
+        fs::create_dir_all(&folder)?;
+        fs::write(folder.join("instance.toml"), toml::to_string(&settings)?)?;
+        Ok(())
+    }
+
+    /// Cuts or heals the connections between two instances, in both directions.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no relay lies between them.
+    pub fn set_cut(&self, one: &str, other: &str, is_cut: bool) -> Result<()> {
+        let between = |(from, to): &(String, String)| {
+            (from == one && to == other) || (from == other && to == one)
+        };
+        let relays: Vec<&Relay> = self
+            .relays
+            .iter()
+            .filter(|(ends, _)| between(ends))
+            .map(|(_, relay)| relay)
+            .collect();
+        if relays.is_empty() {
+            return Err(format!("no relay between {one} and {other}").into());
+        }
+        for relay in relays {
+            match is_cut {
+                true => relay.cut(),
+                false => relay.heal(),
+            }
+        }
+        Ok(())
+    }
+
+    fn instance_settings(&self, id: &str) -> Result<Instance> {
+        let spec = self.get(id)?;
+        let data_folder = match spec.is_voter {
+            true => path_name(&self.data_folder(id)),
+            false => Name::default(),
+        };
+        Ok(Instance {
+            id: Name::from(id.to_owned()),
+            availability_zone: Name::from(spec.zone.clone()),
+            caller_address: address_name(spec.caller),
+            admin_address: address_name(spec.admin),
+            peer_address: address_name(spec.peer),
+            admin_token_file: path_name(&self.token_file()),
+            peer_secret_file: path_name(&self.folder.join("peer-secret")),
+            data_folder,
+        })
+    }
+
+    fn voters_seen_by(&mut self, runtime: &Handle, id: &str) -> Result<Vec<Voter>> {
+        let mut voters = Vec::new();
+        for (voter, spec) in self.instances.iter().filter(|(_, spec)| spec.is_voter) {
+            let peer_address = match voter == id {
+                true => spec.peer,
+                false => {
+                    let ends = (id.to_owned(), voter.clone());
+                    if !self.relays.contains_key(&ends) {
+                        let relay = Relay::start(runtime, spec.peer)?;
+                        self.relays.insert(ends.clone(), relay);
+                    }
+                    self.relays[&ends].address()
+                }
+            };
+            voters.push(Voter {
+                id: Name::from(voter.clone()),
+                availability_zone: Name::from(spec.zone.clone()),
+                peer_address: address_name(peer_address),
+            });
+        }
+        Ok(voters)
+    }
+}
+
+fn address_name(address: SocketAddr) -> Name {
+    Name::from(address.to_string())
+}
+
+fn path_name(path: &Path) -> Name {
+    Name::from(path.display().to_string())
+}
--- /dev/null
+++ b/crates/mustardstack/tests/support/mod.rs
@@ -0,0 +1,15 @@
+//! Parts of the scenario language.
+
+pub mod command;
+pub mod instance;
+pub mod port;
+pub mod process;
+pub mod relay;
+pub mod runner;
+pub mod standin;
+pub mod template;
+pub mod wait;
+pub mod workload;
+
+/// Result of a scenario command.
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
--- /dev/null
+++ b/crates/mustardstack/tests/support/workload.rs
@@ -0,0 +1,228 @@
+//! Background callers with a summary.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use standin::{
+    client::{Client, Ending, Exchange},
+    prompt::{ChatMessage, ChatRequest},
+};
+use tokio::{runtime::Handle, sync::watch, task::JoinHandle};
+
+/// Interval at which the balancer asks the instances whether they are ready.
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause of a caller after a refusal or without a ready instance.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the callers ask.
+#[derive(Clone)]
+pub struct WorkloadSettings {
+    /// Callers' addresses of the instances, by id.
+    pub instances: BTreeMap<String, SocketAddr>,
+    /// Number of callers that ask at the same time.
+    pub callers: usize,
+    /// Length of each answer.
+    pub tokens: u32,
+    /// API key.
+    pub key: String,
+}
+
+/// Counts of all callers.
+#[derive(Debug, Default)]
+struct Counts {
+    whole: AtomicU64,
+    wrong: AtomicU64,
+    cut: AtomicU64,
+    refused: AtomicU64,
+    not_connected: AtomicU64,
+}
+
+/// What the callers met. Refusals as not run and refused connections depend on timing and are
+/// left out of its text.
+pub struct Summary {
+    whole: u64,
+    wrong: u64,
+    cut: u64,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = match self.whole {
+            0 => "none",
+            _ => "some",
+        };
+        write!(
+            f,
+            "whole: {whole}, wrong: {}, cut: {}",
+            self.wrong, self.cut
+        )
+    }
+}
+
+/// Running callers. They end when this value is dropped.
+pub struct Workload {
+    counts: Arc<Counts>,
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+    balancer: JoinHandle<()>,
+    runtime: Handle,
+}
+
+impl Workload {
+    /// Starts the callers.
+    pub fn start(runtime: &Handle, client: Client, settings: WorkloadSettings) -> Self {
+        let counts = Arc::new(Counts::default());
+        let stop = Arc::new(AtomicBool::new(false));
+        let (ready_sender, ready) = watch::channel(Vec::new());
+        let instances = settings.instances.values().copied().collect();
+        let balancer = runtime.spawn(find_ready(client.clone(), instances, ready_sender));
+        let turn = Arc::new(AtomicUsize::new(0));
+        let callers = (0..settings.callers)
+            .map(|number| {
+                let caller = Caller {
+                    number,
+                    client: client.clone(),
+                    settings: settings.clone(),
+                    counts: counts.clone(),
+                    stop: stop.clone(),
+                    ready: ready.clone(),
+                    turn: turn.clone(),
+                };
+                runtime.spawn(caller.run())
+            })
+            .collect();
+        Self {
+            counts,
+            stop,
+            callers,
+            balancer,
+            runtime: runtime.clone(),
+        }
+    }
+
+    /// Number of whole answers so far.
+    pub fn answers(&self) -> u64 {
+        self.counts.whole.load(Ordering::Relaxed)
+    }
+
+    /// Lets the callers finish their requests and returns the summary.
+    pub fn finish(mut self) -> Summary {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in std::mem::take(&mut self.callers) {
+            // A panic of a caller has already been printed by its panic hook.
+            let _ = self.runtime.block_on(caller);
+        }
+        Summary {
+            whole: self.counts.whole.load(Ordering::Relaxed),
+            wrong: self.counts.wrong.load(Ordering::Relaxed),
+            cut: self.counts.cut.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for Workload {
+    fn drop(&mut self) {
+        self.balancer.abort();
+        for caller in &self.callers {
+            caller.abort();
+        }
+    }
+}
+
+/// Plays the platform's balancer, which sends callers only to ready instances.
+async fn find_ready(
+    client: Client,
+    instances: Vec<SocketAddr>,
+    ready: watch::Sender<Vec<SocketAddr>>,
+) {
+    loop {
+        let mut found = Vec::new();
+        for instance in &instances {
+            let url = format!("http://{instance}/readyz");
+            let probe = client.send(http::Method::GET, &url, &[], "").await;
+            if probe.is_whole_ok() {
+                found.push(*instance);
+            }
+        }
+        ready.send_replace(found);
+        tokio::time::sleep(READY_INTERVAL).await;
+    }
+}
+
+struct Caller {
+    number: usize,
+    client: Client,
+    settings: WorkloadSettings,
+    counts: Arc<Counts>,
+    stop: Arc<AtomicBool>,
+    ready: watch::Receiver<Vec<SocketAddr>>,
+    turn: Arc<AtomicUsize>,
+}
+
+impl Caller {
+    async fn run(self) {
+        for question in 0_u64.. {
+            if self.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            let Some(instance) = self.next_instance() else {
+                tokio::time::sleep(REFUSED_PAUSE).await;
+                continue;
+            };
+            let request = self.request(question);
+            let bearer = format!("Bearer {}", self.settings.key);
+            let headers = [("authorization", bearer.as_str())];
+            let base_url = format!("http://{instance}");
+            let exchange = self.client.chat(&base_url, &headers, &request).await;
+            if !self.count(&exchange, &request) {
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+        }
+    }
+
+    fn next_instance(&self) -> Option<SocketAddr> {
+        let ready = self.ready.borrow();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        ready.get(turn % ready.len().max(1)).copied()
+    }
+
+    fn request(&self, question: u64) -> ChatRequest {
+        let content = format!("Caller {} asks question {question}", self.number);
+        let message = ChatMessage {
+            role: "user".into(),
+            content: content.into(),
+        };
+        ChatRequest {
+            model: "assistant".into(),
+            messages: vec![message],
+            max_tokens: Some(self.settings.tokens),
+            stream: true,
+            ..ChatRequest::default()
+        }
+    }
+
+    /// Counts an exchange and returns whether it was answered.
+    fn count(&self, exchange: &Exchange, request: &ChatRequest) -> bool {
+        let counts = &self.counts;
+        let counter = match exchange.ending {
+            Ending::NotConnected => &counts.not_connected,
+            Ending::Cut | Ending::NoResponse | Ending::TimedOut => &counts.cut,
+            Ending::Whole if exchange.run().as_deref() == Some("not_run") => &counts.refused,
+            Ending::Whole if exchange.is_whole_ok() && exchange.text == request.answer() => {
+                &counts.whole
+            }
+            Ending::Whole => &counts.wrong,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        exchange.is_whole_ok()
+    }
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -1,6 +1,9 @@
 //! HTTP client for tests and workloads. It tells whole answers from cut ones.
 
-use std::time::{Duration, Instant};
+use std::{
+    error::Error as _,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use conf::Name;
@@ -10,6 +13,7 @@
 use volo_http::{
     body::Body,
     client::{Client as HttpClient, ClientBuilder},
+    error::{ClientError, client::ErrorKind},
     response::Response,
 };
 
@@ -22,7 +26,9 @@
     Whole,
     /// The response began and broke off.
     Cut,
-    /// No response came.
+    /// No connection could be opened, so nothing was sent.
+    NotConnected,
+    /// The connection ended before a response came.
     NoResponse,
     /// The caller's time limit passed.
     TimedOut,
@@ -170,8 +176,12 @@
             .request(method, url.to_owned())
             .data(Body::from(body));
         request.headers_mut().extend(header_map(headers));
-        let Ok(response) = request.send::<Body>().await else {
-            return;
+        let response = match request.send::<Body>().await {
+            Ok(response) => response,
+            Err(error) => {
+                exchange.ending = failure(&error);
+                return;
+            }
         };
         exchange.status = Some(response.status());
         exchange.headers = response.headers().clone();
@@ -182,6 +192,17 @@
     }
 }
 
+/// volo-http reports a failed connect as a request error whose direct source is the I/O error.
+/// Failures after the connect have an error of hyper in between.
+fn failure(error: &ClientError) -> Ending {
+    let is_io = |source: &(dyn std::error::Error + 'static)| source.is::<std::io::Error>();
+    let connect_failed = error.kind() == &ErrorKind::Connect || error.source().is_some_and(is_io);
+    match connect_failed {
+        true => Ending::NotConnected,
+        false => Ending::NoResponse,
+    }
+}
+
 fn header_map(headers: &[(&str, &str)]) -> HeaderMap {
     let mut map = HeaderMap::new();
     map.insert(
