--- a/crates/reducer/tests/invariants.rs
+++ b/crates/reducer/tests/invariants.rs
@@ -25,7 +25,8 @@
     /// Voter whose disk was wiped and that may not be a full member again yet.
     wiped: Option<Name>,
     payments: Vec<(String, (Name, u64))>,
-    applies: Vec<(u64, Name)>,
+    /// Token, content id and base revision of every change.
+    applies: Vec<(u64, Name, u64)>,
     variant: u64,
 }
 
@@ -103,7 +104,7 @@
             let base = self.cluster.revision_of(&id);
             let config = config(self.variant);
             let token = self.cluster.apply(&id, base, &config);
-            self.applies.push((token, config.content_id()));
+            self.applies.push((token, config.content_id(), base));
         }
     }
 
@@ -219,10 +220,15 @@
 
     fn check_revisions(&self) -> Result<(), String> {
         let mut contents: BTreeMap<u64, Name> = self.cluster.accepted.clone();
-        for (token, content_id) in &self.applies {
+        for (token, content_id, base) in &self.applies {
             let Some(ApplyReply::Accepted { revision }) = self.cluster.apply_reply(*token) else {
                 continue;
             };
+            if *revision != base + 1 {
+                return Err(format!(
+                    "a change of revision {base} became revision {revision}"
+                ));
+            }
             let known = contents.entry(*revision).or_insert(content_id.clone());
             if known != content_id {
                 return Err(format!(
