--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -58,12 +58,11 @@
         self.get(index).map(|entry| entry.term)
     }
 
-    /// Returns the highest index up to `index` whose term is at most `term`, not below the base.
+    /// Returns the highest index up to `index` whose term is at most `term`. Nothing is known of indexes up to the base,
+    /// so those are returned as they are.
     pub(crate) fn last_at_most(&self, index: u64, term: u64) -> u64 {
         let count = self.entries.partition_point(|entry| entry.term <= term);
-        index
-            .min(self.base_index + count as u64)
-            .max(self.base_index)
+        index.min(self.base_index + count as u64)
     }
 
     /// Returns entries from `from_index` on, within both limits but at least one if there is any.
@@ -112,9 +111,12 @@
         self.base_term = term;
     }
 
-    /// Drops all entries and starts again after a snapshot.
-    pub(crate) fn reset(&mut self, index: u64, term: u64) {
+    /// Drops all entries and starts again after a snapshot that is not synced yet. Up to `agreed_index`, the entries
+    /// dropped agree with the snapshot.
+    pub(crate) fn reset(&mut self, index: u64, term: u64, agreed_index: u64) {
+        let synced_index = self.synced_index.min(agreed_index);
         *self = Self::new(index, term, Vec::new());
+        self.synced_index = synced_index;
     }
 }
 
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -7,6 +7,7 @@
 use crate::peer::{Mode, Peer};
 use crate::replica::{Replica, Role};
 use crate::replicate::send_heartbeat;
+use crate::writes::Followup;
 
 /// Bytes of a snapshot in one message.
 const CHUNK_BYTES: usize = 64 * 1024;
@@ -121,12 +122,15 @@
             members: held.members,
             state: held.data.freeze(),
         };
+        self.replace_log(&snapshot, out);
         self.commit_index = snapshot.index;
         self.applied_index = snapshot.index;
         self.taking_index = None;
-        self.replace_log(&snapshot, out);
         self.snapshot = Some(snapshot.clone());
         self.writes.persist(Write::Snapshot(snapshot.clone()), out);
+        self.writes.after(Followup::Synced {
+            last_index: snapshot.index,
+        });
         out.push(Output::Restore(snapshot));
     }
 
@@ -137,7 +141,7 @@
             self.log.compact_to(index);
         } else {
             self.remove_conflict(index, out);
-            self.log.reset(index, snapshot.term);
+            self.log.reset(index, snapshot.term, self.commit_index);
         }
         self.members = MemberHistory::new(index, snapshot.members.clone());
         for entry in self.log.batch(index + 1, usize::MAX, usize::MAX) {
--- a/crates/quorum/src/writes.rs
+++ b/crates/quorum/src/writes.rs
@@ -65,11 +65,22 @@
         self.followups.pop_front().map(|(_, followup)| followup)
     }
 
-    /// Lowers pending entry counts: entries from `index` on have been removed again.
+    /// Lowers pending counts and acknowledgements: entries from `index` on have been removed again.
     pub(crate) fn truncate_from(&mut self, index: u64) {
+        let highest = index.saturating_sub(1);
         for (_, followup) in &mut self.followups {
-            if let Followup::Synced { last_index } = followup {
-                *last_index = (*last_index).min(index.saturating_sub(1));
+            match followup {
+                Followup::Synced { last_index } => *last_index = highest.min(*last_index),
+                Followup::Send {
+                    message:
+                        Message::AppendReply {
+                            success: true,
+                            match_index,
+                            ..
+                        },
+                    ..
+                } => *match_index = highest.min(*match_index),
+                Followup::Send { .. } | Followup::OwnVote { .. } => {}
             }
         }
     }
