Let requests queue at the holder or the home of their prefix

Change: the bound grows by the prefill that the upstream saves, weighted like the score; prompts without a known holder go to their home on the ring. Weight 1 -> 4: a prompt that is computed away from its prefix also evicts what others need.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -3,7 +3,7 @@
 use conf::{Map, Name, Role, ServiceKind};
 use smallvec::SmallVec;
 
-use crate::pool::{Group, Pool};
+use crate::pool::{Group, Pool, mix};
 use crate::prefix::Holders;
 use crate::table::{Slot, Table};
 use crate::view::{Expected, View, trust};
@@ -26,12 +26,16 @@
 /// Time by which another zone must be better than the own one, in milliseconds. It keeps traffic and caches at home.
 const OTHER_ZONE_MARGIN_MS: f64 = 20.0;
 /// Weight of the engine time that computing a prompt takes from other requests.
-const PROMPT_WEIGHT: f64 = 1.0;
+const PROMPT_WEIGHT: f64 = 4.0;
+/// The same weight at the upstream that the prompt's first chunk hashes to. Entries that do not know of each other's
+/// dispatches then agree on one upstream, and the chunks are cached once.
+const HOME_PROMPT_WEIGHT: f64 = 0.0;
 /// Relative cost of an upstream whose load is not known.
 const UNKNOWN_LOAD_WEIGHT: f64 = 0.2;
 /// Share of the batch limit that the most urgent rank may add on top, so that it does not wait for a place.
 const URGENT_EXTRA_SHARE: f64 = 0.25;
-/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds. In the engine's own queue ranks
+/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds, beyond the time that the
+/// upstream's cache saves the request. In the engine's own queue ranks
 /// would count for less, and a cancelled request would leave its place late.
 const BACKLOG_MAX_MS: f64 = 1_000.0;
 /// Time to move one KV chunk from a prefill engine to a decode engine, in milliseconds.
@@ -177,12 +181,17 @@
             Policy::LeastOutstanding => self.pick_least_outstanding(stage),
             Policy::PrefixHash => self.pick_by_hash(stage),
         }?;
-        Some(self.assess(stage, slot))
+        Some(self.assess(stage, slot, None))
     }
 
     fn pick_by_cost(&mut self, stage: Stage) -> Option<Candidate> {
         let mut sample = Sample::new();
         self.sample_holders(stage, &mut sample);
+        let home = self.home(stage);
+        if let Some(home) = home {
+            let allowance_tokens = f64::from(self.work.prompt_tokens) * PROMPT_WEIGHT;
+            self.sample_one(home, allowance_tokens, &mut sample);
+        }
         let pool = self.pool;
         for (zone, members) in pool.zones(stage.role()) {
             let home = *zone == self.work.availability_zone;
@@ -192,7 +201,7 @@
             };
             self.sample_members(members, wanted, &mut sample);
         }
-        let assessed = sample.iter().map(|slot| self.assess(stage, *slot));
+        let assessed = sample.iter().map(|slot| self.assess(stage, *slot, home));
         assessed.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
@@ -235,7 +244,8 @@
         if stage == Stage::Decode {
             return;
         }
-        for chunk in self.work.chunks.iter().rev() {
+        for (index, chunk) in self.work.chunks.iter().enumerate().rev() {
+            let saved_tokens = (index + 1) as f64 * f64::from(CHUNK_TOKENS);
             let holders = self.holders.of(*chunk);
             if holders.is_empty() {
                 continue;
@@ -246,13 +256,23 @@
                 if sample.len() >= SAMPLE_HOLDERS {
                     return;
                 }
-                if self.is_member(stage, *slot) && self.has_place(*slot) && !sample.contains(slot) {
-                    sample.push(*slot);
+                if self.is_member(stage, *slot) {
+                    self.sample_one(*slot, saved_tokens * (1.0 + PROMPT_WEIGHT), sample);
                 }
             }
         }
     }
 
+    /// The first upstream in the ring order of the prompt's first chunk that may get requests.
+    fn home(&self, stage: Stage) -> Option<u32> {
+        if stage == Stage::Decode {
+            return None;
+        }
+        let first = *self.work.chunks.first()?;
+        let mut homes = self.pool.homes(stage.role(), first).take(SCAN_MAX);
+        homes.find(|slot| self.may_get(*slot))
+    }
+
     /// Adds up to `wanted` random members that may get the request.
     fn sample_members(&mut self, members: &[u32], wanted: usize, sample: &mut Sample) {
         if members.is_empty() {
@@ -265,7 +285,7 @@
                     return;
                 }
                 let slot = members[self.rng.usize(..members.len())];
-                self.sample_one(slot, sample);
+                self.sample_one(slot, 0.0, sample);
             }
         }
         let first = self.rng.usize(..members.len());
@@ -274,12 +294,12 @@
                 return;
             }
             let slot = members[(first + offset) % members.len()];
-            self.sample_one(slot, sample);
+            self.sample_one(slot, 0.0, sample);
         }
     }
 
-    fn sample_one(&self, slot: u32, sample: &mut Sample) {
-        if !sample.contains(&slot) && self.has_place(slot) {
+    fn sample_one(&self, slot: u32, allowance_tokens: f64, sample: &mut Sample) {
+        if !sample.contains(&slot) && self.has_place(slot, allowance_tokens) {
             sample.push(slot);
         }
     }
@@ -306,7 +326,7 @@
     }
 
     /// Whether the upstream may get the request and has a place in its batch.
-    fn has_place(&self, slot: u32) -> bool {
+    fn has_place(&self, slot: u32, allowance_tokens: f64) -> bool {
         let Some(view) = self.view(slot) else {
             return false;
         };
@@ -315,9 +335,9 @@
             0 => (limit * URGENT_EXTRA_SHARE).ceil(),
             _ => 0.0,
         };
-        let backlog_ms = view.backlog_tokens(self.now_ms) / view.prefill_tokens_per_ms;
+        let excess_tokens = view.backlog_tokens(self.now_ms) - allowance_tokens;
         view.in_flight(self.now_ms) + 1.0 <= limit + extra
-            && backlog_ms <= BACKLOG_MAX_MS
+            && excess_tokens <= BACKLOG_MAX_MS * view.prefill_tokens_per_ms
             && self.may_get(slot)
     }
 
@@ -327,7 +347,7 @@
         })
     }
 
-    fn assess(&self, stage: Stage, slot: u32) -> Candidate {
+    fn assess(&self, stage: Stage, slot: u32, home: Option<u32>) -> Candidate {
         let mut candidate = Candidate {
             slot,
             score: f64::INFINITY,
@@ -339,14 +359,20 @@
                 ServiceKind::Plain => {
                     candidate.expected = view.expect_plain(self.now_ms, self.plain_ms)
                 }
-                ServiceKind::Model => self.assess_tokens(stage, view, &mut candidate),
+                ServiceKind::Model => self.assess_tokens(stage, view, home, &mut candidate),
             }
             self.add_distance(view, &mut candidate);
         }
         candidate
     }
 
-    fn assess_tokens(&self, stage: Stage, view: &View, candidate: &mut Candidate) {
+    fn assess_tokens(
+        &self,
+        stage: Stage,
+        view: &View,
+        home: Option<u32>,
+        candidate: &mut Candidate,
+    ) {
         let prompt_tokens = f64::from(self.work.prompt_tokens);
         let output_tokens = f64::from(self.work.output_tokens);
         let leading = view.cache.leading(&self.work.chunks) as f64;
@@ -362,7 +388,11 @@
         candidate.cached_tokens = cached as u32;
         let needed = (uncached + output) / f64::from(CHUNK_TOKENS);
         let short_tokens = view.kv_chunks_short(needed.ceil() as u32) * CHUNK_TOKENS;
-        let displaced = prompt * PROMPT_WEIGHT + f64::from(short_tokens);
+        let prompt_weight = match home == Some(candidate.slot) {
+            true => HOME_PROMPT_WEIGHT,
+            false => PROMPT_WEIGHT,
+        };
+        let displaced = prompt * prompt_weight + f64::from(short_tokens);
         candidate.score = displaced / view.prefill_tokens_per_ms;
     }
 
@@ -390,12 +420,6 @@
     }
 }
 
-/// Mixes a key and a slot for rendezvous hashing.
-fn mix(key: u64, slot: u64) -> u64 {
-    use std::hash::BuildHasher;
-    foldhash::fast::FixedState::with_seed(key).hash_one(slot)
-}
-
 impl Group {
     fn ensure_pool(&mut self, model: Option<u32>, slots: &[Slot]) {
         if !self.pools.contains_key(&model) {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,8 +1,14 @@
 //! The upstreams of a service, sorted for fast sampling.
 
+use std::hash::BuildHasher;
+
 use conf::{Map, Name, Role, ServiceKind};
 
 use crate::table::Slot;
+use foldhash::fast::FixedState;
+
+/// Points of one upstream on the ring. More even out the shares and cost memory.
+const RING_POINTS: u64 = 16;
 
 /// The upstreams of one service.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +29,8 @@
     pub(crate) model: Option<u32>,
     all: [Vec<u32>; 3],
     zones: [Vec<(Name, Vec<u32>)>; 3],
+    /// Points of a consistent-hash ring over all zones, sorted.
+    rings: [Vec<(u64, u32)>; 3],
 }
 
 impl Pool {
@@ -40,15 +48,28 @@
             }
             let role = index(view.role);
             pool.all[role].push(*slot);
+            let name = FixedState::with_seed(0).hash_one(view.name.as_str());
+            let points = (0..RING_POINTS).map(|point| (mix(name, point), *slot));
+            pool.rings[role].extend(points);
             let zones = &mut pool.zones[role];
             match zones.iter_mut().find(|(zone, _)| *zone == view.zone) {
                 Some((_, members)) => members.push(*slot),
                 None => zones.push((view.zone.clone(), vec![*slot])),
             }
         }
+        pool.rings.iter_mut().for_each(|ring| ring.sort_unstable());
         pool
     }
 
+    /// Upstreams in the order in which a prompt with this first chunk prefers them. All entries agree on it.
+    pub(crate) fn homes(&self, role: Role, chunk: u64) -> impl Iterator<Item = u32> {
+        let ring = &self.rings[index(role)];
+        let key = mix(chunk, 0);
+        let first = ring.partition_point(|(point, _)| *point < key);
+        let points = ring[first..].iter().chain(&ring[..first]);
+        points.map(|(_, slot)| *slot)
+    }
+
     pub(crate) fn all(&self, role: Role) -> &[u32] {
         &self.all[index(role)]
     }
@@ -69,3 +90,8 @@
         Role::Decode => 2,
     }
 }
+
+/// Mixes a key and a number into a point of the ring.
+pub(crate) fn mix(key: u64, number: u64) -> u64 {
+    FixedState::with_seed(key).hash_one(number)
+}
