Count the first token's deadline in the queue and pass over what does not fit

Cause: requests were kept until the whole answer was just possible, long after the first token was due, and one that did not fit blocked the rest of its model. Change: latest start from both deadlines; up to 8 requests of a rank and model are asked about in one search.

--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Blocked {
     pub(crate) models: Vec<Name>,
     pub(crate) sequences: Vec<u64>,
+    /// Requests asked about, by model.
+    pub(crate) asked: Map<Name, usize>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -57,10 +59,7 @@
     pub(crate) fn push(&mut self, place: Place, waiting: Waiting) {
         self.len += 1;
         self.tokens += u64::from(waiting.tokens);
-        *self
-            .due
-            .entry(waiting.deadline_ms / DUE_STEP_MS)
-            .or_default() += u64::from(waiting.tokens);
+        *self.due.entry(place.position.0 / DUE_STEP_MS).or_default() += u64::from(waiting.tokens);
         let tenant = self.tenants.entry(place.tenant).or_default();
         if tenant.len == 0 {
             tenant.virtual_tokens = tenant.virtual_tokens.max(self.virtual_now);
@@ -115,7 +114,7 @@
         tenant.tokens -= tokens;
         self.len -= 1;
         self.tokens -= tokens;
-        self.remove_due(waiting.deadline_ms / DUE_STEP_MS, tokens);
+        self.remove_due(place.position.0 / DUE_STEP_MS, tokens);
         Some(waiting)
     }
 
@@ -159,7 +158,7 @@
     /// Tokens that would be served before a new request of `tenant`: those due earlier, but no more than the fair shares
     /// of the other tenants allow while the tenant's own requests are served.
     pub(crate) fn tokens_ahead(&self, tenant: &Name, new: &Waiting, limits: &TenantLimits) -> f64 {
-        let last_step = new.deadline_ms / DUE_STEP_MS;
+        let last_step = new.first_deadline_ms() / DUE_STEP_MS;
         let due: u64 = self.due.range(..=last_step).map(|(_, tokens)| tokens).sum();
         let waiting = self.tenants.iter().filter(|(_, queue)| queue.len > 0);
         let others = waiting.filter(|(name, _)| *name != tenant);
--- a/crates/admit/src/preempt.rs
+++ b/crates/admit/src/preempt.rs
@@ -33,16 +33,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct InDanger {
     pub(crate) rank: u8,
-    pub(crate) deadline_ms: u64,
-    pub(crate) service_ms: u64,
+    pub(crate) latest_start_ms: u64,
     pub(crate) wait_ms: u64,
 }
 
 impl InDanger {
     /// Whether the deadline is missed by waiting and met by taking a place at once.
     pub(crate) fn is_saved(&self, now_ms: u64) -> bool {
-        let at_once_ms = now_ms + CANCEL_MS + self.service_ms;
-        at_once_ms <= self.deadline_ms && now_ms + self.wait_ms + self.service_ms > self.deadline_ms
+        now_ms + CANCEL_MS <= self.latest_start_ms && now_ms + self.wait_ms > self.latest_start_ms
     }
 }
 
--- a/crates/admit/src/queues.rs
+++ b/crates/admit/src/queues.rs
@@ -16,8 +16,9 @@
 const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Smallest share of the capacity that an estimate assumes, so that it stays finite.
 const SHARE_MIN: f64 = 0.01;
-/// Requests that are passed over in one search because their own exclusions leave them no upstream.
-const PASSED_OVER_MAX: usize = 8;
+/// Requests of one rank and model that are asked about in one search before the model counts as full. Some do not fit
+/// because of their own exclusions, deadlines or prefixes while others do.
+const ASKED_MAX: usize = 8;
 
 /// The queues of one service.
 #[derive(Clone, Debug, Default)]
@@ -116,9 +117,9 @@
 
     /// Takes out the next request to dispatch, or `None` if nothing that waits fits.
     ///
-    /// `fits` tells whether an upstream has a place for a request. Within one call it is asked about one request of each
-    /// rank, service and model, and about readmitted ones by themselves, since those may exclude upstreams. A rank below
-    /// its floor whose request does not fit keeps the next place of that model from the other ranks.
+    /// `fits` tells whether an upstream has a place for a request. Within one call it is asked about a few requests of each
+    /// rank, service and model, in their order, until one fits. A rank below its floor whose requests do not fit keeps the
+    /// next place of that model from the other ranks.
     pub fn next(&mut self, now_ms: u64, mut fits: impl FnMut(&Waiting) -> bool) -> Option<Waiting> {
         self.drop_overdue(now_ms);
         for turn in 0..self.turns.len() {
@@ -177,12 +178,11 @@
         let place_ms = queues.speed.place_interval_ms(now_ms);
         for lane in &queues.lanes {
             let mut heads: Vec<&Waiting> = lane.heads().collect();
-            heads.sort_unstable_by_key(|waiting| (waiting.deadline_ms, waiting.id));
+            heads.sort_unstable_by_key(|waiting| (waiting.first_deadline_ms(), waiting.id));
             for (position, waiting) in heads.into_iter().enumerate() {
                 let danger = InDanger {
                     rank: waiting.rank,
-                    deadline_ms: waiting.deadline_ms,
-                    service_ms: waiting.service_ms,
+                    latest_start_ms: waiting.latest_start_ms(),
                     wait_ms: place_ms * (position as u64 + 1),
                 };
                 if !danger.is_saved(now_ms) {
@@ -238,19 +238,21 @@
     }
 
     fn check_deadline(&self, now_ms: u64, waiting: &Waiting) -> Result<(), Refusal> {
-        let allowed_ms = waiting.deadline_ms.saturating_sub(now_ms);
-        let wait_ms = match self.discipline {
-            Discipline::Ranked => self.expected_wait_ms(now_ms, waiting),
-            Discipline::SingleQueue => 0,
+        let (wait_ms, latest_start_ms) = match self.discipline {
+            Discipline::Ranked => (
+                self.expected_wait_ms(now_ms, waiting),
+                waiting.latest_start_ms(),
+            ),
+            Discipline::SingleQueue => (0, waiting.deadline_ms),
         };
-        let expected_ms = wait_ms + waiting.service_ms;
-        if allowed_ms == 0 || expected_ms > allowed_ms {
-            return Err(Refusal::TooLate {
-                expected_ms,
-                allowed_ms,
-            });
+        if now_ms + wait_ms <= latest_start_ms && now_ms < waiting.deadline_ms {
+            return Ok(());
         }
-        Ok(())
+        let allowed_ms = latest_start_ms.saturating_sub(now_ms);
+        Err(Refusal::TooLate {
+            wait_ms,
+            allowed_ms,
+        })
     }
 
     /// Makes sure that the queue has room, if need be by displacing a request of the tenant with the most for its weight.
@@ -292,7 +294,7 @@
         let lane = self.lane_index(&waiting);
         let place = self.place(&waiting);
         let latest_start_ms = match self.discipline {
-            Discipline::Ranked => waiting.deadline_ms.saturating_sub(waiting.service_ms),
+            Discipline::Ranked => waiting.latest_start_ms(),
             Discipline::SingleQueue => waiting.deadline_ms,
         };
         let key = (latest_start_ms, self.sequence);
@@ -316,7 +318,7 @@
             Discipline::Ranked => Place {
                 tenant: waiting.tenant.clone(),
                 model,
-                position: (waiting.deadline_ms, self.sequence),
+                position: (waiting.first_deadline_ms(), self.sequence),
             },
             Discipline::SingleQueue => Place {
                 tenant: Name::default(),
@@ -385,7 +387,7 @@
                 return self.serve(now_ms, service, lane, &place);
             }
             if below_floor {
-                reserved = blocked.models;
+                reserved.extend(blocked.asked.into_keys());
             }
         }
         queues.speed.on_stall(now_ms);
@@ -439,7 +441,9 @@
         if fits(waiting) {
             return Some(place);
         }
-        if waiting.readmitted && blocked.sequences.len() < PASSED_OVER_MAX {
+        let asked = blocked.asked.entry(place.model.clone()).or_default();
+        *asked += 1;
+        if *asked < ASKED_MAX {
             blocked.sequences.push(place.position.1);
         } else {
             blocked.models.push(place.model);
--- a/crates/admit/src/waiting.rs
+++ b/crates/admit/src/waiting.rs
@@ -22,11 +22,37 @@
     pub service_ms: u64,
     /// Time at which the whole answer is due.
     pub deadline_ms: u64,
+    /// Expected time from its dispatch to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Time at which the first token is due. 0 if only the whole answer is.
+    pub first_token_deadline_ms: u64,
     /// Whether it was admitted before and returns to the queue, for a retry or a resumption. It is then exempt from the
     /// tenant's rate and the queue limit.
     pub readmitted: bool,
 }
 
+impl Waiting {
+    /// Last time at which a dispatch can still meet the deadlines.
+    pub fn latest_start_ms(&self) -> u64 {
+        let by_total_ms = self.deadline_ms.saturating_sub(self.service_ms);
+        if self.first_token_deadline_ms == 0 {
+            return by_total_ms;
+        }
+        let by_first_ms = self
+            .first_token_deadline_ms
+            .saturating_sub(self.first_token_ms);
+        by_total_ms.min(by_first_ms)
+    }
+
+    /// Earliest of the deadlines.
+    pub fn first_deadline_ms(&self) -> u64 {
+        match self.first_token_deadline_ms {
+            0 => self.deadline_ms,
+            first_ms => first_ms.min(self.deadline_ms),
+        }
+    }
+}
+
 /// Why a request is not run. In every case it has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
@@ -40,8 +66,10 @@
     #[error("the tenant fills more than its share of the queue")]
     Displaced { retry_after_ms: u64 },
     /// The deadline would pass before the answer is whole. Maps to HTTP 503.
-    #[error("the deadline cannot be met: {expected_ms} ms are expected, {allowed_ms} ms are left")]
-    TooLate { expected_ms: u64, allowed_ms: u64 },
+    #[error(
+        "the deadline cannot be met: a wait of {wait_ms} ms is expected, {allowed_ms} ms are left"
+    )]
+    TooLate { wait_ms: u64, allowed_ms: u64 },
     /// The deadline passed while the request waited. Maps to HTTP 504.
     #[error("the deadline passed in the queue")]
     Expired,
--- a/crates/route/examples/fake/mod.rs
+++ b/crates/route/examples/fake/mod.rs
@@ -307,6 +307,8 @@
                 tokens: arrival.prompt_tokens + output_tokens,
                 service_ms: table.service_ms(&work).unwrap_or(0),
                 deadline_ms: arrival.at_ms + arrival.total_ms,
+                first_token_ms: table.prompt_ms(&work).unwrap_or(0),
+                first_token_deadline_ms: arrival.at_ms + arrival.first_token_ms,
                 readmitted: false,
             };
             match queues[arrival.entry].offer(now_ms, waiting) {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -102,20 +102,32 @@
     /// It serves to refuse early while `choose` finds no place. `None` if the service has no upstream.
     pub fn service_ms(&self, work: &Work) -> Option<u64> {
         let group = self.groups.get(&work.service)?;
-        let mut views = group
-            .members
-            .iter()
-            .filter_map(|slot| self.slot_view(*slot));
-        let view = views.next()?;
         if group.kind == ServiceKind::Plain {
             return Some(group.plain_ms as u64);
         }
-        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
-        let cached = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
-        let prompt_ms =
-            f64::from(work.prompt_tokens.saturating_sub(cached)) / view.prefill_tokens_per_ms;
+        let view = self.any_view(work)?;
         let between_ms = view.between_tokens_ms(f64::from(view.max_running));
-        Some((prompt_ms + f64::from(work.output_tokens) * between_ms) as u64)
+        Some(self.prompt_ms(work)? + (f64::from(work.output_tokens) * between_ms) as u64)
+    }
+
+    /// Expected time to compute a request's prompt on an upstream without a queue, in milliseconds.
+    ///
+    /// Chunks that any upstream holds count as cached.
+    pub fn prompt_ms(&self, work: &Work) -> Option<u64> {
+        let view = self.any_view(work)?;
+        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
+        let cached_tokens = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
+        let uncached_tokens = work.prompt_tokens.saturating_sub(cached_tokens);
+        Some((f64::from(uncached_tokens) / view.prefill_tokens_per_ms) as u64)
+    }
+
+    fn any_view(&self, work: &Work) -> Option<&View> {
+        let group = self.groups.get(&work.service)?;
+        let mut views = group
+            .members
+            .iter()
+            .filter_map(|slot| self.slot_view(*slot));
+        views.next()
     }
 }
 
