Do not choose an upstream that is expected to miss the deadline

Cause: above capacity two thirds of the answers were late; each took engine time from one that could still have been in time. Ruled out: refusing on arrival only; the wait is known better at the dispatch. Change: candidates that miss a deadline are left out; the request waits on or is refused as not run.

--- a/crates/route/examples/fake/mod.rs
+++ b/crates/route/examples/fake/mod.rs
@@ -430,6 +430,7 @@
         output_tokens,
         rank: arrival.rank,
         deadline_ms: arrival.at_ms + arrival.total_ms,
+        first_token_deadline_ms: arrival.at_ms + arrival.first_token_ms,
         exclude: Vec::new(),
         availability_zone: config.upstreams[arrival.entry % 3]
             .availability_zone
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -214,7 +214,8 @@
             self.sample_members(members, wanted, &mut sample);
         }
         let assessed = sample.iter().map(|slot| self.assess(stage, *slot, home));
-        assessed.min_by(|a, b| a.score.total_cmp(&b.score))
+        let in_time = assessed.filter(|candidate| self.is_in_time(candidate));
+        in_time.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
     fn pick_round_robin(&mut self, stage: Stage) -> Option<u32> {
@@ -329,6 +330,18 @@
         SAMPLE_FRESH - fewer as usize
     }
 
+    /// Whether the answer is expected within its deadlines. Work that misses them would only take time from other requests.
+    fn is_in_time(&self, candidate: &Candidate) -> bool {
+        let meets = |expected_ms: f64, deadline_ms: u64| {
+            deadline_ms == 0 || self.now_ms as f64 + expected_ms <= deadline_ms as f64
+        };
+        meets(candidate.expected.total_ms, self.work.deadline_ms)
+            && meets(
+                candidate.expected.first_token_ms,
+                self.work.first_token_deadline_ms,
+            )
+    }
+
     fn is_member(&self, stage: Stage, slot: u32) -> bool {
         self.view(slot).is_some_and(|view| {
             view.role == stage.role()
--- a/crates/route/src/work.rs
+++ b/crates/route/src/work.rs
@@ -31,8 +31,11 @@
     pub output_tokens: u32,
     /// Rank, 0 for the most urgent.
     pub rank: u8,
-    /// Time at which the whole answer is due.
+    /// Time at which the whole answer is due. The cost-based policy does not choose an upstream that would miss it. 0 if there
+    /// is no deadline.
     pub deadline_ms: u64,
+    /// Time at which the first token is due, in the same way.
+    pub first_token_deadline_ms: u64,
     /// Upstreams that must not be chosen, for example because they have just failed.
     pub exclude: Vec<Name>,
     /// Availability zone of the entry.
