Wait for the best upstream rather than take one that is in time

Cause: when the holder of a prefix was too late, the prompt went to another engine, was computed again and evicted other prefixes, so that more holders got late. Change: the best score is picked first and then checked against the deadlines.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -214,8 +214,8 @@
             self.sample_members(members, wanted, &mut sample);
         }
         let assessed = sample.iter().map(|slot| self.assess(stage, *slot, home));
-        let in_time = assessed.filter(|candidate| self.is_in_time(candidate));
-        in_time.min_by(|a, b| a.score.total_cmp(&b.score))
+        let best = assessed.min_by(|a, b| a.score.total_cmp(&b.score));
+        best.filter(|best| self.is_in_time(best))
     }
 
     fn pick_round_robin(&mut self, stage: Stage) -> Option<u32> {
