Keep full holders in the comparison of upstreams

Cause: a holder without a place was left out, so its prompt was still computed elsewhere above load 1. Ruled out: a wider bound for holders; the score already weighs the queue. Change: holders and the home are always compared; the place is checked last.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -34,8 +34,7 @@
 const UNKNOWN_LOAD_WEIGHT: f64 = 0.2;
 /// Share of the batch limit that the most urgent rank may add on top, so that it does not wait for a place.
 const URGENT_EXTRA_SHARE: f64 = 0.25;
-/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds, beyond the time that the
-/// upstream's cache saves the request. In the engine's own queue ranks
+/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds, unless it holds their prefix. In the engine's own queue ranks
 /// would count for less, and a cancelled request would leave its place late.
 const BACKLOG_MAX_MS: f64 = 1_000.0;
 /// Time to move one KV chunk from a prefill engine to a decode engine, in milliseconds.
@@ -200,10 +199,7 @@
         let mut sample = Sample::new();
         self.sample_holders(stage, &mut sample);
         let home = self.home(stage);
-        if let Some(home) = home {
-            let allowance_tokens = f64::from(self.work.prompt_tokens) * PROMPT_WEIGHT;
-            self.sample_one(home, allowance_tokens, &mut sample);
-        }
+        sample.extend(home.filter(|home| !sample.contains(home)));
         let pool = self.pool;
         for (zone, members) in pool.zones(stage.role()) {
             let home = *zone == self.work.availability_zone;
@@ -215,7 +211,7 @@
         }
         let assessed = sample.iter().map(|slot| self.assess(stage, *slot, home));
         let best = assessed.min_by(|a, b| a.score.total_cmp(&b.score));
-        best.filter(|best| self.is_in_time(best))
+        best.filter(|best| self.is_in_time(best) && self.has_place(best.slot))
     }
 
     fn pick_round_robin(&mut self, stage: Stage) -> Option<u32> {
@@ -257,8 +253,7 @@
         if stage == Stage::Decode {
             return;
         }
-        for (index, chunk) in self.work.chunks.iter().enumerate().rev() {
-            let saved_tokens = (index + 1) as f64 * f64::from(CHUNK_TOKENS);
+        for chunk in self.work.chunks.iter().rev() {
             let holders = self.holders.of(*chunk);
             if holders.is_empty() {
                 continue;
@@ -269,8 +264,8 @@
                 if sample.len() >= SAMPLE_HOLDERS {
                     return;
                 }
-                if self.is_member(stage, *slot) {
-                    self.sample_one(*slot, saved_tokens * (1.0 + PROMPT_WEIGHT), sample);
+                if self.is_member(stage, *slot) && self.may_get(*slot) && !sample.contains(slot) {
+                    sample.push(*slot);
                 }
             }
         }
@@ -298,7 +293,7 @@
                     return;
                 }
                 let slot = members[self.rng.usize(..members.len())];
-                self.sample_one(slot, 0.0, sample);
+                self.sample_one(slot, sample);
             }
         }
         let first = self.rng.usize(..members.len());
@@ -307,12 +302,12 @@
                 return;
             }
             let slot = members[(first + offset) % members.len()];
-            self.sample_one(slot, 0.0, sample);
+            self.sample_one(slot, sample);
         }
     }
 
-    fn sample_one(&self, slot: u32, allowance_tokens: f64, sample: &mut Sample) {
-        if !sample.contains(&slot) && self.has_place(slot, allowance_tokens) {
+    fn sample_one(&self, slot: u32, sample: &mut Sample) {
+        if !sample.contains(&slot) && self.has_place(slot) && !self.is_backlogged(slot) {
             sample.push(slot);
         }
     }
@@ -351,7 +346,7 @@
     }
 
     /// Whether the upstream may get the request and has a place in its batch.
-    fn has_place(&self, slot: u32, allowance_tokens: f64) -> bool {
+    fn has_place(&self, slot: u32) -> bool {
         let Some(view) = self.view(slot) else {
             return false;
         };
@@ -360,10 +355,13 @@
             0 => (limit * URGENT_EXTRA_SHARE).ceil(),
             _ => 0.0,
         };
-        let excess_tokens = view.backlog_tokens(self.now_ms) - allowance_tokens;
-        view.in_flight(self.now_ms) + 1.0 <= limit + extra
-            && excess_tokens <= BACKLOG_MAX_MS * view.prefill_tokens_per_ms
-            && self.may_get(slot)
+        view.in_flight(self.now_ms) + 1.0 <= limit + extra && self.may_get(slot)
+    }
+
+    fn is_backlogged(&self, slot: u32) -> bool {
+        self.view(slot).is_some_and(|view| {
+            view.backlog_tokens(self.now_ms) > BACKLOG_MAX_MS * view.prefill_tokens_per_ms
+        })
     }
 
     fn may_get(&self, slot: u32) -> bool {
