--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -3,7 +3,7 @@
 use conf::{Map, Name, Role, ServiceKind};
 use smallvec::SmallVec;
 
-use crate::pool::{Group, Pool};
+use crate::pool::{Group, Pool, mix};
 use crate::prefix::Holders;
 use crate::table::{Slot, Table};
 use crate::view::{Expected, View, trust};
@@ -26,12 +26,15 @@
 /// Time by which another zone must be better than the own one, in milliseconds. It keeps traffic and caches at home.
 const OTHER_ZONE_MARGIN_MS: f64 = 20.0;
 /// Weight of the engine time that computing a prompt takes from other requests.
-const PROMPT_WEIGHT: f64 = 1.0;
+const PROMPT_WEIGHT: f64 = 4.0;
+/// The same weight at the upstream that the prompt's first chunk hashes to. Entries that do not know of each other's
+/// dispatches then agree on one upstream, and the chunks are cached once.
+const HOME_PROMPT_WEIGHT: f64 = 0.0;
 /// Relative cost of an upstream whose load is not known.
 const UNKNOWN_LOAD_WEIGHT: f64 = 0.2;
 /// Share of the batch limit that the most urgent rank may add on top, so that it does not wait for a place.
 const URGENT_EXTRA_SHARE: f64 = 0.25;
-/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds. In the engine's own queue ranks
+/// Prompt backlog of an upstream above which requests wait at the entry, in milliseconds, unless it holds their prefix. In the engine's own queue ranks
 /// would count for less, and a cancelled request would leave its place late.
 const BACKLOG_MAX_MS: f64 = 1_000.0;
 /// Time to move one KV chunk from a prefill engine to a decode engine, in milliseconds.
@@ -98,20 +101,32 @@
     /// It serves to refuse early while `choose` finds no place. `None` if the service has no upstream.
     pub fn service_ms(&self, work: &Work) -> Option<u64> {
         let group = self.groups.get(&work.service)?;
-        let mut views = group
-            .members
-            .iter()
-            .filter_map(|slot| self.slot_view(*slot));
-        let view = views.next()?;
         if group.kind == ServiceKind::Plain {
             return Some(group.plain_ms as u64);
         }
-        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
-        let cached = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
-        let prompt_ms =
-            f64::from(work.prompt_tokens.saturating_sub(cached)) / view.prefill_tokens_per_ms;
+        let view = self.any_view(work)?;
         let between_ms = view.between_tokens_ms(f64::from(view.max_running));
-        Some((prompt_ms + f64::from(work.output_tokens) * between_ms) as u64)
+        Some(self.prompt_ms(work)? + (f64::from(work.output_tokens) * between_ms) as u64)
+    }
+
+    /// Expected time to compute a request's prompt on an upstream without a queue, in milliseconds.
+    ///
+    /// Chunks that any upstream holds count as cached.
+    pub fn prompt_ms(&self, work: &Work) -> Option<u64> {
+        let view = self.any_view(work)?;
+        let held = |chunk: &&u64| !self.holders.of(**chunk).is_empty();
+        let cached_tokens = work.chunks.iter().take_while(held).count() as u32 * CHUNK_TOKENS;
+        let uncached_tokens = work.prompt_tokens.saturating_sub(cached_tokens);
+        Some((f64::from(uncached_tokens) / view.prefill_tokens_per_ms) as u64)
+    }
+
+    fn any_view(&self, work: &Work) -> Option<&View> {
+        let group = self.groups.get(&work.service)?;
+        let mut views = group
+            .members
+            .iter()
+            .filter_map(|slot| self.slot_view(*slot));
+        views.next()
     }
 }
 
@@ -177,12 +192,14 @@
             Policy::LeastOutstanding => self.pick_least_outstanding(stage),
             Policy::PrefixHash => self.pick_by_hash(stage),
         }?;
-        Some(self.assess(stage, slot))
+        Some(self.assess(stage, slot, None))
     }
 
     fn pick_by_cost(&mut self, stage: Stage) -> Option<Candidate> {
         let mut sample = Sample::new();
         self.sample_holders(stage, &mut sample);
+        let home = self.home(stage);
+        sample.extend(home.filter(|home| !sample.contains(home)));
         let pool = self.pool;
         for (zone, members) in pool.zones(stage.role()) {
             let home = *zone == self.work.availability_zone;
@@ -192,8 +209,9 @@
             };
             self.sample_members(members, wanted, &mut sample);
         }
-        let assessed = sample.iter().map(|slot| self.assess(stage, *slot));
-        assessed.min_by(|a, b| a.score.total_cmp(&b.score))
+        let assessed = sample.iter().map(|slot| self.assess(stage, *slot, home));
+        let best = assessed.min_by(|a, b| a.score.total_cmp(&b.score));
+        best.filter(|best| self.is_in_time(best) && self.has_place(best.slot))
     }
 
     fn pick_round_robin(&mut self, stage: Stage) -> Option<u32> {
@@ -246,13 +264,23 @@
                 if sample.len() >= SAMPLE_HOLDERS {
                     return;
                 }
-                if self.is_member(stage, *slot) && self.has_place(*slot) && !sample.contains(slot) {
+                if self.is_member(stage, *slot) && self.may_get(*slot) && !sample.contains(slot) {
                     sample.push(*slot);
                 }
             }
         }
     }
 
+    /// The first upstream in the ring order of the prompt's first chunk that may get requests.
+    fn home(&self, stage: Stage) -> Option<u32> {
+        if stage == Stage::Decode {
+            return None;
+        }
+        let first = *self.work.chunks.first()?;
+        let mut homes = self.pool.homes(stage.role(), first).take(SCAN_MAX);
+        homes.find(|slot| self.may_get(*slot))
+    }
+
     /// Adds up to `wanted` random members that may get the request.
     fn sample_members(&mut self, members: &[u32], wanted: usize, sample: &mut Sample) {
         if members.is_empty() {
@@ -279,7 +307,7 @@
     }
 
     fn sample_one(&self, slot: u32, sample: &mut Sample) {
-        if !sample.contains(&slot) && self.has_place(slot) {
+        if !sample.contains(&slot) && self.has_place(slot) && !self.is_backlogged(slot) {
             sample.push(slot);
         }
     }
@@ -297,6 +325,18 @@
         SAMPLE_FRESH - fewer as usize
     }
 
+    /// Whether the answer is expected within its deadlines. Work that misses them would only take time from other requests.
+    fn is_in_time(&self, candidate: &Candidate) -> bool {
+        let meets = |expected_ms: f64, deadline_ms: u64| {
+            deadline_ms == 0 || self.now_ms as f64 + expected_ms <= deadline_ms as f64
+        };
+        meets(candidate.expected.total_ms, self.work.deadline_ms)
+            && meets(
+                candidate.expected.first_token_ms,
+                self.work.first_token_deadline_ms,
+            )
+    }
+
     fn is_member(&self, stage: Stage, slot: u32) -> bool {
         self.view(slot).is_some_and(|view| {
             view.role == stage.role()
@@ -315,10 +355,13 @@
             0 => (limit * URGENT_EXTRA_SHARE).ceil(),
             _ => 0.0,
         };
-        let backlog_ms = view.backlog_tokens(self.now_ms) / view.prefill_tokens_per_ms;
-        view.in_flight(self.now_ms) + 1.0 <= limit + extra
-            && backlog_ms <= BACKLOG_MAX_MS
-            && self.may_get(slot)
+        view.in_flight(self.now_ms) + 1.0 <= limit + extra && self.may_get(slot)
+    }
+
+    fn is_backlogged(&self, slot: u32) -> bool {
+        self.view(slot).is_some_and(|view| {
+            view.backlog_tokens(self.now_ms) > BACKLOG_MAX_MS * view.prefill_tokens_per_ms
+        })
     }
 
     fn may_get(&self, slot: u32) -> bool {
@@ -327,7 +370,7 @@
         })
     }
 
-    fn assess(&self, stage: Stage, slot: u32) -> Candidate {
+    fn assess(&self, stage: Stage, slot: u32, home: Option<u32>) -> Candidate {
         let mut candidate = Candidate {
             slot,
             score: f64::INFINITY,
@@ -339,14 +382,20 @@
                 ServiceKind::Plain => {
                     candidate.expected = view.expect_plain(self.now_ms, self.plain_ms)
                 }
-                ServiceKind::Model => self.assess_tokens(stage, view, &mut candidate),
+                ServiceKind::Model => self.assess_tokens(stage, view, home, &mut candidate),
             }
             self.add_distance(view, &mut candidate);
         }
         candidate
     }
 
-    fn assess_tokens(&self, stage: Stage, view: &View, candidate: &mut Candidate) {
+    fn assess_tokens(
+        &self,
+        stage: Stage,
+        view: &View,
+        home: Option<u32>,
+        candidate: &mut Candidate,
+    ) {
         let prompt_tokens = f64::from(self.work.prompt_tokens);
         let output_tokens = f64::from(self.work.output_tokens);
         let leading = view.cache.leading(&self.work.chunks) as f64;
@@ -362,7 +411,11 @@
         candidate.cached_tokens = cached as u32;
         let needed = (uncached + output) / f64::from(CHUNK_TOKENS);
         let short_tokens = view.kv_chunks_short(needed.ceil() as u32) * CHUNK_TOKENS;
-        let displaced = prompt * PROMPT_WEIGHT + f64::from(short_tokens);
+        let prompt_weight = match home == Some(candidate.slot) {
+            true => HOME_PROMPT_WEIGHT,
+            false => PROMPT_WEIGHT,
+        };
+        let displaced = prompt * prompt_weight + f64::from(short_tokens);
         candidate.score = displaced / view.prefill_tokens_per_ms;
     }
 
@@ -390,12 +443,6 @@
     }
 }
 
-/// Mixes a key and a slot for rendezvous hashing.
-fn mix(key: u64, slot: u64) -> u64 {
-    use std::hash::BuildHasher;
-    foldhash::fast::FixedState::with_seed(key).hash_one(slot)
-}
-
 impl Group {
     fn ensure_pool(&mut self, model: Option<u32>, slots: &[Slot]) {
         if !self.pools.contains_key(&model) {
