--- a/crates/mustardstack/src/client.rs
+++ b/crates/mustardstack/src/client.rs
@@ -12,6 +12,7 @@
 use volo_http::response::Response;
 
 use crate::error::Error;
+use crate::terminal;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A proposal waits for a majority, which may first have to elect a leader.
@@ -28,9 +29,7 @@
 impl Client {
     /// Prepares a client with the token of a file.
     pub fn new(address: SocketAddr, token_file: &Path) -> Result<Self, Error> {
-        let token = std::fs::read_to_string(token_file).map_err(|error| {
-            Error::Usage(format!("cannot read {}: {error}", token_file.display()))
-        })?;
+        let token = terminal::read_file(token_file)?;
         let token = token.trim();
         let unusable = || Error::Usage(format!("{} holds no usable token", token_file.display()));
         if token.is_empty() {
--- a/crates/mustardstack/src/error.rs
+++ b/crates/mustardstack/src/error.rs
@@ -25,7 +25,7 @@
     /// The command line is wrong.
     #[error("{0}")]
     Usage(String),
-    /// A file or the terminal could not be read.
+    /// The terminal or a socket failed.
     #[error("{0}")]
     Io(#[from] io::Error),
     /// The operator did not confirm.
--- a/crates/mustardstack/src/load.rs
+++ b/crates/mustardstack/src/load.rs
@@ -2,9 +2,10 @@
 
 use crate::cli::Load;
 use crate::error::Error;
+use crate::terminal;
 
 /// Runs the load that a settings file describes.
 pub fn run(options: &Load) -> Result<(), Error> {
-    let _settings = std::fs::read_to_string(&options.settings)?;
+    let _settings = terminal::read_file(&options.settings)?;
     Err(Error::NotBuilt("load"))
 }
--- a/crates/mustardstack/src/standin.rs
+++ b/crates/mustardstack/src/standin.rs
@@ -2,10 +2,11 @@
 
 use crate::cli::{Standin, StandinKind};
 use crate::error::Error;
+use crate::terminal;
 
 /// Serves as a settings file describes until the process is told to stop.
 pub fn run(options: &Standin) -> Result<(), Error> {
-    let settings = std::fs::read_to_string(&options.settings)?;
+    let settings = terminal::read_file(&options.settings)?;
     match options.kind {
         StandinKind::Engine => engine(&settings),
         StandinKind::Service => service(&settings),
--- a/crates/mustardstack/src/terminal.rs
+++ b/crates/mustardstack/src/terminal.rs
@@ -1,7 +1,8 @@
-//! Output to and questions on the terminal.
+//! Output to and questions on the terminal, and the files that the command line names.
 
 use std::fmt::Display;
 use std::io::{self, Write};
+use std::path::Path;
 
 use crate::error::Error;
 
@@ -34,3 +35,12 @@
         _ => Err(Error::Declined),
     }
 }
+
+/// Reads a file that the command line names.
+///
+/// # Errors
+/// Returns a usage error if the file cannot be read.
+pub fn read_file(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path)
+        .map_err(|error| Error::Usage(format!("cannot read {}: {error}", path.display())))
+}
