Find items by name and check the parts of an apply request

Merging and comparing searched lists, which is quadratic in the number of items.

conf::load::request checks that the content id, the canonical text and the files of an apply request agree, so that return-to later gives what was in force.

--- a/crates/conf/src/diff.rs
+++ b/crates/conf/src/diff.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::keys::{self, Key, Section, Shape};
-use crate::{Name, Path, ServiceConfig};
+use crate::{Map, Name, Path, ServiceConfig};
 
 /// One changed item.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,20 +99,19 @@
     }
 }
 
-type Items<'a> = Vec<(Name, &'a Value)>;
+/// The items of a section in order, and by name.
+struct Items<'a> {
+    names: Vec<Name>,
+    by_name: Map<Name, &'a Value>,
+}
 
 fn named<'a>(items: &'a Value, id: &str) -> Items<'a> {
     let items = items.as_array().into_iter().flatten();
-    items
-        .map(|item| (Name::new(item[id].as_str().unwrap_or_default()), item))
-        .collect()
-}
-
-fn find<'a>(items: &Items<'a>, name: &Name) -> Option<&'a Value> {
-    let mut items = items.iter();
-    items
-        .find(|(found, _)| found == name)
-        .map(|(_, item)| *item)
+    let name = |item: &Value| Name::new(item[id].as_str().unwrap_or_default());
+    Items {
+        names: items.clone().map(name).collect(),
+        by_name: items.map(|item| (name(item), item)).collect(),
+    }
 }
 
 fn compare_items(
@@ -121,16 +120,21 @@
     from: &Items<'_>,
     to: &Items<'_>,
 ) {
-    for (name, _) in from.iter().filter(|(name, _)| find(to, name).is_none()) {
+    let gone = from
+        .names
+        .iter()
+        .filter(|name| !to.by_name.contains_key(*name));
+    for name in gone {
         changes.push(Change {
             path: Path::item(section.name, name),
             kind: ChangeKind::Removed,
         });
     }
-    for (name, item) in to {
-        let kind = match find(from, name) {
+    for name in &to.names {
+        let item = to.by_name[name];
+        let kind = match from.by_name.get(name) {
             None => ChangeKind::Added(new_fields(section, item)),
-            Some(old) if old != *item => ChangeKind::Changed(changed_fields(section, old, item)),
+            Some(old) if *old != item => ChangeKind::Changed(changed_fields(section, old, item)),
             Some(_) => continue,
         };
         let path = Path::item(section.name, name);
@@ -145,9 +149,9 @@
     to: &Items<'_>,
 ) {
     let kept = |items: &Items<'_>, others: &Items<'_>| -> Vec<Name> {
-        let names = items.iter().map(|(name, _)| name);
+        let names = items.names.iter();
         names
-            .filter(|name| find(others, name).is_some())
+            .filter(|name| others.by_name.contains_key(*name))
             .cloned()
             .collect()
     };
--- a/crates/conf/src/load.rs
+++ b/crates/conf/src/load.rs
@@ -9,15 +9,21 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Map as JsonMap, Value};
 
-use crate::admin::FileText;
+use crate::admin::{ApplyRequest, FileText};
 use crate::keys::{self, Section, Shape};
 use crate::merge::{self, Item, Merged, Override};
 use crate::problem::{Origin, Path, Problem, Severity};
-use crate::{Name, ServiceConfig, Settings, check};
+use crate::{Name, ServiceConfig, Settings, check, content_id};
 
 /// Largest size of one file. It keeps a wrong path from filling the memory.
 const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
 
+const DIFFERENT_ID: Name =
+    Name::from_static_str("the content id is not that of the canonical text");
+const DIFFERENT_TEXT: Name = Name::from_static_str(
+    "the files give another canonical text; the command may be of another version",
+);
+
 /// A valid configuration and where its values come from.
 #[derive(Clone, Debug)]
 pub struct Loaded<T> {
@@ -126,6 +132,24 @@
     load(keys::SETTINGS, files, check::settings)
 }
 
+/// Loads the configuration that an apply request carries, and checks that its parts agree.
+///
+/// # Errors
+/// Returns everything that is wrong, as [`crate::admin::ApplyReply::Invalid`] carries it.
+pub fn request(request: &ApplyRequest) -> Result<Loaded<ServiceConfig>, Vec<Name>> {
+    if content_id(&request.canonical) != request.content_id {
+        return Err(vec![DIFFERENT_ID]);
+    }
+    let loaded = service_from_files(request.files.clone()).map_err(|problems| {
+        let texts = problems.0.iter().map(|found| Name::from(found.to_string()));
+        texts.collect::<Vec<_>>()
+    })?;
+    if loaded.value.canonical_text() != request.canonical.as_str() {
+        return Err(vec![DIFFERENT_TEXT]);
+    }
+    Ok(loaded)
+}
+
 /// Reads the files of a folder whose names end in `.toml`, in the order of their names.
 ///
 /// # Errors
--- a/crates/conf/src/merge.rs
+++ b/crates/conf/src/merge.rs
@@ -6,10 +6,10 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::Name;
 use crate::admin::FileText;
 use crate::keys::{Key, Kind, Section, Shape};
 use crate::problem::{Origin, Path, Problem};
+use crate::{Map, Name, Set};
 
 /// Marks an item that a later file removes.
 const REMOVE_KEY: &str = "remove";
@@ -30,6 +30,8 @@
     pub name: Name,
     /// Where the table is first mentioned.
     pub origin: Origin,
+    /// Whether a later file removed it.
+    removed: bool,
     /// The values by key.
     pub fields: BTreeMap<&'static str, Placed>,
 }
@@ -60,6 +62,8 @@
     pub problems: Vec<Problem>,
     /// Whether a file could not be parsed, so that values may be missing.
     pub incomplete: bool,
+    /// Index of each item in its section. Folders have thousands of items.
+    indices: Map<Path, usize>,
 }
 
 /// Merges files in the order given.
@@ -79,6 +83,7 @@
             merged.problems.push(problem.at(origin));
         }
     }
+    merged.drop_removed();
     merged
 }
 
@@ -88,12 +93,22 @@
         let items = self.items.get(path.section.as_str())?;
         let item = match path.item.is_empty() {
             true => items.first()?,
-            false => items.iter().find(|item| item.name == path.item)?,
+            false => items.get(*self.indices.get(&path.whole_item())?)?,
         };
         let field = item.fields.get(path.key.as_str());
         Some(field.map_or(&item.origin, |placed| &placed.origin))
     }
 
+    fn drop_removed(&mut self) {
+        self.indices.clear();
+        for (section, items) in &mut self.items {
+            items.retain(|item| !item.removed);
+            for (index, item) in items.iter().enumerate() {
+                self.indices.insert(Path::item(section, &item.name), index);
+            }
+        }
+    }
+
     fn add_document(
         &mut self,
         sections: &'static [Section],
@@ -126,7 +141,7 @@
                 self.add_table(section, lines, origin, table);
             }
             (Shape::List { id }, DeValue::Array(array)) => {
-                let mut seen = Vec::new();
+                let mut seen = Set::default();
                 for element in array {
                     self.add_element(section, id, lines, element, &mut seen);
                 }
@@ -161,9 +176,9 @@
                 fields,
             ),
             None => items.push(Item {
-                name: Name::default(),
                 origin: origin.clone(),
                 fields,
+                ..Item::default()
             }),
         }
     }
@@ -174,7 +189,7 @@
         id: &'static str,
         lines: &Lines<'_>,
         element: &Spanned<DeValue<'_>>,
-        seen: &mut Vec<Name>,
+        seen: &mut Set<Name>,
     ) {
         let origin = lines.origin(element.span().start);
         let path = Path::section(section.name);
@@ -191,11 +206,10 @@
             return;
         };
         let path = Path::item(section.name, &name);
-        if seen.contains(&name) {
+        if !seen.insert(name) {
             self.refuse(path, &origin, "is written twice in one file");
             return;
         }
-        seen.push(name.clone());
         match removal(table) {
             Some(true) => self.remove_item(section, &path, &origin, table),
             Some(false) | None => self.add_item(section, path, origin, lines, table),
@@ -212,13 +226,19 @@
     ) {
         let fields = self.read_fields(section, &path, lines, table);
         let items = self.items.entry(section.name).or_default();
-        match items.iter_mut().find(|item| item.name == path.item) {
-            Some(item) => Self::add_fields(&mut self.overrides, &path, item, fields),
-            None => items.push(Item {
-                name: path.item,
-                origin,
-                fields,
-            }),
+        match self.indices.get(&path) {
+            Some(index) => {
+                Self::add_fields(&mut self.overrides, &path, &mut items[*index], fields);
+            }
+            None => {
+                self.indices.insert(path.clone(), items.len());
+                items.push(Item {
+                    name: path.item,
+                    origin,
+                    fields,
+                    ..Item::default()
+                });
+            }
         }
     }
 
@@ -259,8 +279,7 @@
                 "is removed here, so that it takes no other keys",
             );
         }
-        let items = self.items.entry(section.name).or_default();
-        let Some(index) = items.iter().position(|item| item.name == path.item) else {
+        let Some(index) = self.indices.remove(path) else {
             self.refuse(
                 path.clone(),
                 origin,
@@ -268,10 +287,12 @@
             );
             return;
         };
-        let removed = items.remove(index);
+        let items = self.items.entry(section.name).or_default();
+        let removed = &mut items[index];
+        removed.removed = true;
         self.overrides.push(Override {
             path: path.clone(),
-            earlier: removed.origin,
+            earlier: removed.origin.clone(),
             earlier_value: None,
             later: origin.clone(),
             later_value: None,
--- a/crates/conf/src/problem.rs
+++ b/crates/conf/src/problem.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Names the item or section of this value.
+    pub fn whole_item(&self) -> Self {
+        Self {
+            key: Name::default(),
+            ..self.clone()
+        }
+    }
+
     /// Names a value of this section or item.
     pub fn key(&self, key: &'static str) -> Self {
         Self {
--- /dev/null
+++ b/crates/conf/tests/folder.rs
@@ -0,0 +1,89 @@
+//! Reading of folders and of apply requests.
+
+use std::fs;
+
+use conf::admin::{ApplyRequest, FileText};
+use conf::load::{self, Error};
+use tempfile::TempDir;
+
+const SERVICE: &str = include_str!("data/service.toml");
+
+// Guards against editor backups and hidden files that are merged, and against directory order.
+#[test]
+fn only_toml_files_are_read_in_the_order_of_their_names() {
+    let folder = TempDir::new().unwrap();
+    let names = [
+        "20.toml",
+        "10.toml",
+        "9.toml",
+        "10.toml~",
+        ".30.toml",
+        "readme.md",
+        "toml",
+    ];
+    for name in names {
+        fs::write(folder.path().join(name), name).unwrap();
+    }
+    let files = load::read_folder(folder.path()).unwrap();
+    let names: Vec<_> = files.iter().map(|file| file.name.as_str()).collect();
+    assert_eq!(names, ["10.toml", "20.toml", "9.toml"]);
+}
+
+// Guards against a folder without files, or with unreadable ones, that counts as a configuration.
+#[test]
+fn unreadable_folders_are_errors() {
+    let folder = TempDir::new().unwrap();
+    assert!(matches!(
+        load::settings(folder.path()),
+        Err(Error::Empty { .. })
+    ));
+    fs::write(folder.path().join("a.toml"), [0xff, 0xfe]).unwrap();
+    assert!(matches!(
+        load::settings(folder.path()),
+        Err(Error::Read { .. })
+    ));
+    fs::remove_file(folder.path().join("a.toml")).unwrap();
+    fs::create_dir(folder.path().join("b.toml")).unwrap();
+    assert!(matches!(
+        load::settings(folder.path()),
+        Err(Error::Read { .. })
+    ));
+}
+
+// Guards against a request whose parts disagree, so that a later return gives something else.
+#[test]
+fn parts_of_a_request_agree() {
+    let files = vec![FileText {
+        name: "a".into(),
+        text: SERVICE.into(),
+    }];
+    let canonical = load::service_from_files(files.clone())
+        .unwrap()
+        .value
+        .canonical_text();
+    let valid = ApplyRequest {
+        content_id: conf::content_id(&canonical),
+        canonical: canonical.into(),
+        files,
+        ..ApplyRequest::default()
+    };
+    assert!(load::request(&valid).is_ok());
+    let reason = |request: ApplyRequest| load::request(&request).unwrap_err().join("\n");
+    let other_id = ApplyRequest {
+        content_id: conf::content_id(""),
+        ..valid.clone()
+    };
+    assert!(reason(other_id).starts_with("the content id"));
+    let spaced = format!("{} ", valid.canonical);
+    let other_text = ApplyRequest {
+        content_id: conf::content_id(&spaced),
+        canonical: spaced.into(),
+        ..valid.clone()
+    };
+    assert!(reason(other_text).starts_with("the files give"));
+    let no_files = ApplyRequest {
+        files: Vec::new(),
+        ..valid
+    };
+    assert!(reason(no_files).contains("exactly 3"));
+}
--- a/crates/mustardstack/src/apply.rs
+++ b/crates/mustardstack/src/apply.rs
@@ -51,6 +51,10 @@
         let message = format!("revision {} is not kept", options.revision);
         return Err(Error::Refused(message));
     }
+    if earlier.files.is_empty() {
+        let message = format!("the files of revision {} are not kept", options.revision);
+        return Err(Error::Refused(message));
+    }
     let loaded = load_files(earlier.files)?;
     if loaded.value.content_id() != earlier.content_id {
         complain("this version reads the files of that revision differently; see the difference");
