Run an instance around the reducer

Cause: the reducer decides, but nothing turns sockets, timers and disks into its events or carries its effects out.

Ruled out: - volo_http::server::Server::run: it installs signal handlers, which an instance inside another process must not, returns at most 30 s after a signal whatever is still streaming, and bounds neither connections nor the time for headers. The routers are those of volo-http; the accept loop is the project's own on hyper, and ends when the last connection is closed. - The pooled client for callers' requests: a pooled connection may close while a request is written, and then it is unknown whether it ran. Every attempt has a connection of its own, whose first write checks the send deadline. Reports and orders use the volo-http client.

Change: callers' listener, administration listener, peer RPC with mutual proof, disk thread, engine client, metrics and logs, and the thread of the reducer with its queue. A chat answer is taken from engines as a stream, kept as text, and continued on another engine as one answer.

Peers, administration, plain routes and the disk thread have no tests yet.

--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,40 @@
+//! The instance's clocks.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+/// Monotonic clock of the process. Deadlines of the reducer are on this clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts the clock at 0.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Returns the instant at which the clock shows `deadline_ms`.
+    pub fn instant(&self, deadline_ms: u64) -> Instant {
+        // Deadlines far beyond a process's life are cut to one year, which an Instant can represent.
+        const YEAR_MS: u64 = 365 * 24 * 3_600 * 1_000;
+        let limit_ms = self.now_ms() + YEAR_MS;
+        self.start + Duration::from_millis(deadline_ms.min(limit_ms))
+    }
+}
+
+/// Returns the wall clock, in milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,2 +1,35 @@
-//! Placeholder.
+//! The runtime of an instance: listeners, clients, RPC, disk and timers around the reducer.
 #![forbid(unsafe_code)]
+
+mod admin;
+mod body;
+mod caller;
+pub mod chat;
+pub mod clock;
+mod counters;
+mod effects;
+mod engine;
+mod error;
+mod exchange;
+pub mod gated;
+mod headers;
+mod instance;
+mod listener;
+mod logs;
+mod peer;
+mod persist;
+pub mod prompt;
+mod queue;
+mod reactor;
+pub mod refusal;
+mod reply;
+mod shutdown;
+pub mod sse;
+mod telemetry;
+mod upstream;
+pub mod view;
+
+pub use error::Error;
+pub use instance::{Instance, run, serve};
+pub use reactor::{MakeStep, Step};
+pub use shutdown::{ShutdownSignal, ShutdownTrigger, shutdown};
--- /dev/null
+++ b/crates/node/src/logs.rs
@@ -0,0 +1,76 @@
+//! Log output.
+
+use std::sync::Arc;
+
+use conf::settings::Log;
+use reducer::{Level, Part};
+use spdlog::formatter::{FullFormatter, JsonFormatter};
+use spdlog::sink::StdStreamSink;
+use spdlog::{LevelFilter, Logger};
+
+use crate::error::Error;
+
+/// Sets the process's logger up: one line an event on the standard error stream.
+///
+/// # Errors
+/// Fails if the level is not known or the logger cannot be built.
+pub fn install(settings: &Log) -> Result<(), Error> {
+    let level = level_filter(&settings.level)?;
+    let sink = StdStreamSink::builder().stderr();
+    let sink = match settings.json {
+        true => sink.formatter(JsonFormatter::new()).build_arc(),
+        false => sink.formatter(FullFormatter::new()).build_arc(),
+    };
+    let sink = sink.map_err(setup)?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(level)
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .map_err(setup)?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+fn setup(error: impl std::fmt::Display) -> Error {
+    Error::Setup {
+        what: "logs",
+        reason: error.to_string(),
+    }
+}
+
+fn level_filter(name: &str) -> Result<LevelFilter, Error> {
+    let level = match name {
+        "error" => spdlog::Level::Error,
+        "warn" => spdlog::Level::Warn,
+        "info" => spdlog::Level::Info,
+        "debug" => spdlog::Level::Debug,
+        "trace" => spdlog::Level::Trace,
+        _ => return Err(setup(format!("unknown level {name:?}"))),
+    };
+    Ok(LevelFilter::MoreSevereEqual(level))
+}
+
+/// Writes a log line of the reducer.
+pub fn write(level: Level, part: Part, text: &str) {
+    let prefix = prefix(part);
+    match level {
+        Level::Error => spdlog::error!("{prefix}: {text}"),
+        Level::Warn => spdlog::warn!("{prefix}: {text}"),
+        Level::Info => spdlog::info!("{prefix}: {text}"),
+        Level::Debug => spdlog::debug!("{prefix}: {text}"),
+    }
+}
+
+fn prefix(part: Part) -> &'static str {
+    match part {
+        Part::Quorum => "quorum",
+        Part::Fleet => "fleet",
+        Part::Route => "route",
+        Part::Admit => "admit",
+        Part::Plan => "plan",
+        Part::Http => "http",
+        Part::Admin => "admin",
+        Part::Ledger => "ledger",
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/mod.rs
@@ -0,0 +1,18 @@
+//! Messages to and from other instances, over Cap'n Proto RPC.
+//!
+//! RPC objects cannot move between threads, so all of this runs on the reducer's thread.
+
+pub mod incoming;
+pub mod outgoing;
+pub mod proof;
+
+/// Largest RPC message: one encoded peer message with its envelope.
+const MAX_RPC_BYTES: usize = wire::MAX_ENCODED_BYTES + 64 * 1024;
+
+const WORD_BYTES: usize = 8;
+
+fn reader_options() -> capnp::message::ReaderOptions {
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_RPC_BYTES / WORD_BYTES));
+    options
+}
--- /dev/null
+++ b/crates/node/src/refusal.rs
@@ -0,0 +1,199 @@
+//! What a caller is told when its request is not served.
+
+use bytes::Bytes;
+use http::{HeaderValue, StatusCode, header};
+use reducer::Refusal;
+use serde::Serialize;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+/// Whether a refused request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// It has not run and may be sent again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A refusal as the caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Stable code for programs.
+    pub code: &'static str,
+    /// Sentence for people.
+    pub message: String,
+    /// Whether the request has run.
+    pub run: Run,
+    /// Time after which the request may be sent again, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Time after which a caller may try again when nothing better is known, in milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+impl Refused {
+    /// Creates a refusal of a request that has not run.
+    pub fn not_run(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            run: Run::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    fn unknown(status: StatusCode, code: &'static str, message: &str) -> Self {
+        Self {
+            run: Run::Unknown,
+            ..Self::not_run(status, code, message)
+        }
+    }
+
+    fn retry_after(self, retry_after_ms: u64) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+
+    /// Returns the JSON body.
+    pub fn body(&self) -> Bytes {
+        let body = RefusalBody {
+            error: ErrorBody {
+                message: &self.message,
+                kind: kind_of(self.status),
+                code: self.code,
+            },
+            run: self.run,
+        };
+        Bytes::from(serde_json::to_vec(&body).expect("strings serialise"))
+    }
+
+    /// Returns the whole response.
+    pub fn response(&self) -> Response {
+        let mut response = Response::new(Body::from(self.body()));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            let seconds = retry_after_ms.div_ceil(1_000).max(1);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: ErrorBody<'a>,
+    run: Run,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    code: &'static str,
+}
+
+fn kind_of(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::FORBIDDEN => "permission_error",
+        StatusCode::NOT_FOUND => "not_found_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+impl From<&Refusal> for Refused {
+    fn from(refusal: &Refusal) -> Self {
+        use StatusCode as S;
+        match refusal {
+            Refusal::UnknownModel => {
+                Self::not_run(S::NOT_FOUND, "unknown_model", "The model is not served.")
+            }
+            Refusal::RankNotAllowed => Self::not_run(
+                S::FORBIDDEN,
+                "rank_not_allowed",
+                "The key may not use this rank.",
+            ),
+            Refusal::OverLimit { retry_after_ms } => Self::not_run(
+                S::TOO_MANY_REQUESTS,
+                "over_limit",
+                "The key is over its request rate.",
+            )
+            .retry_after(*retry_after_ms),
+            Refusal::NoCapacity { retry_after_ms } => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "no_capacity",
+                "There is no capacity now.",
+            )
+            .retry_after(*retry_after_ms),
+            Refusal::TooLate { retry_after_ms } => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "too_late",
+                "The request could not be answered in time.",
+            )
+            .retry_after(*retry_after_ms),
+            Refusal::Stopping => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "stopping",
+                "This instance is stopping.",
+            )
+            .retry_after(DEFAULT_RETRY_AFTER_MS),
+            Refusal::NotReady => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "not_ready",
+                "This instance is not ready yet.",
+            )
+            .retry_after(DEFAULT_RETRY_AFTER_MS),
+            Refusal::LedgerUnavailable { retry_after_ms } => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "ledger_unavailable",
+                "Requests that must run at most once cannot be accepted now.",
+            )
+            .retry_after(*retry_after_ms),
+            Refusal::Running => Self::unknown(
+                S::CONFLICT,
+                "running",
+                "Another attempt with this key is running.",
+            ),
+            Refusal::MayHaveRun => Self::unknown(
+                S::CONFLICT,
+                "may_have_run",
+                "The request may have run and is not run again.",
+            ),
+            Refusal::KeyReused => Self::not_run(
+                S::UNPROCESSABLE_ENTITY,
+                "key_reused",
+                "The idempotency key names a request with another body.",
+            ),
+            Refusal::UpstreamFailed => Self::unknown(
+                S::BAD_GATEWAY,
+                "upstream_failed",
+                "The service failed while it handled the request.",
+            ),
+            Refusal::TimedOutWaiting => Self::not_run(
+                S::GATEWAY_TIMEOUT,
+                "timed_out_waiting",
+                "The request waited too long and was not sent.",
+            ),
+            Refusal::TimedOutRunning => Self::unknown(
+                S::GATEWAY_TIMEOUT,
+                "timed_out_running",
+                "The service did not answer in time.",
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/telemetry.rs
@@ -0,0 +1,139 @@
+//! Metrics of the process.
+
+use std::sync::OnceLock;
+
+use conf::Name;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use reducer::Sample;
+
+use crate::error::Error;
+
+/// Upper bounds of histogram buckets, in milliseconds, from one token's time to a long answer's.
+const BUCKETS_MS: [f64; 18] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 33.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 1_200.0, 2_000.0, 5_000.0,
+    10_000.0, 20_000.0, 60_000.0, 120_000.0,
+];
+
+/// The recorder is global to the process; all instances in it share one.
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Access to the recorded metrics.
+#[derive(Clone, Debug)]
+pub struct Telemetry {
+    handle: PrometheusHandle,
+}
+
+impl Telemetry {
+    /// Installs the recorder, or returns the one that is installed.
+    ///
+    /// # Errors
+    /// Fails if the process has another recorder.
+    pub fn install() -> Result<Self, Error> {
+        if let Some(handle) = HANDLE.get() {
+            return Ok(Self {
+                handle: handle.clone(),
+            });
+        }
+        let setup = |reason: String| Error::Setup {
+            what: "metrics",
+            reason,
+        };
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&BUCKETS_MS)
+            .map_err(|error| setup(error.to_string()))?
+            .build_recorder();
+        let handle = HANDLE.get_or_init(|| {
+            let handle = recorder.handle();
+            // A second installer in a race finds the recorder set and uses the first one's handle.
+            let _ = metrics::set_global_recorder(recorder);
+            handle
+        });
+        Ok(Self {
+            handle: handle.clone(),
+        })
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
+
+/// Records a sample of the reducer.
+pub fn record(sample: Sample) {
+    match sample {
+        Sample::FirstToken {
+            tenant,
+            rank,
+            elapsed_ms,
+        } => histogram(
+            "mustardstack_first_token_ms",
+            tenant,
+            rank,
+            elapsed_ms as f64,
+        ),
+        Sample::BetweenTokens {
+            tenant,
+            rank,
+            elapsed_ms,
+        } => histogram("mustardstack_between_tokens_ms", tenant, rank, elapsed_ms),
+        Sample::Total {
+            tenant,
+            rank,
+            elapsed_ms,
+            in_target,
+        } => {
+            let (t, r) = (tenant.to_string(), rank.to_string());
+            let in_target = in_target.to_string();
+            metrics::counter!("mustardstack_answers_total", "tenant" => t, "rank" => r, "in_target" => in_target)
+                .increment(1);
+            histogram("mustardstack_total_ms", tenant, rank, elapsed_ms as f64);
+        }
+        Sample::Queued {
+            tenant,
+            rank,
+            elapsed_ms,
+        } => histogram("mustardstack_queued_ms", tenant, rank, elapsed_ms as f64),
+        Sample::Tokens {
+            tenant,
+            rank,
+            prompt_tokens,
+            output_tokens,
+        } => {
+            count_tokens("prompt", &tenant, &rank, prompt_tokens);
+            count_tokens("output", &tenant, &rank, output_tokens);
+        }
+        Sample::Refused {
+            tenant,
+            rank,
+            reason,
+        } => {
+            let (tenant, rank) = (tenant.to_string(), rank.to_string());
+            metrics::counter!("mustardstack_refused_total", "tenant" => tenant, "rank" => rank, "reason" => reason)
+                .increment(1);
+        }
+        Sample::Retried { upstream } => {
+            metrics::counter!("mustardstack_retries_total", "upstream" => upstream.to_string())
+                .increment(1);
+        }
+        Sample::Committed { elapsed_ms } => {
+            metrics::histogram!("mustardstack_commit_ms").record(elapsed_ms as f64);
+        }
+        Sample::RoleChanged { service } => {
+            metrics::counter!("mustardstack_role_changes_total", "service" => service.to_string())
+                .increment(1);
+        }
+    }
+}
+
+fn histogram(name: &'static str, tenant: Name, rank: Name, value: f64) {
+    let (tenant, rank) = (tenant.to_string(), rank.to_string());
+    metrics::histogram!(name, "tenant" => tenant, "rank" => rank).record(value);
+}
+
+fn count_tokens(kind: &'static str, tenant: &Name, rank: &Name, tokens: u32) {
+    let (tenant, rank) = (tenant.to_string(), rank.to_string());
+    metrics::counter!("mustardstack_tokens_total", "kind" => kind, "tenant" => tenant, "rank" => rank)
+        .increment(u64::from(tokens));
+}
--- /dev/null
+++ b/crates/node/tests/chat.rs
@@ -0,0 +1,342 @@
+//! Chat completions from the caller to engines and back.
+
+mod support;
+
+use conf::Name;
+use reducer::{Effect, End, Event, Refusal, Work};
+use support::{TestInstance, Upstream, chat, dispatch, dispatcher, frame, get, read_stream, text};
+
+/// Guards against an answer that is collected before it is passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_is_forwarded_event_by_event() {
+    let engine = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![engine.address.clone()])).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { support::send(&address, chat(true)).await.into_body() }
+    });
+    let mut call = engine.call().await;
+    assert!(call.head.starts_with("post /v1/chat/completions "));
+    assert!(call.head.contains("x-priority: 1"));
+    assert!(call.head.contains("x-request-id: north-"));
+    assert!(!call.head.contains("authorization"));
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    let mut body = answer.await.unwrap();
+    let first = frame(&mut body).await.unwrap().unwrap();
+    assert!(first.contains("Marta"));
+    call.token("a", " does").await;
+    let second = frame(&mut body).await.unwrap().unwrap();
+    assert!(second.contains(" does"));
+    call.end_events("a", "stop").await;
+    let rest = text(&mut body).await.unwrap();
+    let (_, _, reasons) = read_stream(&rest);
+    assert_eq!(reasons, ["stop", "[DONE]"]);
+    let mut output = 0;
+    let end = instance
+        .event(|event| match event {
+            Event::Progress { output_tokens, .. } => {
+                output = output_tokens;
+                None
+            }
+            Event::Ended { end, .. } => Some(end),
+            _ => None,
+        })
+        .await;
+    assert_eq!(end, End::Complete { answer: None });
+    assert_eq!(output, 2);
+}
+
+/// Guards against a caller that sees the seam where an answer moves to another engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_as_one_answer() {
+    let (first, second) = (Upstream::start().await, Upstream::start().await);
+    let addresses = vec![first.address.clone(), second.address.clone()];
+    let mut instance = TestInstance::start(dispatcher(addresses)).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { text(&mut support::send(&address, chat(true)).await.into_body()).await }
+    });
+    let mut call = first.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    call.token("a", " and").await;
+    // Half an event and then the end of the connection: this part must not reach the caller.
+    call.chunk("data: {\"id\":\"a\",\"choi").await;
+    drop(call);
+    assert_eq!(instance.ended(1).await, End::Broken);
+    let mut call = second.call().await;
+    let body: serde_json::Value = serde_json::from_str(&call.body).unwrap();
+    assert_eq!(body["resume_text"], "Marta and");
+    assert_eq!(body["stream"], true);
+    call.begin_events().await;
+    call.token("b", " Pilar").await;
+    call.end_events("b", "stop").await;
+    let body = answer.await.unwrap().unwrap();
+    let (text, ids, reasons) = read_stream(&body);
+    assert_eq!(text, "Marta and Pilar");
+    assert_eq!(ids, ["a"]);
+    assert_eq!(reasons, ["stop", "[DONE]"]);
+    assert_eq!(body.matches("\"role\"").count(), 2);
+}
+
+/// Guards the same for a caller that wants a whole answer, and that engines are asked for a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_is_made_of_all_parts() {
+    let (first, second) = (Upstream::start().await, Upstream::start().await);
+    let addresses = vec![first.address.clone(), second.address.clone()];
+    let instance = TestInstance::start(dispatcher(addresses)).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { text(&mut support::send(&address, chat(false)).await.into_body()).await }
+    });
+    let mut call = first.call().await;
+    let body: serde_json::Value = serde_json::from_str(&call.body).unwrap();
+    assert_eq!(body["stream"], true);
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    drop(call);
+    let mut call = second.call().await;
+    call.begin_events().await;
+    call.token("b", " does").await;
+    call.end_events("b", "length").await;
+    let answer: serde_json::Value = serde_json::from_str(&answer.await.unwrap().unwrap()).unwrap();
+    let choice = &answer["choices"][0];
+    assert_eq!(choice["message"]["content"], "Marta does");
+    assert_eq!(choice["finish_reason"], "length");
+    assert_eq!(answer["usage"]["completion_tokens"], 2);
+    assert_eq!(answer["object"], "chat.completion");
+}
+
+/// Guards against taking a stream without its end marker, or one that was cancelled, for a whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_regular_end_is_broken() {
+    let engine = Upstream::start().await;
+    let addresses = vec![engine.address.clone(); 3];
+    let mut instance = TestInstance::start(dispatcher(addresses)).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { text(&mut support::send(&address, chat(true)).await.into_body()).await }
+    });
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    call.write("0\r\n\r\n").await;
+    assert_eq!(instance.ended(1).await, End::Broken);
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.end_events("b", "cancelled").await;
+    assert_eq!(instance.ended(2).await, End::Broken);
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("c", " does").await;
+    call.end_events("c", "stop").await;
+    let (text, _, reasons) = read_stream(&answer.await.unwrap().unwrap());
+    assert_eq!(text, "Marta does");
+    assert_eq!(reasons, ["stop", "[DONE]"]);
+}
+
+/// Guards against retrying what may have run, and against not retrying what has not.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_tell_what_may_have_run() {
+    let gone = Upstream::start().await.address;
+    let engine = Upstream::start().await;
+    let addresses = vec![gone, engine.address.clone(), engine.address.clone()];
+    let mut instance = TestInstance::start(dispatcher(addresses)).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { support::send(&address, chat(false)).await.status() }
+    });
+    assert_eq!(instance.ended(1).await, End::NotSent);
+    let mut call = engine.call().await;
+    call.answer("503 Service Unavailable", "", "{}").await;
+    assert_eq!(instance.ended(2).await, End::Rejected);
+    let call = engine.call().await;
+    drop(call);
+    assert_eq!(instance.ended(3).await, End::Broken);
+    answer.abort();
+}
+
+/// Guards against a request that is sent after its deadline because the process was held up.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_written_after_the_send_deadline() {
+    let engine = Upstream::start().await;
+    let address = engine.address.clone();
+    let script = Box::new(
+        move |now_ms: u64, event: &Event, effects: &mut Vec<Effect>| {
+            if let Event::Arrived(arrival) = event {
+                let mut effect = dispatch(now_ms, arrival.exchange, 1, &address);
+                if let Effect::Dispatch {
+                    send_deadline_ms, ..
+                } = &mut effect
+                {
+                    *send_deadline_ms = now_ms;
+                }
+                effects.push(effect);
+            }
+        },
+    );
+    let mut instance = TestInstance::start(script).await;
+    let answer = tokio::spawn({
+        let address = instance.settings.instance.caller_address.clone();
+        async move { support::send(&address, chat(false)).await.status() }
+    });
+    assert_eq!(instance.ended(1).await, End::NotSent);
+    answer.abort();
+}
+
+/// Guards against an engine that goes on for a caller that has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_is_reported_and_its_request_cancelled() {
+    let engine = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![engine.address.clone()])).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move { support::send(&address, chat(true)).await });
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    drop(answer.await.unwrap());
+    instance
+        .event(|event| matches!(event, Event::CallerGone { .. }).then_some(()))
+        .await;
+    assert_eq!(instance.ended(1).await, End::Cancelled);
+    call.closed().await;
+    let cancel = engine.call().await;
+    let id = call
+        .head
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request-id: "))
+        .unwrap();
+    assert!(cancel.head.starts_with(&format!("delete /requests/{id} ")));
+}
+
+/// Guards against late bytes of a cancelled attempt in the answer of the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_of_an_older_attempt_are_dropped() {
+    let (first, second) = (Upstream::start().await, Upstream::start().await);
+    let addresses: Vec<Name> = vec![first.address.clone(), second.address.clone()];
+    let script = Box::new(
+        move |now_ms: u64, event: &Event, effects: &mut Vec<Effect>| match event {
+            Event::Arrived(arrival) => {
+                effects.push(dispatch(now_ms, arrival.exchange, 1, &addresses[0]));
+            }
+            Event::Progress {
+                exchange,
+                attempt: 1,
+                ..
+            } => {
+                let (exchange, attempt) = (*exchange, 1);
+                effects.push(Effect::Cancel { exchange, attempt });
+                effects.push(dispatch(now_ms, exchange, 2, &addresses[1]));
+            }
+            _ => {}
+        },
+    );
+    let mut instance = TestInstance::start(script).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move {
+        text(&mut support::send(&address, chat(true)).await.into_body()).await
+    });
+    let mut old = first.call().await;
+    old.begin_events().await;
+    old.token("a", "Marta").await;
+    assert_eq!(instance.ended(1).await, End::Cancelled);
+    let mut call = second.call().await;
+    let late = "2b\r\ndata: {\"choices\":[{\"delta\":{\"content\":\"LATE\"}}]}\n\n\r\n";
+    let _ = old.try_write(late).await;
+    call.begin_events().await;
+    call.token("b", " does").await;
+    call.end_events("b", "stop").await;
+    let (text, _, _) = read_stream(&answer.await.unwrap().unwrap());
+    assert_eq!(text, "Marta does");
+}
+
+/// Guards against a stream that ends as if it were whole after a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_after_output_ends_the_stream_with_an_error() {
+    let engine = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![engine.address.clone()])).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move {
+        text(&mut support::send(&address, chat(true)).await.into_body()).await
+    });
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    drop(call);
+    assert_eq!(instance.ended(1).await, End::Broken);
+    instance.effect(Effect::Refuse {
+        exchange: 1,
+        refusal: Refusal::UpstreamFailed,
+    });
+    let body = answer.await.unwrap().unwrap();
+    let last = body.trim_end().rsplit("\n\n").next().unwrap();
+    let error: serde_json::Value =
+        serde_json::from_str(last.strip_prefix("data: ").unwrap()).unwrap();
+    assert_eq!(error["error"]["code"], "upstream_failed");
+    assert_eq!(error["run"], "unknown");
+    assert!(!body.contains("[DONE]"));
+}
+
+/// Guards against a planned stop that cuts an answer, or that goes on taking callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_lets_open_answers_finish() {
+    let engine = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![engine.address.clone()])).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move {
+        text(&mut support::send(&address, chat(true)).await.into_body()).await
+    });
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    instance.trigger.stop();
+    instance
+        .event(|event| matches!(event, Event::Stop).then_some(()))
+        .await;
+    let ready = instance.send(get("/readyz")).await;
+    assert_eq!(ready.status(), 503);
+    assert_eq!(ready.headers()["connection"], "close");
+    call.token("a", " does").await;
+    call.end_events("a", "stop").await;
+    let (text, _, reasons) = read_stream(&answer.await.unwrap().unwrap());
+    assert_eq!(text, "Marta does");
+    assert_eq!(reasons, ["stop", "[DONE]"]);
+    instance.stop().await;
+}
+
+/// Guards against prompt sizes and chunk hashes that engines would not recognise.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunk_hashes_are_those_of_engines() {
+    let content = "altar ".repeat(8_000);
+    let request: standin::prompt::ChatRequest = serde_json::from_value(serde_json::json!({
+        "model": "lily",
+        "messages": [{ "role": "user", "content": content }],
+    }))
+    .unwrap();
+    let body = serde_json::to_value(&request).unwrap();
+    let mut instance = TestInstance::start(Box::new(|_, _, _| {})).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let sent = support::request("POST", "/v1/chat/completions", &body.to_string());
+    let answer = tokio::spawn(async move { support::send(&address, sent).await.status() });
+    let work = instance
+        .event(|event| match event {
+            Event::Arrived(arrival) => Some(arrival.work),
+            _ => None,
+        })
+        .await;
+    let text = request.prompt_text();
+    let Work::Chat {
+        prompt_tokens,
+        chunk_hashes,
+        ..
+    } = work
+    else {
+        panic!("not a chat");
+    };
+    assert_eq!(prompt_tokens, standin::prompt::token_count(&text));
+    assert_eq!(chunk_hashes.len(), 3);
+    let expected = standin::prompt::chunk_hashes("lily", &text, 4_000);
+    assert_eq!(chunk_hashes, expected);
+    answer.abort();
+}
