--- a/crates/mustardstack/src/error.rs
+++ b/crates/mustardstack/src/error.rs
@@ -43,9 +43,12 @@
     /// The change is accepted, but not in force on every live instance.
     #[error("{0}")]
     NotInForce(String),
-    /// This build lacks the command.
-    #[error("{0} is not available in this build")]
-    NotBuilt(&'static str),
+    /// The instance could not start or go on.
+    #[error(transparent)]
+    Node(#[from] node::Error),
+    /// A stand-in or the load generator could not start or go on.
+    #[error(transparent)]
+    Standin(#[from] standin::Error),
 }
 
 impl Error {
@@ -53,7 +56,8 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Configuration(_) | Self::Invalid(_) | Self::Usage(_) => USAGE,
-            Self::Io(_) | Self::Declined | Self::Refused(_) | Self::NotBuilt(_) => FAILURE,
+            Self::Io(_) | Self::Declined | Self::Refused(_) => FAILURE,
+            Self::Node(_) | Self::Standin(_) => FAILURE,
             Self::Conflict(_) => CONFLICT,
             Self::Unavailable(_) => UNAVAILABLE,
             Self::NotInForce(_) => NOT_IN_FORCE,
--- a/crates/mustardstack/src/load.rs
+++ b/crates/mustardstack/src/load.rs
@@ -2,10 +2,14 @@
 
 use crate::cli::Load;
 use crate::error::Error;
+use crate::standin::parse;
 use crate::terminal;
 
 /// Runs the load that a settings file describes.
 pub fn run(options: &Load) -> Result<(), Error> {
-    let _settings = terminal::read_file(&options.settings)?;
-    Err(Error::NotBuilt("load"))
+    let settings = parse(&terminal::read_file(&options.settings)?)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let report = runtime.block_on(standin::load::run(settings))?;
+    terminal::print(report);
+    Ok(())
 }
--- a/crates/mustardstack/src/serve.rs
+++ b/crates/mustardstack/src/serve.rs
@@ -8,9 +8,7 @@
 pub fn run(options: &Serve) -> Result<(), Error> {
     let loaded = conf::load::settings(&options.folder)?;
     loaded.warnings.iter().for_each(terminal::complain);
-    serve(loaded.value)
-}
-
-fn serve(_settings: conf::Settings) -> Result<(), Error> {
-    Err(Error::NotBuilt("serve"))
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(node::serve(loaded.value))?;
+    Ok(())
 }
--- a/crates/mustardstack/src/standin.rs
+++ b/crates/mustardstack/src/standin.rs
@@ -1,27 +1,28 @@
 //! `standin`: runs a stand-in engine, plain service or platform.
 
+use serde::de::DeserializeOwned;
+use standin::{engine, platform, service};
+
 use crate::cli::{Standin, StandinKind};
 use crate::error::Error;
 use crate::terminal;
 
 /// Serves as a settings file describes until the process is told to stop.
 pub fn run(options: &Standin) -> Result<(), Error> {
-    let settings = terminal::read_file(&options.settings)?;
+    let text = terminal::read_file(&options.settings)?;
+    let runtime = tokio::runtime::Runtime::new()?;
     match options.kind {
-        StandinKind::Engine => engine(&settings),
-        StandinKind::Service => service(&settings),
-        StandinKind::Platform => platform(&settings),
+        StandinKind::Engine => runtime.block_on(engine::serve(parse(&text)?))?,
+        StandinKind::Service => runtime.block_on(service::serve(parse(&text)?))?,
+        StandinKind::Platform => runtime.block_on(platform::serve(parse(&text)?))?,
     }
+    Ok(())
 }
 
-fn engine(_settings: &str) -> Result<(), Error> {
-    Err(Error::NotBuilt("standin engine"))
-}
-
-fn service(_settings: &str) -> Result<(), Error> {
-    Err(Error::NotBuilt("standin service"))
-}
-
-fn platform(_settings: &str) -> Result<(), Error> {
-    Err(Error::NotBuilt("standin platform"))
+/// Reads the settings of a stand-in or of a load run.
+///
+/// # Errors
+/// Fails if the text is not TOML or has an unknown key.
+pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    toml::from_str(text).map_err(|error| Error::Usage(error.to_string()))
 }
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -193,9 +193,7 @@
     origin: Option<Name>,
     effects: &mut Vec<Effect>,
 ) {
-    if let CommandReply::Configure(ConfigureReply::Accepted { revision }) = reply {
-        let text = format!("revision {revision} accepted");
-        log(effects, Level::Info, Part::Fleet, text);
+    if let CommandReply::Configure(ConfigureReply::Accepted { .. }) = reply {
         adopt_own_config(state, effects);
     }
     if let Some(settled) = state.proposer.on_reply(&proposal.id, reply) {
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// Returns the time at which the first token is due; 0 if it has come or only the whole answer is due.
+    pub fn first_token_deadline_ms(&self) -> u64 {
+        match (&self.kind, self.first_token_ms) {
+            (Kind::Chat { .. }, None) => self.arrived_ms + self.target_first_token_ms,
+            _ => 0,
+        }
+    }
+
     /// Returns the mean time between the output tokens, if there were at least two.
     pub fn between_tokens_ms(&self, now_ms: u64) -> Option<f64> {
         let first_ms = self.first_token_ms?;
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -361,6 +361,7 @@
         output_tokens: exchange.output_to_come(expected_tokens),
         rank: exchange.rank,
         deadline_ms: exchange.deadline_ms,
+        first_token_deadline_ms: exchange.first_token_deadline_ms(),
         exclude: exchange.excluded.clone(),
         availability_zone: zone.clone(),
     }
@@ -378,6 +379,8 @@
         tokens: exchange.prompt_tokens().saturating_add(output_tokens),
         service_ms: service_ms(state, exchange, output_tokens),
         deadline_ms: exchange.deadline_ms,
+        first_token_ms: service_ms(state, exchange, 0),
+        first_token_deadline_ms: exchange.first_token_deadline_ms(),
         readmitted,
     }
 }
