Let replicas in that a truncated entry had admitted

The member set now carries the index of its entry. - A replica that held an uncommitted entry which admitted it took itself for a member after that entry had been replaced elsewhere. A replica that has not heard from a leader for the maximum election timeout now asks to be let in, whatever its own log says.

The check that the cluster commits again accepted an index acknowledged before; it now needs a new one. The fake disk reports the entries that survive a crash, which the check of synced copies had missed.

--- a/crates/disk/src/codec.rs
+++ b/crates/disk/src/codec.rs
@@ -127,6 +127,7 @@
 }
 
 fn put_members(out: &mut Vec<u8>, members: &MemberSet) {
+    out.put_u64_le(members.index);
     put_list(out, &members.voters, put_id);
     put_list(out, &members.learners, put_id);
     put_list(out, &members.instances, put_name);
@@ -134,6 +135,7 @@
 
 fn get_members(from: &mut Bytes) -> Result<MemberSet, Malformed> {
     Ok(MemberSet {
+        index: from.try_get_u64_le()?,
         voters: get_list(from, get_id)?,
         learners: get_list(from, get_id)?,
         instances: get_list(from, get_name)?,
--- a/crates/quorum/src/append.rs
+++ b/crates/quorum/src/append.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::message::{Entry, EntryBody, Message, Output, ReplicaId, Write};
+use crate::message::{Entry, EntryBody, MemberSet, Message, Output, ReplicaId, Write};
 use crate::replica::{Replica, Role};
 use crate::writes::Followup;
 
@@ -31,12 +31,12 @@
 
     /// Appends an entry of the leader's own term and returns its index.
     pub(crate) fn append_own(&mut self, body: EntryBody, out: &mut Vec<Output>) -> u64 {
+        let index = self.log.last_index() + 1;
         let entry = Entry {
-            index: self.log.last_index() + 1,
+            index,
             term: self.term,
-            body,
+            body: at_index(body, index),
         };
-        let index = entry.index;
         self.append_entries(vec![entry], out);
         self.update_peers();
         index
@@ -121,7 +121,7 @@
         self.truncate_from(from_index);
         for entry in &entries {
             if let EntryBody::Members(set) = &entry.body {
-                self.members.push(entry.index, set.clone());
+                self.members.push(set.clone());
             }
             self.log.push(entry.clone());
         }
@@ -193,6 +193,14 @@
     }
 }
 
+/// Notes in a member set which entry carries it.
+fn at_index(body: EntryBody, index: u64) -> EntryBody {
+    match body {
+        EntryBody::Members(set) => EntryBody::Members(MemberSet { index, ..set }),
+        EntryBody::Empty | EntryBody::Command(_) => body,
+    }
+}
+
 fn is_contiguous(prev_index: u64, entries: &[Entry]) -> bool {
     let indexes = prev_index + 1..;
     entries
--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -41,7 +41,7 @@
         let Role::Leader(leader) = &self.role else {
             return 0;
         };
-        let index = self.members.current_index();
+        let index = self.members.current().index;
         let is_settled = index <= self.commit_index && leader.first_index <= self.commit_index;
         if is_settled { index } else { 0 }
     }
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -39,7 +39,7 @@
 
 impl Replica {
     pub(crate) fn tick_join(&mut self, out: &mut Vec<Output>) {
-        if self.is_member() || self.now_ms < self.join.next_join_ms {
+        if !self.is_left_out() || self.now_ms < self.join.next_join_ms {
             return;
         }
         let interval_ms = self.settings.heartbeat_interval_ms * JOIN_HEARTBEATS;
@@ -98,7 +98,7 @@
         }
         self.join.members_index = members_index;
         self.join.members = members;
-        if !self.is_member() {
+        if self.is_left_out() {
             self.send_join(from, out);
         }
     }
@@ -137,13 +137,19 @@
         let voters = instances.iter().map(identify).collect::<Option<Vec<_>>>()?;
         Some(MemberSet {
             voters,
-            learners: Vec::new(),
             instances,
+            ..MemberSet::default()
         })
     }
 
-    fn is_member(&self) -> bool {
-        self.members.current().contains(&self.settings.id)
+    /// Returns whether no leader may know of this replica: it is not in its own member set, or that set may have been
+    /// replaced by another leader before it committed, since no leader has been heard from for long.
+    fn is_left_out(&self) -> bool {
+        if !self.members.current().contains(&self.settings.id) {
+            return true;
+        }
+        let silence_ms = self.now_ms - self.heard_leader_ms;
+        !self.is_leader() && silence_ms > self.settings.election_timeout_max_ms
     }
 
     fn forget_old_answers(&mut self) {
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -73,45 +73,40 @@
 /// The member sets along the log, oldest first. The last one is in force; truncating the log restores the one before.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberHistory {
-    sets: VecDeque<(u64, MemberSet)>,
+    sets: VecDeque<MemberSet>,
 }
 
 impl MemberHistory {
-    pub(crate) fn new(index: u64, members: MemberSet) -> Self {
+    pub(crate) fn new(members: MemberSet) -> Self {
         Self {
-            sets: VecDeque::from([(index, members)]),
+            sets: VecDeque::from([members]),
         }
     }
 
     pub(crate) fn current(&self) -> &MemberSet {
-        &self.sets[self.sets.len() - 1].1
-    }
-
-    /// Returns the index of the entry that carries the current set.
-    pub(crate) fn current_index(&self) -> u64 {
-        self.sets[self.sets.len() - 1].0
+        &self.sets[self.sets.len() - 1]
     }
 
     /// Returns the set in force at `index`.
     pub(crate) fn at(&self, index: u64) -> &MemberSet {
-        let position = self.sets.iter().rposition(|(at, _)| *at <= index);
-        &self.sets[position.unwrap_or(0)].1
+        let position = self.sets.iter().rposition(|set| set.index <= index);
+        &self.sets[position.unwrap_or(0)]
     }
 
-    pub(crate) fn push(&mut self, index: u64, members: MemberSet) {
-        self.sets.push_back((index, members));
+    pub(crate) fn push(&mut self, members: MemberSet) {
+        self.sets.push_back(members);
     }
 
     /// Forgets the sets from `index` on.
     pub(crate) fn truncate_from(&mut self, index: u64) {
-        while self.sets.len() > 1 && self.current_index() >= index {
+        while self.sets.len() > 1 && self.current().index >= index {
             self.sets.pop_back();
         }
     }
 
     /// Forgets the sets that `index` has superseded.
     pub(crate) fn compact_to(&mut self, index: u64) {
-        while self.sets.len() > 1 && self.sets[1].0 <= index {
+        while self.sets.len() > 1 && self.sets[1].index <= index {
             self.sets.pop_front();
         }
     }
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -16,6 +16,8 @@
 /// The replicas that vote and those that only follow.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberSet {
+    /// Index of the entry that carries the set; 0 before the log has been formed.
+    pub index: u64,
     /// Replicas whose votes and acknowledgements count, sorted.
     pub voters: Vec<ReplicaId>,
     /// Replicas that receive the log without counting, sorted.
@@ -115,7 +117,7 @@
         index: u64,
         received_bytes: u64,
     },
-    /// Sent by a replica that is in no member set it knows of: asks to be let in. `members_index` is the latest one
+    /// Sent by a replica that is in no member set it knows of, or that no leader speaks to: asks to be let in. `members_index` is the latest one
     /// received in a `JoinReply`; it proves to the leader that the replica has been alive since that change.
     Join { formed: bool, members_index: u64 },
     /// Answers `Join` of the replica with `storage_id`. `formed` is false while the sender holds no log.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -96,10 +96,10 @@
     /// Creates a replica from what its disk holds.
     pub fn new(settings: ReplicaSettings, recovered: Recovered, now_ms: u64) -> Self {
         let base = recovered.snapshot.clone().unwrap_or_default();
-        let mut members = MemberHistory::new(base.index, base.members);
+        let mut members = MemberHistory::new(base.members);
         for entry in &recovered.entries {
             if let EntryBody::Members(set) = &entry.body {
-                members.push(entry.index, set.clone());
+                members.push(set.clone());
             }
         }
         let log = Log::new(base.index, base.term, recovered.entries);
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -143,10 +143,10 @@
             self.remove_conflict(index, out);
             self.log.reset(index, snapshot.term, self.commit_index);
         }
-        self.members = MemberHistory::new(index, snapshot.members.clone());
+        self.members = MemberHistory::new(snapshot.members.clone());
         for entry in self.log.batch(index + 1, usize::MAX, usize::MAX) {
             if let EntryBody::Members(set) = entry.body {
-                self.members.push(entry.index, set);
+                self.members.push(set);
             }
         }
     }
--- a/crates/quorum/tests/support/disk.rs
+++ b/crates/quorum/tests/support/disk.rs
@@ -30,13 +30,14 @@
         synced
     }
 
-    /// Loses unsynced writes; a random number of the oldest may have reached the disk.
-    pub fn crash(&mut self, random: &mut Random) {
+    /// Loses unsynced writes; a random number of the oldest may have reached the disk. Returns the entries among those.
+    pub fn crash(&mut self, random: &mut Random) -> Vec<Entry> {
         let kept = random.below(self.pending.len() as u64 + 1) as usize;
         let kept = if random.percent(50) { kept } else { 0 };
-        for (_, write) in std::mem::take(&mut self.pending).into_iter().take(kept) {
-            self.apply(write);
-        }
+        let kept_ticket = kept.checked_sub(1).map(|last| self.pending[last].0);
+        let synced = kept_ticket.map(|ticket| self.sync(ticket));
+        self.pending.clear();
+        synced.unwrap_or_default()
     }
 
     pub fn last_index(&self) -> u64 {
--- a/crates/quorum/tests/support/mod.rs
+++ b/crates/quorum/tests/support/mod.rs
@@ -183,7 +183,8 @@
         node.held.clear();
         node.proposed.clear();
         node.reads.clear();
-        node.disk.crash(&mut self.random);
+        let synced = node.disk.crash(&mut self.random);
+        self.checks.synced(&node.id, &synced);
     }
 
     /// Stops a node and empties its disk; it comes back under a new identity.
@@ -257,11 +258,12 @@
         self.step(position, Input::Read { token });
     }
 
-    /// Proposes on the leader and returns whether all running replicas apply it in time.
+    /// Proposes on the leader and returns whether a new proposal is acknowledged in time.
     pub fn commits_within(&mut self, limit_ms: u64) -> bool {
         if !self.run_until(limit_ms, |cluster| cluster.leader().is_some()) {
             return false;
         }
+        let before = self.checks.acknowledged_index;
         let end_ms = self.now_ms + limit_ms;
         while self.now_ms < end_ms {
             let Some(leader) = self.leader() else {
@@ -269,8 +271,7 @@
                 continue;
             };
             self.propose(leader);
-            let target = self.nodes[leader].status().last_index;
-            let done = |cluster: &Self| cluster.checks.acknowledged_index >= target;
+            let done = |cluster: &Self| cluster.checks.acknowledged_index > before;
             if self.run_until(2000, done) {
                 return true;
             }
