Test one replica by hand, and restarts and slow disks at random

A trial that broke each mechanism in turn showed that no test noticed votes sent before they are synced, entries of earlier terms committed by counting, a member set kept after a truncation, member changes that overlap, and five more. Each now has a test of its own; the random runs gain restarts without a pause and slow disks.

--- a/crates/disk/tests/store.rs
+++ b/crates/disk/tests/store.rs
@@ -457,11 +457,30 @@
     drop(store);
     assert_eq!(files(folder.path(), "log-").len(), 3);
     assert_eq!(recover(&folder).entries.len(), 20);
-    let oldest = files(folder.path(), "log-").remove(0);
-    let content = fs::read(&oldest).expect("the segment");
-    fs::write(&oldest, &content[..content.len() - 1]).expect("the segment is writable");
+    let segments = files(folder.path(), "log-");
+    let middle = fs::read(&segments[1]).expect("the segment");
+    fs::remove_file(&segments[1]).expect("the file is removable");
+    assert!(is_damaged(&folder), "without a segment in the middle");
+    fs::write(&segments[1], &middle[..middle.len() - 1]).expect("the segment is writable");
     assert!(
         is_damaged(&folder),
         "only the newest segment may have a torn tail"
     );
 }
+
+/// Guards against a vote that is lost because the segment that held it was removed or left empty.
+#[test]
+fn vote_outlives_its_segment() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let mut store = open(&folder).store;
+    let vote = Write::Term {
+        term: 9,
+        voted_for: Some(id("b", 2)),
+    };
+    write_synced(&mut store, &vote);
+    write_synced(&mut store, &append(1, 10, 1));
+    write_synced(&mut store, &snapshot(10, 1));
+    drop(store);
+    let recovered = recover(&folder);
+    assert_eq!((recovered.term, recovered.voted_for), (9, Some(id("b", 2))));
+}
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::random::Random;
-use support::{Cluster, SETTLE_MS, seeds};
+use support::{Cluster, DISK_DELAY_MS, SETTLE_MS, seeds};
 
 /// Longest virtual time until all replicas are voters again and agree after the last fault: the lost identity is removed,
 /// the new one catches up and is promoted, each after at most a few elections.
@@ -24,11 +24,13 @@
     Split,
     Freeze,
     Crash,
+    Restart,
+    SlowDisk,
     Wipe,
     Heal,
 }
 
-const KINDS: [Kind; 9] = [
+const KINDS: [Kind; 11] = [
     Kind::Loss,
     Kind::Reorder,
     Kind::Isolate,
@@ -36,6 +38,8 @@
     Kind::Split,
     Kind::Freeze,
     Kind::Crash,
+    Kind::Restart,
+    Kind::SlowDisk,
     Kind::Wipe,
     Kind::Heal,
 ];
@@ -102,12 +106,20 @@
         }
         Kind::Freeze => cluster.freeze(node, random.below(FAULT_MS)),
         Kind::Crash => cluster.crash(node),
+        Kind::Restart => {
+            cluster.crash(node);
+            cluster.start(node);
+        }
+        Kind::SlowDisk => cluster.disk_delay_ms = 300,
         Kind::Wipe => {
             if may_wipe(cluster, node) {
                 cluster.wipe(node);
             }
         }
-        Kind::Heal => cluster.network = Default::default(),
+        Kind::Heal => {
+            cluster.network = Default::default();
+            cluster.disk_delay_ms = DISK_DELAY_MS;
+        }
     }
 }
 
@@ -161,11 +173,18 @@
 }
 
 /// Guards against acknowledged entries that only unsynced writes held, and against a second vote in a term after a crash:
-/// crashes and losses only, close to each other.
+/// crashes, slow disks and losses only.
 #[test]
 fn crashes_lose_nothing() {
-    const CRASHES: [Kind; 4] = [Kind::Crash, Kind::Crash, Kind::Loss, Kind::Heal];
-    seeds::check("crashes_lose_nothing", 20, 10, |seed| {
+    const CRASHES: [Kind; 6] = [
+        Kind::Crash,
+        Kind::Crash,
+        Kind::Restart,
+        Kind::SlowDisk,
+        Kind::Loss,
+        Kind::Heal,
+    ];
+    seeds::check("crashes_lose_nothing", 40, 20, |seed| {
         survive(seed, 3, &CRASHES);
     });
 }
--- /dev/null
+++ b/crates/quorum/tests/replica.rs
@@ -0,0 +1,447 @@
+//! One replica, driven by hand.
+
+use bytes::Bytes;
+use quorum::{
+    Entry, EntryBody, Input, MemberSet, Message, Output, Recovered, Replica, ReplicaId,
+    ReplicaSettings, Write,
+};
+
+const ELECTION_MIN_MS: u64 = 600;
+const ELECTION_MAX_MS: u64 = 1200;
+
+fn id(storage_id: u64) -> ReplicaId {
+    let instance = format!("voter-{storage_id}").into();
+    ReplicaId {
+        instance,
+        storage_id,
+    }
+}
+
+fn members(voters: u64) -> MemberSet {
+    MemberSet {
+        index: 1,
+        voters: (1..=voters).map(id).collect(),
+        learners: Vec::new(),
+        instances: (1..=voters).map(|voter| id(voter).instance).collect(),
+    }
+}
+
+fn command(index: u64, term: u64) -> Entry {
+    let body = EntryBody::Command(Bytes::from_static(b"command"));
+    Entry { index, term, body }
+}
+
+fn founding(voters: u64) -> Entry {
+    Entry {
+        index: 1,
+        term: 1,
+        body: EntryBody::Members(members(voters)),
+    }
+}
+
+/// The replica `id(1)` and what it has put out since the last look.
+struct Driver {
+    replica: Replica,
+    now_ms: u64,
+    last_ticket: u64,
+    out: Vec<Output>,
+}
+
+impl Driver {
+    /// Starts the replica with a log of entries after the founding one, in the given terms.
+    fn with_log(voters: u64, terms: &[u64]) -> Self {
+        let mut entries = vec![founding(voters)];
+        entries.extend((2..).zip(terms).map(|(index, term)| command(index, *term)));
+        let term = terms.last().copied().unwrap_or(1);
+        Self::recovered(Recovered {
+            term,
+            entries,
+            ..Recovered::default()
+        })
+    }
+
+    fn recovered(recovered: Recovered) -> Self {
+        let settings = ReplicaSettings {
+            id: id(1),
+            initial_voters: (1..=3).map(|voter| id(voter).instance).collect(),
+            heartbeat_interval_ms: 100,
+            election_timeout_min_ms: ELECTION_MIN_MS,
+            election_timeout_max_ms: ELECTION_MAX_MS,
+            snapshot_entries: 1000,
+            seed: 1,
+        };
+        Self {
+            replica: Replica::new(settings, recovered, 0),
+            now_ms: 0,
+            last_ticket: 0,
+            out: Vec::new(),
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let start = self.out.len();
+        self.replica.step(self.now_ms, input, &mut self.out);
+        for output in &self.out[start..] {
+            if let Output::Persist { ticket, .. } = output {
+                self.last_ticket = *ticket;
+            }
+        }
+    }
+
+    fn receive(&mut self, from: u64, message: Message) {
+        let from = id(from);
+        self.input(Input::Receive { from, message });
+    }
+
+    fn sync(&mut self) {
+        let ticket = self.last_ticket;
+        self.input(Input::Persisted { ticket });
+    }
+
+    fn append(&mut self, from: u64, term: u64, prev: (u64, u64), entries: Vec<Entry>) {
+        let (prev_index, prev_term) = prev;
+        let message = Message::Append {
+            term,
+            prev_index,
+            prev_term,
+            commit: 0,
+            read_sequence: 1,
+            entries,
+        };
+        self.receive(from, message);
+    }
+
+    fn acknowledge(&mut self, from: u64, term: u64, match_index: u64) {
+        let message = Message::AppendReply {
+            term,
+            success: true,
+            match_index,
+            match_term: 0,
+            read_sequence: 0,
+        };
+        self.receive(from, message);
+    }
+
+    fn vote_request(&mut self, from: u64, term: u64, last: (u64, u64)) {
+        let (last_index, last_term) = last;
+        let message = Message::Vote {
+            term,
+            last_index,
+            last_term,
+            voter_storage_id: 1,
+        };
+        self.receive(from, message);
+    }
+
+    /// Wins an election with the votes of this replica and `id(2)`.
+    fn lead(&mut self) -> u64 {
+        self.now_ms += ELECTION_MAX_MS;
+        self.input(Input::Tick);
+        let term = self.replica.status().term + 1;
+        let granted = true;
+        self.receive(2, Message::PreVoteReply { term, granted });
+        self.sync();
+        self.receive(2, Message::VoteReply { term, granted });
+        assert!(self.replica.status().is_leader);
+        term
+    }
+
+    fn sent(&mut self) -> Vec<Message> {
+        let is_sent = |output| match output {
+            Output::Send { message, .. } => Some(message),
+            _ => None,
+        };
+        std::mem::take(&mut self.out)
+            .into_iter()
+            .filter_map(is_sent)
+            .collect()
+    }
+
+    fn granted_votes(&mut self) -> usize {
+        let is_grant =
+            |message: &Message| matches!(message, Message::VoteReply { granted: true, .. });
+        self.sent()
+            .iter()
+            .filter(|message| is_grant(message))
+            .count()
+    }
+
+    fn acknowledged(&mut self) -> Vec<u64> {
+        let match_index = |message| match message {
+            Message::AppendReply {
+                success: true,
+                match_index,
+                ..
+            } => Some(match_index),
+            _ => None,
+        };
+        self.sent().into_iter().filter_map(match_index).collect()
+    }
+}
+
+/// Guards against a vote that a crash can make the voter forget.
+#[test]
+fn vote_is_sent_once_synced() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.vote_request(2, 2, (1, 1));
+    assert_eq!(driver.granted_votes(), 0);
+    driver.sync();
+    assert_eq!(driver.granted_votes(), 1);
+}
+
+/// Guards against a second vote in a term after a restart.
+#[test]
+fn vote_outlives_a_restart() {
+    let mut driver = Driver::recovered(Recovered {
+        term: 2,
+        voted_for: Some(id(2)),
+        entries: vec![founding(3)],
+        ..Recovered::default()
+    });
+    driver.vote_request(3, 2, (1, 1));
+    assert_eq!(driver.granted_votes(), 0);
+    driver.vote_request(2, 2, (1, 1));
+    assert_eq!(driver.granted_votes(), 1);
+}
+
+/// Guards against a candidate that asks for votes in a term that it may forget, and would then ask again in.
+#[test]
+fn vote_is_asked_for_once_the_own_vote_is_synced() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.now_ms = ELECTION_MAX_MS;
+    driver.input(Input::Tick);
+    driver.sent();
+    let granted = true;
+    driver.receive(2, Message::PreVoteReply { term: 2, granted });
+    assert_eq!(driver.sent(), []);
+    driver.sync();
+    let asked = driver.sent();
+    assert_eq!(asked.len(), 2);
+    assert!(
+        asked
+            .iter()
+            .all(|m| matches!(m, Message::Vote { term: 2, .. }))
+    );
+}
+
+/// Guards against an own vote that counts before it is synced.
+#[test]
+fn only_voter_leads_once_its_vote_is_synced() {
+    let mut driver = Driver::with_log(1, &[]);
+    driver.now_ms = ELECTION_MAX_MS;
+    driver.input(Input::Tick);
+    assert!(!driver.replica.status().is_leader);
+    driver.sync();
+    assert!(driver.replica.status().is_leader);
+}
+
+/// Guards against the election of a replica that lacks committed entries.
+#[test]
+fn vote_needs_an_up_to_date_log() {
+    for (last, granted) in [
+        ((3, 2), 1),
+        ((4, 2), 1),
+        ((2, 3), 1),
+        ((2, 2), 0),
+        ((9, 1), 0),
+    ] {
+        let mut driver = Driver::with_log(3, &[2, 2]);
+        driver.vote_request(2, 5, last);
+        driver.sync();
+        assert_eq!(driver.granted_votes(), granted, "last entry {last:?}");
+    }
+}
+
+/// Guards against a candidate that deposes a leader that is still heard.
+#[test]
+fn vote_is_withheld_while_a_leader_is_heard() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.append(2, 2, (1, 1), Vec::new());
+    driver.sync();
+    driver.now_ms = ELECTION_MIN_MS - 1;
+    driver.vote_request(3, 9, (9, 9));
+    assert_eq!(driver.replica.status().term, 2);
+    driver.now_ms = ELECTION_MIN_MS;
+    driver.vote_request(3, 9, (9, 9));
+    assert_eq!(driver.replica.status().term, 9);
+}
+
+/// Guards against the commit of an entry of an earlier term by counting: a later leader may still replace it.
+#[test]
+fn entry_of_an_earlier_term_commits_with_one_of_the_own() {
+    let mut driver = Driver::with_log(3, &[2]);
+    let term = driver.lead();
+    driver.sync();
+    driver.acknowledge(2, term, 2);
+    assert_eq!(driver.replica.status().commit_index, 0);
+    driver.acknowledge(2, term, 3);
+    assert_eq!(driver.replica.status().commit_index, 3);
+}
+
+/// Guards against a member set that stays in force after the entry that carried it has been replaced.
+#[test]
+fn truncation_restores_the_member_set() {
+    let mut driver = Driver::with_log(3, &[]);
+    let changed = MemberSet {
+        index: 2,
+        learners: vec![id(4)],
+        ..members(3)
+    };
+    let change = Entry {
+        index: 2,
+        term: 2,
+        body: EntryBody::Members(changed.clone()),
+    };
+    driver.append(2, 2, (1, 1), vec![change]);
+    assert_eq!(driver.replica.status().members, changed);
+    driver.append(3, 3, (1, 1), vec![command(2, 3)]);
+    assert_eq!(driver.replica.status().members, members(3));
+}
+
+/// Guards against two member changes at once, and against one before the leader has committed an entry of its term.
+#[test]
+fn member_changes_wait_for_each_other() {
+    let mut driver = Driver::with_log(3, &[]);
+    let term = driver.lead();
+    driver.sync();
+    let replace = |driver: &mut Driver, old: u64, new: u64| {
+        driver.out.clear();
+        let replace = Input::ReplaceVoter {
+            token: 1,
+            old: id(old).instance,
+            new: id(new).instance,
+        };
+        driver.input(replace);
+        !driver.out.contains(&Output::ChangeRefused { token: 1 })
+    };
+    assert!(
+        !replace(&mut driver, 2, 4),
+        "no entry of its term has committed"
+    );
+    driver.acknowledge(2, term, 2);
+    assert!(replace(&mut driver, 2, 4));
+    assert!(!replace(&mut driver, 3, 5), "a change is in progress");
+    driver.sync();
+    driver.acknowledge(2, term, 3);
+    assert!(replace(&mut driver, 3, 5));
+}
+
+/// Guards against an acknowledgement of entries that were replaced while it waited for the disk.
+#[test]
+fn acknowledgement_covers_only_what_is_still_held() {
+    let mut driver = Driver::with_log(3, &[]);
+    let entries = (2..=5).map(|index| command(index, 2)).collect();
+    driver.append(2, 2, (1, 1), entries);
+    driver.append(3, 3, (1, 1), vec![command(2, 3)]);
+    assert_eq!(driver.acknowledged(), []);
+    driver.sync();
+    assert_eq!(driver.acknowledged(), [1, 2]);
+}
+
+/// Guards against entries that conflict with a snapshot and come back after a crash right behind it.
+#[test]
+fn conflicting_entries_are_removed_before_a_snapshot_is_written() {
+    let mut driver = Driver::with_log(3, &[2, 2, 2, 2]);
+    let chunk = Message::SnapshotChunk {
+        term: 4,
+        index: 4,
+        snapshot_term: 3,
+        members: members(3),
+        offset_bytes: 0,
+        total_bytes: 5,
+        data: Bytes::from_static(b"state"),
+    };
+    driver.receive(2, chunk);
+    let writes = driver.out.iter().filter_map(|output| match output {
+        Output::Persist { write, .. } => Some(write),
+        _ => None,
+    });
+    let writes: Vec<&Write> = writes.collect();
+    let removal = Write::Append {
+        from_index: 4,
+        entries: Vec::new(),
+    };
+    assert!(matches!(writes[0], Write::Term { term: 4, .. }));
+    assert_eq!(*writes[1], removal);
+    assert!(matches!(writes[2], Write::Snapshot(snapshot) if snapshot.index == 4));
+}
+
+/// Guards against a replica that waits for ever because a truncated entry had admitted it.
+#[test]
+fn replica_that_no_leader_speaks_to_asks_again() {
+    let mut driver = Driver::with_log(3, &[]);
+    let admitted = MemberSet {
+        index: 2,
+        voters: vec![id(2), id(3)],
+        learners: vec![id(1)],
+        ..members(3)
+    };
+    let entry = Entry {
+        index: 2,
+        term: 2,
+        body: EntryBody::Members(admitted),
+    };
+    driver.append(2, 2, (1, 1), vec![entry]);
+    driver.sync();
+    driver.sent();
+    driver.now_ms = ELECTION_MAX_MS;
+    driver.input(Input::Tick);
+    assert_eq!(driver.sent(), []);
+    driver.now_ms = ELECTION_MAX_MS + 1;
+    driver.input(Input::Tick);
+    let sent = driver.sent();
+    assert!(
+        sent.iter()
+            .any(|m| matches!(m, Message::Join { formed: true, .. }))
+    );
+}
+
+/// Guards against a leader that acts after it was frozen, before it notices how long.
+#[test]
+fn frozen_leader_steps_down_before_it_acts() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.lead();
+    driver.sync();
+    driver.now_ms += ELECTION_MIN_MS + 1;
+    let token = 7;
+    let command = Bytes::new();
+    driver.out.clear();
+    driver.input(Input::Propose { token, command });
+    assert!(driver.out.contains(&Output::NotLeader {
+        token,
+        leader: None
+    }));
+}
+
+/// Guards against a stale read: only answers to a round that was sent after the read confirm it.
+#[test]
+fn read_is_confirmed_by_a_round_after_it() {
+    let mut driver = Driver::with_log(3, &[]);
+    let term = driver.lead();
+    driver.sync();
+    driver.acknowledge(2, term, 2);
+    let sequences = |driver: &mut Driver| {
+        let sequence = |message| match message {
+            Message::Append { read_sequence, .. } => Some(read_sequence),
+            _ => None,
+        };
+        driver.sent().into_iter().filter_map(sequence).max()
+    };
+    let before = sequences(&mut driver).expect("a heartbeat was sent");
+    let token = 7;
+    driver.input(Input::Read { token });
+    let ready = Output::ReadReady { token, index: 2 };
+    let mut answer = |read_sequence: u64| {
+        let message = Message::AppendReply {
+            term,
+            success: true,
+            match_index: 2,
+            match_term: 0,
+            read_sequence,
+        };
+        driver.receive(2, message);
+        driver.out.contains(&ready)
+    };
+    assert!(!answer(before), "confirmed by an earlier round");
+    assert!(answer(before + 1));
+}
--- a/crates/quorum/tests/support/mod.rs
+++ b/crates/quorum/tests/support/mod.rs
@@ -28,7 +28,8 @@
 /// Time within which a healthy majority elects a leader with very high probability.
 pub const SETTLE_MS: u64 = 10_000;
 
-const DISK_DELAY_MS: u64 = 8;
+/// Longest time of a sync on a healthy disk.
+pub const DISK_DELAY_MS: u64 = 8;
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -95,6 +96,7 @@
     next_token: u64,
     next_storage_id: u64,
     pub messages: usize,
+    pub disk_delay_ms: u64,
 }
 
 impl Cluster {
@@ -114,6 +116,7 @@
             next_token: 0,
             next_storage_id: 100,
             messages: 0,
+            disk_delay_ms: DISK_DELAY_MS,
         };
         for position in 0..voters + others {
             let id = cluster.new_identity(position);
@@ -203,6 +206,7 @@
     /// Ends all faults.
     pub fn heal(&mut self) {
         self.network = Network::default();
+        self.disk_delay_ms = DISK_DELAY_MS;
         for node in 0..self.nodes.len() {
             self.nodes[node].frozen_until_ms = 0;
             self.start(node);
@@ -451,7 +455,7 @@
     }
 
     fn schedule_sync(&mut self, position: usize, ticket: u64) {
-        let delay_ms = 1 + self.random.below(DISK_DELAY_MS);
+        let delay_ms = 1 + self.random.below(self.disk_delay_ms);
         let node = &mut self.nodes[position];
         node.disk_free_ms = node.disk_free_ms.max(self.now_ms + delay_ms);
         let event = Event::Synced {
