--- a/crates/disk/tests/store.rs
+++ b/crates/disk/tests/store.rs
@@ -484,3 +484,18 @@
     let recovered = recover(&folder);
     assert_eq!((recovered.term, recovered.voted_for), (9, Some(id("b", 2))));
 }
+
+/// Guards against a start without a segment in the middle, also if that segment held no entries.
+#[test]
+fn missing_segment_in_the_middle_is_reported() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let mut store = open(&folder).store;
+    write_synced(&mut store, &append(1, 10, 1));
+    write_synced(&mut store, &snapshot(8, 1));
+    write_synced(&mut store, &snapshot(9, 1));
+    drop(store);
+    let segments = files(folder.path(), "log-");
+    assert_eq!(segments.len(), 3);
+    fs::remove_file(&segments[1]).expect("the file is removable");
+    assert!(is_damaged(&folder));
+}
--- a/crates/quorum/tests/replica.rs
+++ b/crates/quorum/tests/replica.rs
@@ -99,12 +99,23 @@
     }
 
     fn append(&mut self, from: u64, term: u64, prev: (u64, u64), entries: Vec<Entry>) {
+        self.append_committed(from, term, prev, entries, 0);
+    }
+
+    fn append_committed(
+        &mut self,
+        from: u64,
+        term: u64,
+        prev: (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+    ) {
         let (prev_index, prev_term) = prev;
         let message = Message::Append {
             term,
             prev_index,
             prev_term,
-            commit: 0,
+            commit,
             read_sequence: 1,
             entries,
         };
@@ -235,6 +246,26 @@
     assert!(driver.replica.status().is_leader);
 }
 
+/// Guards against a vote that counts for an identity whose disk is gone.
+#[test]
+fn vote_of_another_identity_does_not_count() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.now_ms = ELECTION_MAX_MS;
+    driver.input(Input::Tick);
+    let granted = true;
+    driver.receive(2, Message::PreVoteReply { term: 2, granted });
+    driver.sync();
+    let from = ReplicaId {
+        storage_id: 99,
+        ..id(2)
+    };
+    let message = Message::VoteReply { term: 2, granted };
+    driver.input(Input::Receive { from, message });
+    assert!(!driver.replica.status().is_leader);
+    driver.receive(3, Message::VoteReply { term: 2, granted });
+    assert!(driver.replica.status().is_leader);
+}
+
 /// Guards against the election of a replica that lacks committed entries.
 #[test]
 fn vote_needs_an_up_to_date_log() {
@@ -302,6 +333,8 @@
 #[test]
 fn member_changes_wait_for_each_other() {
     let mut driver = Driver::with_log(3, &[]);
+    // The present set has committed under the leader before.
+    driver.append_committed(2, 2, (1, 1), Vec::new(), 1);
     let term = driver.lead();
     driver.sync();
     let replace = |driver: &mut Driver, old: u64, new: u64| {
