--- /dev/null
+++ b/crates/route/examples/decision_time.rs
@@ -0,0 +1,107 @@
+//! Prints the time of one choice and the size of the state at several fleet sizes.
+
+use std::time::Instant;
+
+use conf::{Service, ServiceConfig, Upstream};
+use route::{CHUNK_TOKENS, CacheEvent, LoadReport, Policy, Table, Work};
+
+const CHOICES: usize = 200_000;
+const CHUNKS_PER_UPSTREAM: u64 = 64;
+
+fn fleet(upstreams: usize) -> ServiceConfig {
+    let upstream = |index: usize| Upstream {
+        name: format!("engine-{index}").into(),
+        service: "chat".into(),
+        availability_zone: format!("zone-{}", index % 3).into(),
+        ..Upstream::default()
+    };
+    ServiceConfig {
+        services: vec![Service {
+            name: "chat".into(),
+            models: vec!["m".into()],
+            ..Service::default()
+        }],
+        upstreams: (0..upstreams).map(upstream).collect(),
+        ..ServiceConfig::default()
+    }
+}
+
+/// Fills the table: every engine has reported and holds 64 chunks. In a full fleet no engine has a place.
+fn table(config: &ServiceConfig, full: bool) -> Table {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut table = Table::new(2);
+    table.apply_config(config);
+    for upstream in &config.upstreams {
+        let report = LoadReport {
+            age_ms: rng.u64(0..300),
+            running: if full { 40 } else { rng.u32(0..30) },
+            prompt_tokens_waiting: rng.u32(0..30_000),
+            kv_chunks_total: CHUNKS_PER_UPSTREAM as u32,
+            models: vec!["m".into()],
+            ..LoadReport::default()
+        };
+        table.on_report(1_000, &upstream.name, &report);
+        let sheets = config.upstreams.len() as u64 * 4;
+        for number in 0..8 {
+            let sheet = rng.u64(..sheets);
+            let stored: Vec<CacheEvent> = chunks(sheet).map(CacheEvent::Stored).collect();
+            table.on_cache_events(&upstream.name, number * 8 + 1, &stored);
+        }
+    }
+    table
+}
+
+fn chunks(sheet: u64) -> impl Iterator<Item = u64> {
+    (0..8).map(move |chunk| (sheet * 8 + chunk).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+fn work(rng: &mut fastrand::Rng, upstreams: usize) -> Work {
+    let sheet = rng.u64(..upstreams as u64 * 4);
+    Work {
+        service: "chat".into(),
+        model: "m".into(),
+        prompt_tokens: 8 * CHUNK_TOKENS + 100,
+        chunks: chunks(sheet).collect(),
+        output_tokens: 100,
+        rank: 1,
+        availability_zone: format!("zone-{}", rng.u32(0..3)).into(),
+        ..Work::default()
+    }
+}
+
+fn main() {
+    println!(
+        "| upstreams | fleet | mean µs | p99 µs | chosen % | bytes per upstream | bytes per cached chunk |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for upstreams in [13, 186, 650, 1_300] {
+        for full in [false, true] {
+            let config = fleet(upstreams);
+            let mut table = table(&config, full);
+            let mut rng = fastrand::Rng::with_seed(3);
+            let works: Vec<Work> = (0..1_000).map(|_| work(&mut rng, upstreams)).collect();
+            let mut times_ns = Vec::with_capacity(CHOICES);
+            let mut chosen = 0;
+            for index in 0..CHOICES {
+                let work = &works[index % works.len()];
+                let start = Instant::now();
+                let choice = table.choose(1_100, work, Policy::CostBased);
+                times_ns.push(start.elapsed().as_nanos() as u64);
+                chosen += usize::from(choice.is_some());
+            }
+            times_ns.sort_unstable();
+            let mean = times_ns.iter().sum::<u64>() as f64 / CHOICES as f64;
+            let p99 = times_ns[CHOICES * 99 / 100];
+            let size = table.size();
+            println!(
+                "| {upstreams} | {} | {:.2} | {:.2} | {:.0} | {} | {} |",
+                if full { "full" } else { "half loaded" },
+                mean / 1_000.0,
+                p99 as f64 / 1_000.0,
+                chosen as f64 * 100.0 / CHOICES as f64,
+                size.upstream_bytes / size.upstreams,
+                size.cached_chunk_bytes / size.cached_chunks,
+            );
+        }
+    }
+}
--- a/crates/route/examples/goodput.rs
+++ b/crates/route/examples/goodput.rs
@@ -7,35 +7,74 @@
 use fake::{Arrival, Chooser, Setup};
 use route::Policy;
 
-const ENGINES: usize = 20;
-const ENTRIES: usize = 8;
 const PHASE_MS: u64 = 20_000;
 const PHASES: u64 = 4;
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
-fn trace(seed: u64, load: f64) -> Vec<Arrival> {
+/// A workload: the trust's questions over long sheets, or the cooperative's prompts without shared prefixes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Workload {
+    Sheets,
+    Short,
+}
+
+impl Workload {
+    fn engines(self) -> usize {
+        match self {
+            Self::Sheets => 20,
+            Self::Short => 10,
+        }
+    }
+
+    fn entries(self) -> usize {
+        match self {
+            Self::Sheets => 8,
+            Self::Short => 6,
+        }
+    }
+
+    /// Rates of questions and of long answers in a phase, a second.
+    fn rates(self, phase: u64) -> (f64, f64) {
+        match (self, phase % 2) {
+            (Self::Sheets, 0) => (60.0, 10.0),
+            (Self::Sheets, _) => (15.0, 40.0),
+            (Self::Short, 0) => (60.0, 5.0),
+            (Self::Short, _) => (10.0, 20.0),
+        }
+    }
+
+    fn question(self, rng: &mut fastrand::Rng) -> Arrival {
+        match self {
+            Self::Sheets => fake::sheet_question(rng, self.entries(), 150),
+            Self::Short => Arrival {
+                prompt_tokens: rng.u32(500..3_500),
+                chunks: Vec::new(),
+                ..fake::sheet_question(rng, self.entries(), 1)
+            },
+        }
+    }
+}
+
+fn trace(workload: Workload, seed: u64, load: f64) -> Vec<Arrival> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut trace = Vec::new();
     for phase in 0..PHASES {
         let (from_ms, to_ms) = (phase * PHASE_MS, (phase + 1) * PHASE_MS);
-        let (sheets_per_s, answers_per_s) = match phase % 2 {
-            0 => (60.0, 10.0),
-            _ => (15.0, 40.0),
-        };
-        let sheet = |rng: &mut fastrand::Rng| fake::sheet_question(rng, ENTRIES, 150);
-        let answer = |rng: &mut fastrand::Rng| fake::long_answer(rng, ENTRIES);
+        let (questions, answers) = workload.rates(phase);
+        let question = |rng: &mut fastrand::Rng| workload.question(rng);
+        let answer = |rng: &mut fastrand::Rng| fake::long_answer(rng, workload.entries());
         trace.extend(fake::arrivals(
             &mut rng,
             from_ms,
             to_ms,
-            load * sheets_per_s,
-            sheet,
+            load * questions,
+            question,
         ));
         trace.extend(fake::arrivals(
             &mut rng,
             from_ms,
             to_ms,
-            load * answers_per_s,
+            load * answers,
             answer,
         ));
     }
@@ -44,7 +83,6 @@
 }
 
 fn main() {
-    let config = fake::fleet(ENGINES, [0.0; 3]);
     let rows = [
         (
             "cost-based, ranked queue",
@@ -71,17 +109,21 @@
     println!(
         "| load | policy | in target, % of offered: mean (min to max) | late % | refused % | prompt tokens computed, millions |"
     );
-    println!("|---|---|---|---|---|---|");
-    for load in [0.7, 1.0, 1.3, 1.6] {
+    println!("|---|---|---|---|---|---|---|");
+    for (workload, load) in [Workload::Sheets, Workload::Short]
+        .into_iter()
+        .flat_map(|workload| [0.7, 1.0, 1.3, 1.6].map(|load| (workload, load)))
+    {
+        let config = fake::fleet(workload.engines(), [0.0; 3]);
         for (name, chooser, discipline) in rows {
             let mut good = Vec::new();
             let (mut late, mut refused, mut offered, mut prompt) = (0, 0, 0, 0.0);
             for seed in SEEDS {
-                let trace = trace(seed, load);
+                let trace = trace(workload, seed, load);
                 let setup = Setup {
                     chooser,
                     discipline,
-                    entries: ENTRIES,
+                    entries: workload.entries(),
                     seed,
                 };
                 let outcome = fake::run(&config, &trace, setup);
@@ -95,7 +137,7 @@
             let min = good.iter().copied().fold(f64::INFINITY, f64::min);
             let max = good.iter().copied().fold(0.0, f64::max);
             println!(
-                "| {load} | {name} | {mean:.1} ({min:.1} to {max:.1}) | {:.1} | {:.1} | {:.1} |",
+                "| {workload:?} | {load} | {name} | {mean:.1} ({min:.1} to {max:.1}) | {:.1} | {:.1} | {:.1} |",
                 f64::from(late) * 100.0 / offered as f64,
                 f64::from(refused) * 100.0 / offered as f64,
                 prompt / SEEDS.len() as f64,
