Sample at most half of a zone

Cause: in a zone of five engines the sample held all of them, so that entries with the same old reports would all pick the same one. Ruled out: a smaller sample everywhere; large zones have no such fault. Change: the sample is at most half of the zone's upstreams, rounded up.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -322,7 +322,8 @@
             .map_or(u64::MAX, |view| view.report_age_ms(self.now_ms));
         let stale = age_ms.clamp(FRESH_MS, STALE_MS) - FRESH_MS;
         let fewer = (SAMPLE_FRESH - SAMPLE_STALE) as u64 * stale / (STALE_MS - FRESH_MS);
-        SAMPLE_FRESH - fewer as usize
+        // Half of a small zone at most: with all of it in the sample, all entries would pick the same member.
+        (SAMPLE_FRESH - fewer as usize).min(members.len().div_ceil(2))
     }
 
     /// Whether the answer is expected within its deadlines. Work that misses them would only take time from other requests.
