Test the routing table and the rank queues

Cause: the properties of both crates were not checked. Ruled out: comparing wall-clock times; all tests run in virtual time. Change: properties and focused tests. Two faults they found are fixed: a deadline shorter than the service time was accepted at time 0, where the subtraction saturates; and a readmitted request, which may have run in part, could be displaced from a full queue and be called not run.

--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -136,10 +136,16 @@
         self.tenants.get(tenant).map_or(0, |tenant| tenant.len)
     }
 
-    /// The tenant's request with the latest deadline.
+    /// The tenant's request with the latest deadline. Readmitted ones are passed over: they may have run in part.
     pub(crate) fn last_of(&self, tenant: &Name) -> Option<Place> {
         let queues = self.tenants.get(tenant)?.by_model.iter();
-        let lasts = queues.filter_map(|(model, queue)| Some((*queue.keys().next_back()?, model)));
+        let lasts = queues.filter_map(|(model, queue)| {
+            let mut new = queue
+                .iter()
+                .rev()
+                .filter(|(_, waiting)| !waiting.readmitted);
+            Some((*new.next()?.0, model))
+        });
         let (position, model) = lasts.max_by_key(|last| last.0)?;
         Some(Place {
             tenant: tenant.clone(),
--- a/crates/admit/src/queues.rs
+++ b/crates/admit/src/queues.rs
@@ -238,17 +238,17 @@
     }
 
     fn check_deadline(&self, now_ms: u64, waiting: &Waiting) -> Result<(), Refusal> {
-        let (wait_ms, latest_start_ms) = match self.discipline {
-            Discipline::Ranked => (
-                self.expected_wait_ms(now_ms, waiting),
-                waiting.latest_start_ms(),
-            ),
-            Discipline::SingleQueue => (0, waiting.deadline_ms),
+        let (wait_ms, in_time) = match self.discipline {
+            Discipline::Ranked => {
+                let wait_ms = self.expected_wait_ms(now_ms, waiting);
+                (wait_ms, waiting.is_in_time(now_ms + wait_ms))
+            }
+            Discipline::SingleQueue => (0, now_ms < waiting.deadline_ms),
         };
-        if now_ms + wait_ms <= latest_start_ms && now_ms < waiting.deadline_ms {
+        if in_time {
             return Ok(());
         }
-        let allowed_ms = latest_start_ms.saturating_sub(now_ms);
+        let allowed_ms = waiting.latest_start_ms().saturating_sub(now_ms);
         Err(Refusal::TooLate {
             wait_ms,
             allowed_ms,
--- a/crates/admit/src/waiting.rs
+++ b/crates/admit/src/waiting.rs
@@ -44,6 +44,14 @@
         by_total_ms.min(by_first_ms)
     }
 
+    /// Whether a dispatch at `start_ms` meets the deadlines.
+    pub fn is_in_time(&self, start_ms: u64) -> bool {
+        let meets = |service_ms: u64, deadline_ms: u64| start_ms + service_ms <= deadline_ms;
+        meets(self.service_ms, self.deadline_ms)
+            && (self.first_token_deadline_ms == 0
+                || meets(self.first_token_ms, self.first_token_deadline_ms))
+    }
+
     /// Earliest of the deadlines.
     pub fn first_deadline_ms(&self) -> u64 {
         match self.first_token_deadline_ms {
@@ -53,7 +61,7 @@
     }
 }
 
-/// Why a request is not run. In every case it has not run.
+/// Why a request is not run. In every case it has not run since it was offered; a readmitted one may have run before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
     /// The tenant is above its rate. Maps to HTTP 429.
--- /dev/null
+++ b/crates/admit/tests/flood.rs
@@ -0,0 +1,167 @@
+//! Service by rank and tenant while one of them floods.
+
+mod common;
+
+use admit::Discipline;
+use common::{CAPACITY_PER_S, Counts, Stream, config, run, shares, tenant};
+
+const FLOORS: [f64; 3] = [0.2, 0.3, 0.1];
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+const LENGTH_MS: u64 = 30_000;
+
+fn stream(rank: u8, load: f64) -> Stream {
+    Stream {
+        tenant: "t",
+        rank,
+        rate: load * CAPACITY_PER_S,
+        allowed_ms: [2_000, 5_000, 20_000][rank as usize],
+    }
+}
+
+fn in_time_share(count: &Counts) -> f64 {
+    f64::from(count.in_time) / f64::from(count.offered)
+}
+
+/// Guards against urgent answers that wait behind a flood of the least urgent rank.
+#[test]
+fn urgent_answers_are_in_time_in_a_flood_of_the_least_urgent_rank() {
+    for seed in SEEDS {
+        let streams = [stream(0, 0.3), stream(1, 0.2), stream(2, 5.0)];
+        let counts = run(
+            &config(FLOORS),
+            Discipline::Ranked,
+            &streams,
+            LENGTH_MS,
+            seed,
+        );
+        let urgent = in_time_share(&counts[0]);
+        assert!(urgent >= 0.99, "seed {seed}: {urgent}, {counts:?}");
+    }
+}
+
+/// Guards against a floor that does not hold while any one rank floods, the most urgent one included.
+#[test]
+fn each_rank_keeps_its_floor_in_a_flood_of_any_rank() {
+    for seed in SEEDS {
+        for flooding in 0..3 {
+            let mut streams = [stream(0, 1.5), stream(1, 1.5), stream(2, 1.5)];
+            streams[flooding].rate *= 5.0;
+            let counts = run(
+                &config(FLOORS),
+                Discipline::Ranked,
+                &streams,
+                LENGTH_MS,
+                seed,
+            );
+            for (rank, share) in shares(&counts).into_iter().enumerate() {
+                let least = FLOORS[rank] * 0.9;
+                assert!(
+                    share >= least,
+                    "seed {seed}, flood {flooding}, rank {rank}: {share}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a rank that gets less than it asks for although that is below its floor.
+#[test]
+fn a_rank_below_its_floor_gets_all_that_it_asks_for() {
+    for seed in SEEDS {
+        let streams = [stream(0, 5.0), stream(1, 0.1), stream(2, 0.05)];
+        let counts = run(
+            &config(FLOORS),
+            Discipline::Ranked,
+            &streams,
+            LENGTH_MS,
+            seed,
+        );
+        for rank in [1, 2] {
+            let share = in_time_share(&counts[rank]);
+            assert!(share >= 0.9, "seed {seed}, rank {rank}: {share}");
+        }
+    }
+}
+
+/// Guards against a tenant that starves the others of its rank, in the queue's places or in its order.
+#[test]
+fn a_flooding_tenant_does_not_starve_others_of_its_rank() {
+    for seed in SEEDS {
+        let mut config = config([0.0; 3]);
+        config.tenants = vec![
+            tenant("flood", 1.0),
+            tenant("calm", 1.0),
+            tenant("heavy", 2.0),
+        ];
+        let of = |tenant, load| Stream {
+            tenant,
+            ..stream(1, load)
+        };
+        let streams = [of("flood", 10.0), of("calm", 0.2), of("heavy", 0.4)];
+        let counts = run(&config, Discipline::Ranked, &streams, LENGTH_MS, seed);
+        for (index, count) in counts.iter().enumerate().skip(1) {
+            let share = in_time_share(count);
+            assert!(
+                share >= 0.95,
+                "seed {seed}, stream {index}: {share}, {count:?}"
+            );
+        }
+    }
+}
+
+/// Guards against tenants that are served by their demand instead of their weights.
+#[test]
+fn tenants_share_a_rank_by_their_weights() {
+    for seed in SEEDS {
+        let mut config = config([0.0; 3]);
+        config.tenants = vec![tenant("light", 1.0), tenant("heavy", 3.0)];
+        let of = |tenant, load| Stream {
+            tenant,
+            ..stream(1, load)
+        };
+        let streams = [of("light", 9.0), of("heavy", 3.0)];
+        let counts = run(&config, Discipline::Ranked, &streams, LENGTH_MS, seed);
+        let heavy = shares(&counts)[1];
+        assert!((0.70..0.80).contains(&heavy), "seed {seed}: {heavy}");
+    }
+}
+
+/// Guards against refusals that are not true: work that is refused although it fits, or taken although it does not.
+#[test]
+fn refusals_are_early_and_true() {
+    for seed in SEEDS {
+        let light = [stream(0, 0.2), stream(1, 0.3), stream(2, 0.3)];
+        let counts = run(&config(FLOORS), Discipline::Ranked, &light, LENGTH_MS, seed);
+        let refused: u32 = counts
+            .iter()
+            .map(|count| count.refused + count.expired)
+            .sum();
+        assert_eq!(refused, 0, "seed {seed}: {counts:?}");
+        // One rank alone at twice its capacity: half of the work fits, and of the rest most hears so on arrival.
+        let heavy = [stream(1, 2.0)];
+        let counts = run(&config(FLOORS), Discipline::Ranked, &heavy, LENGTH_MS, seed);
+        let share = in_time_share(&counts[0]);
+        assert!(share >= 0.45, "seed {seed}: {counts:?}");
+        assert!(
+            counts[0].refused > 4 * counts[0].expired,
+            "seed {seed}: {counts:?}"
+        );
+    }
+}
+
+/// Shows that the properties come from the ranks: the single queue serves urgent work no better than the flood.
+#[test]
+fn a_single_queue_loses_the_urgent_answers() {
+    for seed in SEEDS {
+        let streams = [stream(0, 0.3), stream(1, 0.2), stream(2, 5.0)];
+        let counts = run(
+            &config(FLOORS),
+            Discipline::SingleQueue,
+            &streams,
+            LENGTH_MS,
+            seed,
+        );
+        let urgent = in_time_share(&counts[0]);
+        assert!(urgent < 0.5, "seed {seed}: {urgent}");
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/queues.rs
@@ -0,0 +1,412 @@
+//! Order, bounds and bookkeeping of the queues.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use admit::{Discipline, Queues, Refusal, Running, Waiting, victim};
+use common::{SERVICE_MS, config, tenant, waiting};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+fn queues(floors: [f64; 3]) -> Queues {
+    let mut queues = Queues::new(Discipline::Ranked);
+    queues.apply_config(&config(floors));
+    queues
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer(Waiting),
+    Next(u8),
+    Cancel(u64),
+    Finish(u64, u16),
+    Expire,
+    Pass(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let id = u64::from(u8::arbitrary(g) % 32);
+        match u8::arbitrary(g) % 8 {
+            0..=3 => {
+                let tenants = ["a", "b", "c"];
+                let models = ["m", "n"];
+                Self::Offer(Waiting {
+                    tenant: (*g.choose(&tenants).unwrap()).into(),
+                    model: (*g.choose(&models).unwrap()).into(),
+                    tokens: u16::arbitrary(g).into(),
+                    service_ms: u64::from(u8::arbitrary(g)) * 4,
+                    deadline_ms: u64::from(u16::arbitrary(g) % 4_096),
+                    readmitted: u8::arbitrary(g) % 8 == 0,
+                    ..waiting(id, u8::arbitrary(g) % 3)
+                })
+            }
+            4 => Self::Next(u8::arbitrary(g)),
+            5 => Self::Cancel(id),
+            6 => Self::Finish(id, u16::arbitrary(g)),
+            _ => match bool::arbitrary(g) {
+                true => Self::Expire,
+                false => Self::Pass(u8::arbitrary(g)),
+            },
+        }
+    }
+}
+
+/// Runs the steps on queues with a limit of 5 requests a rank and checks each step against a model.
+fn check(discipline: Discipline, steps: Vec<Step>) -> bool {
+    let mut config = config([0.2, 0.2, 0.2]);
+    config
+        .ranks
+        .iter_mut()
+        .for_each(|rank| rank.queue_limit = 5);
+    config.tenants = vec![tenant("a", 1.0), tenant("b", 2.0), tenant("c", 0.5)];
+    let mut queues = Queues::new(discipline);
+    queues.apply_config(&config);
+    let mut model: BTreeMap<u64, Waiting> = BTreeMap::new();
+    let mut now_ms = 0;
+    let mut offered = 0;
+    for step in steps {
+        match step {
+            Step::Offer(waiting) => {
+                offered += 1;
+                let waiting = Waiting {
+                    id: offered,
+                    ..waiting
+                };
+                if queues.offer(now_ms, waiting.clone()).is_ok() {
+                    model.insert(offered, waiting);
+                }
+            }
+            Step::Next(bits) => {
+                let next = queues.next(now_ms, |waiting| (waiting.id + u64::from(bits)) % 3 != 0);
+                if let Some(next) = next {
+                    let in_time = match discipline {
+                        Discipline::Ranked => now_ms <= next.latest_start_ms(),
+                        Discipline::SingleQueue => now_ms <= next.deadline_ms,
+                    };
+                    if !in_time || model.remove(&next.id).is_none() {
+                        return false;
+                    }
+                }
+            }
+            Step::Cancel(id) => {
+                // A request may have been displaced or be overdue; it then comes out of `expire`.
+                if queues.cancel(id) && model.remove(&id).is_none() {
+                    return false;
+                }
+            }
+            Step::Finish(id, tokens) => queues.on_finish(now_ms, id, tokens.into()),
+            Step::Expire => {
+                for refused in queues.expire(now_ms) {
+                    if model.remove(&refused.waiting.id).is_none() {
+                        return false;
+                    }
+                }
+                let overdue = |waiting: &Waiting| match discipline {
+                    Discipline::Ranked => waiting.latest_start_ms() < now_ms,
+                    Discipline::SingleQueue => waiting.deadline_ms < now_ms,
+                };
+                if model.values().any(overdue) {
+                    return false;
+                }
+            }
+            Step::Pass(ms) => now_ms += u64::from(ms),
+        }
+        let readmitted = model.values().filter(|waiting| waiting.readmitted).count();
+        let limit = match discipline {
+            Discipline::Ranked => 5,
+            Discipline::SingleQueue => 15,
+        };
+        if (0..3).any(|rank| queues.len(rank) > limit + readmitted) {
+            return false;
+        }
+    }
+    now_ms += 1_000_000;
+    let left: Vec<u64> = queues
+        .expire(now_ms)
+        .iter()
+        .map(|refused| refused.waiting.id)
+        .collect();
+    left.len() == model.len() && left.iter().all(|id| model.contains_key(id)) && queues.is_empty()
+}
+
+quickcheck! {
+    /// Guards against requests that are lost, handed out twice, kept past their deadlines or queued without bound.
+    fn each_request_leaves_once_and_in_time(steps: Vec<Step>) -> bool {
+        check(Discipline::Ranked, steps)
+    }
+
+    /// The same for the baseline.
+    fn each_request_leaves_the_single_queue_once(steps: Vec<Step>) -> bool {
+        check(Discipline::SingleQueue, steps)
+    }
+
+    /// Guards against an order inside a rank that is not by deadline.
+    fn one_tenant_is_served_by_deadline(deadlines: Vec<u16>) -> bool {
+        let mut queues = queues([0.0; 3]);
+        for (id, deadline_ms) in deadlines.iter().take(100).enumerate() {
+            let deadline_ms = 1_000 + u64::from(*deadline_ms);
+            queues.offer(0, Waiting { deadline_ms, ..waiting(id as u64, 1) }).unwrap();
+        }
+        let served: Vec<u64> = std::iter::from_fn(|| queues.next(0, |_| true))
+            .map(|waiting| waiting.deadline_ms)
+            .collect();
+        served.is_sorted() && served.len() == deadlines.len().min(100)
+    }
+}
+
+/// Guards against an urgent request that waits behind less urgent ones while no rank is below its floor.
+#[test]
+fn more_urgent_ranks_go_first() {
+    let mut queues = queues([0.0; 3]);
+    for id in 0..9 {
+        queues.offer(0, waiting(id, 2 - (id % 3) as u8)).unwrap();
+    }
+    let ranks: Vec<u8> = std::iter::from_fn(|| queues.next(0, |_| true))
+        .map(|waiting| waiting.rank)
+        .collect();
+    assert_eq!(ranks, [0, 0, 0, 1, 1, 1, 2, 2, 2]);
+}
+
+/// Guards against a model without a free upstream that holds up requests for other models.
+#[test]
+fn a_full_model_does_not_block_others() {
+    let mut queues = queues([0.0; 3]);
+    for id in 0..20 {
+        queues.offer(0, waiting(id, 0)).unwrap();
+    }
+    let other = Waiting {
+        model: "n".into(),
+        ..waiting(50, 2)
+    };
+    queues.offer(0, other).unwrap();
+    let mut asked = 0;
+    let next = queues.next(0, |waiting| {
+        asked += 1;
+        waiting.model == "n"
+    });
+    assert_eq!(next.unwrap().id, 50);
+    assert!(asked <= 10, "asked {asked} times");
+}
+
+/// Guards against a rank that is starved of places because a more urgent one takes each as soon as it is free.
+#[test]
+fn a_rank_below_its_floor_keeps_the_next_place() {
+    let mut queues = queues([0.0, 0.0, 0.2]);
+    for id in 0..10 {
+        queues.offer(0, waiting(id, 0)).unwrap();
+    }
+    queues.offer(0, waiting(90, 2)).unwrap();
+    // Only the most urgent rank may add to a full batch.
+    assert!(queues.next(0, |waiting| waiting.rank == 0).is_none());
+    assert_eq!(queues.next(0, |_| true).unwrap().id, 90);
+    assert_eq!(queues.next(0, |waiting| waiting.rank == 0).unwrap().id, 0);
+}
+
+/// Guards against a service that is not served while another one has a backlog.
+#[test]
+fn services_take_turns() {
+    let mut queues = queues([0.0; 3]);
+    for id in 0..10 {
+        queues.offer(0, waiting(id, 0)).unwrap();
+    }
+    let rota = Waiting {
+        service: "rota".into(),
+        tokens: 0,
+        ..waiting(20, 2)
+    };
+    queues.offer(0, rota).unwrap();
+    let served: Vec<u64> = (0..2)
+        .map(|_| queues.next(0, |_| true).unwrap().id)
+        .collect();
+    assert!(served.contains(&20), "{served:?}");
+}
+
+/// Guards against a tenant above its rate, and against one that pays for another's requests.
+#[test]
+fn tenants_are_held_to_their_rates() {
+    let mut config = config([0.0; 3]);
+    let mut limited = tenant("t", 1.0);
+    limited.requests_per_s = 2.0;
+    limited.burst = 3.0;
+    config.tenants = vec![limited, tenant("other", 1.0)];
+    let mut queues = Queues::new(Discipline::Ranked);
+    queues.apply_config(&config);
+    for id in 0..3 {
+        assert_eq!(queues.offer(0, waiting(id, 1)), Ok(()));
+    }
+    let refusal = queues.offer(0, waiting(3, 1)).unwrap_err();
+    assert_eq!(
+        refusal,
+        Refusal::RateLimited {
+            retry_after_ms: 500
+        }
+    );
+    let other = Waiting {
+        tenant: "other".into(),
+        ..waiting(4, 1)
+    };
+    assert_eq!(queues.offer(0, other), Ok(()));
+    let readmitted = Waiting {
+        readmitted: true,
+        ..waiting(5, 1)
+    };
+    assert_eq!(queues.offer(0, readmitted), Ok(()));
+    // Applying a configuration again must not refill the bucket.
+    queues.apply_config(&config);
+    assert!(queues.offer(100, waiting(6, 1)).is_err());
+    assert_eq!(queues.offer(500, waiting(7, 1)), Ok(()));
+}
+
+/// Guards against work that is taken although its deadline cannot be met.
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut queues = queues([0.0; 3]);
+    let late = Waiting {
+        deadline_ms: SERVICE_MS - 1,
+        ..waiting(1, 1)
+    };
+    assert!(matches!(
+        queues.offer(0, late),
+        Err(Refusal::TooLate { .. })
+    ));
+    let late_first = Waiting {
+        first_token_ms: 100,
+        first_token_deadline_ms: 99,
+        ..waiting(2, 1)
+    };
+    assert!(matches!(
+        queues.offer(0, late_first),
+        Err(Refusal::TooLate { .. })
+    ));
+}
+
+/// Guards against late or repeated ends that change what the ranks were charged.
+#[test]
+fn unknown_and_repeated_ends_change_no_shares() {
+    let mut queues = queues([0.0; 3]);
+    for id in 0..4 {
+        queues.offer(0, waiting(id, (id % 2) as u8)).unwrap();
+        queues.next(0, |_| true).unwrap();
+    }
+    queues.on_finish(10, 1, 3_000);
+    let shares: Vec<f64> = (0..3)
+        .map(|rank| queues.share(&"chat".into(), rank))
+        .collect();
+    assert!((shares[1] - 4.0 / 6.0).abs() < 1e-9, "{shares:?}");
+    queues.on_finish(10, 1, 90_000);
+    queues.on_finish(10, 77, 90_000);
+    let after: Vec<f64> = (0..3)
+        .map(|rank| queues.share(&"chat".into(), rank))
+        .collect();
+    assert_eq!(after, shares);
+}
+
+fn running(id: u64, rank: u8, lost_tokens: u32) -> Running {
+    Running {
+        id,
+        rank,
+        preemptible: true,
+        lost_tokens,
+        preemptions: 0,
+    }
+}
+
+/// Guards against a preemption that hits urgent work, costs more work than needed or breaks a floor.
+#[test]
+fn the_victim_is_the_least_urgent_with_the_least_lost_work() {
+    let all = [
+        running(1, 1, 10),
+        running(2, 2, 900),
+        running(3, 2, 500),
+        running(4, 0, 1),
+    ];
+    let kept = [false; 3];
+    assert_eq!(victim(0, &all, &kept), Some(3));
+    assert_eq!(victim(1, &all, &kept), Some(3));
+    assert_eq!(victim(2, &all, &kept), None);
+    assert_eq!(victim(0, &all, &[false, false, true]), Some(1));
+    let fixed = Running {
+        preemptible: false,
+        ..all[2]
+    };
+    let often = Running {
+        preemptions: 2,
+        ..all[1]
+    };
+    assert_eq!(victim(0, &[all[0], often, fixed], &kept), Some(1));
+}
+
+/// Guards against preemptions that save nothing: the deadline is met anyway, or is missed all the same.
+#[test]
+fn work_is_preempted_only_when_that_saves_a_deadline() {
+    let chat = "chat".into();
+    let all = [running(1, 2, 10)];
+    let mut queues = queues([0.0; 3]);
+    // Ten dispatches in a backlog, one each 100 ms.
+    for id in 100..130 {
+        queues.offer(0, waiting(id, 2)).unwrap();
+    }
+    assert!(queues.next(0, |_| false).is_none());
+    for now_ms in (100..=1_000).step_by(100) {
+        queues.next(now_ms, |_| true).unwrap();
+    }
+    let urgent = |id, deadline_ms| Waiting {
+        deadline_ms,
+        ..waiting(id, 0)
+    };
+    queues
+        .offer(1_000, urgent(1, 1_000 + SERVICE_MS + 500))
+        .unwrap();
+    assert_eq!(
+        queues.preempt(1_000, &chat, &all),
+        None,
+        "a place is free in time"
+    );
+    assert!(queues.cancel(1));
+    queues
+        .offer(1_000, urgent(2, 1_000 + SERVICE_MS + 50))
+        .unwrap();
+    let preemption = queues
+        .preempt(1_000, &chat, &all)
+        .expect("the deadline is in danger");
+    assert_eq!((preemption.victim, preemption.waiting), (1, 2));
+    assert_eq!(
+        queues.preempt(1_045, &chat, &all),
+        None,
+        "too late to save it"
+    );
+}
+
+/// Guards against a tenant that keeps others out of a full queue.
+#[test]
+fn a_full_queue_makes_room_for_a_tenant_below_its_share() {
+    let mut config = config([0.0; 3]);
+    config.ranks[1].queue_limit = 4;
+    config.tenants = vec![tenant("t", 1.0), tenant("calm", 1.0)];
+    let mut queues = Queues::new(Discipline::Ranked);
+    queues.apply_config(&config);
+    for id in 0..4 {
+        queues.offer(0, waiting(id, 1)).unwrap();
+    }
+    assert!(matches!(
+        queues.offer(0, waiting(4, 1)),
+        Err(Refusal::QueueFull { .. })
+    ));
+    let calm = |id| Waiting {
+        tenant: "calm".into(),
+        ..waiting(id, 1)
+    };
+    queues.offer(0, calm(10)).unwrap();
+    queues.offer(0, calm(11)).unwrap();
+    assert!(
+        queues.offer(0, calm(12)).is_err(),
+        "both have their share now"
+    );
+    let refused = queues.expire(0);
+    assert_eq!(refused.len(), 2);
+    for refused in refused {
+        assert_eq!(refused.waiting.tenant, "t");
+        assert!(matches!(refused.refusal, Refusal::Displaced { .. }));
+    }
+}
--- /dev/null
+++ b/crates/route/tests/choose.rs
@@ -0,0 +1,338 @@
+//! The choice of an upstream.
+
+mod common;
+
+use common::{config, cost, exchange, name, report, table, work};
+use conf::{Name, Role};
+use quickcheck::quickcheck;
+use route::{CHUNK_TOKENS, CacheEvent, End, Failure, LoadReport, Policy, Presence, Table, Work};
+
+const POLICIES: [Policy; 4] = [
+    Policy::CostBased,
+    Policy::RoundRobin,
+    Policy::LeastOutstanding,
+    Policy::PrefixHash,
+];
+
+fn chosen(table: &mut Table, now_ms: u64, work: &Work, policy: Policy) -> Option<Name> {
+    table
+        .choose(now_ms, work, policy)
+        .map(|choice| choice.upstream)
+}
+
+quickcheck! {
+    /// Guards against work for an upstream that drains, leaves, is gone or is excluded, under every policy.
+    fn draining_and_leaving_upstreams_get_nothing(seed: u64, marks: Vec<u8>, chunks: Vec<u64>) -> bool {
+        let mut table = table(seed, &config(9, 0, 3));
+        let mut barred: Vec<Name> = Vec::new();
+        let mut work = Work { prompt_tokens: 100_000, chunks, ..work() };
+        for (index, mark) in marks.iter().take(9).enumerate() {
+            let upstream = name(format!("e{index}"));
+            match mark % 6 {
+                0 => table.set_draining(&upstream, true),
+                1 => table.set_present(&upstream, Presence::Leaving),
+                2 => table.set_present(&upstream, Presence::Gone),
+                3 => table.set_observed(&upstream, Presence::Leaving),
+                4 => work.exclude.push(upstream.clone()),
+                _ => continue,
+            }
+            barred.push(upstream);
+        }
+        // What the barred upstreams hold must not draw work to them.
+        for upstream in &barred {
+            let events: Vec<CacheEvent> = work.chunks.iter().copied().map(CacheEvent::Stored).collect();
+            table.on_cache_events(upstream, 1, &events);
+        }
+        POLICIES.into_iter().all(|policy| {
+            (0..20).all(|now_ms| match chosen(&mut table, now_ms, &work, policy) {
+                Some(upstream) => !barred.contains(&upstream),
+                None => barred.len() == 9,
+            })
+        })
+    }
+}
+
+/// Guards against a drain mark that a configuration change or a stale "live" of the platform's list clears.
+#[test]
+fn marks_outlive_configuration_changes_and_stale_lists() {
+    let config = config(1, 0, 1);
+    let e0 = name("e0");
+    let mut table = Table::new(1);
+    table.set_draining(&e0, true);
+    table.apply_config(&config);
+    table.apply_config(&config);
+    assert!(!table.accepts(0, &e0));
+    table.set_draining(&e0, false);
+    assert!(table.accepts(0, &e0));
+    table.set_observed(&e0, Presence::Leaving);
+    table.set_present(&e0, Presence::Live);
+    assert!(!table.accepts(0, &e0));
+}
+
+/// Guards against herding: entries that decide on their own from the same old reports and all pick the least loaded.
+#[test]
+fn entries_with_the_same_old_reports_do_not_all_pick_one() {
+    for engines in [5, 13, 20] {
+        for seed in 0..100 {
+            let config = config(engines, 0, 1);
+            let mut picks: Vec<Name> = Vec::new();
+            for entry in 0..8 {
+                let mut table = table(seed * 8 + entry, &config);
+                for index in 0..engines {
+                    let running = if index == 0 { 0 } else { 20 };
+                    let old = LoadReport {
+                        age_ms: 600,
+                        ..report(running, 0)
+                    };
+                    table.on_report(1_000, &name(format!("e{index}")), &old);
+                }
+                picks.extend(chosen(&mut table, 1_000, &work(), Policy::CostBased));
+            }
+            assert_eq!(picks.len(), 8);
+            let all_equal = picks.iter().all(|pick| *pick == picks[0]);
+            assert!(!all_equal, "engines {engines}, seed {seed}: {picks:?}");
+        }
+    }
+}
+
+/// Guards against a queue that moves from the entry into the engine, where ranks do not count.
+#[test]
+fn no_upstream_is_filled_beyond_its_batch_limit() {
+    let mut table = table(1, &config(3, 0, 1));
+    let mut sent = 0;
+    while let Some(upstream) = chosen(&mut table, 0, &work(), Policy::CostBased) {
+        let small = route::Cost {
+            prompt_tokens: 1,
+            ..cost()
+        };
+        table.on_dispatch(0, exchange(sent, 0), &upstream, &small);
+        sent += 1;
+        assert!(sent < 1_000);
+    }
+    for index in 0..3 {
+        assert!(table.outstanding(&name(format!("e{index}"))) <= 32);
+    }
+    let urgent = Work { rank: 0, ..work() };
+    assert!(chosen(&mut table, 0, &urgent, Policy::CostBased).is_some());
+}
+
+/// Guards against a prompt backlog that grows in an engine although its batch has places.
+#[test]
+fn no_upstream_gets_work_on_top_of_a_long_prompt_backlog() {
+    let mut table = table(1, &config(2, 0, 1));
+    table.on_report(0, &name("e0"), &report(2, 200_000));
+    for now_ms in 0..20 {
+        assert_eq!(
+            chosen(&mut table, now_ms, &work(), Policy::CostBased),
+            Some(name("e1"))
+        );
+    }
+}
+
+fn sheet(chunks: u64) -> Work {
+    Work {
+        prompt_tokens: chunks as u32 * CHUNK_TOKENS + 50,
+        chunks: (1..=chunks).collect(),
+        ..work()
+    }
+}
+
+fn store(table: &mut Table, upstream: &'static str, chunks: u64) {
+    let events: Vec<CacheEvent> = (1..=chunks).map(CacheEvent::Stored).collect();
+    table.on_cache_events(&upstream.into(), 1, &events);
+}
+
+/// Guards against an index that is not used, and against affinity that ignores the queue.
+#[test]
+fn the_holder_wins_only_while_its_queue_costs_less_than_the_prefill() {
+    let mut table = table(3, &config(12, 0, 1));
+    for index in 0..12 {
+        table.on_report(0, &name(format!("e{index}")), &report(1, 0));
+    }
+    store(&mut table, "e7", 5);
+    let choice = table.choose(0, &sheet(5), Policy::CostBased).unwrap();
+    assert_eq!(choice.upstream, "e7");
+    assert_eq!(choice.cached_tokens, 5 * CHUNK_TOKENS);
+    // 20,000 tokens are saved at 20,000 tokens/s. A queue of 10 s is beyond any weight of that second.
+    table.on_report(10, &name("e7"), &report(20, 200_000));
+    let choice = table.choose(10, &sheet(5), Policy::CostBased).unwrap();
+    assert_ne!(choice.upstream, "e7");
+}
+
+/// Guards against answers that are sent where they are known to come too late.
+#[test]
+fn nothing_is_sent_where_it_misses_its_deadline() {
+    let mut table = table(3, &config(4, 0, 1));
+    let due = |deadline_ms, first_token_deadline_ms| Work {
+        deadline_ms,
+        first_token_deadline_ms,
+        ..work()
+    };
+    let choice = table
+        .choose(1_000, &due(60_000, 0), Policy::CostBased)
+        .unwrap();
+    let (first_ms, total_ms) = (choice.first_token_ms, choice.total_ms);
+    let choose = |table: &mut Table, work| table.choose(1_000, &work, Policy::CostBased);
+    assert!(choose(&mut table, due(1_000 + total_ms, 1_000 + first_ms)).is_some());
+    assert!(choose(&mut table, due(1_000 + total_ms / 2, 0)).is_none());
+    assert!(choose(&mut table, due(60_000, 1_000 + first_ms / 2)).is_none());
+}
+
+/// Guards against traffic that leaves the own zone without need, and against a zone that queues while others are free.
+#[test]
+fn the_own_zone_comes_first_until_it_is_loaded() {
+    let mut table = table(5, &config(9, 0, 3));
+    for index in 0..9 {
+        table.on_report(0, &name(format!("e{index}")), &report(3, 0));
+    }
+    for now_ms in 0..50 {
+        let upstream = chosen(&mut table, now_ms, &work(), Policy::CostBased).unwrap();
+        let index: usize = upstream[1..].parse().unwrap();
+        assert_eq!(index % 3, 0, "{upstream} is not in the own zone");
+    }
+    for index in [0, 3, 6] {
+        table.on_report(60, &name(format!("e{index}")), &report(32, 0));
+    }
+    let upstream = chosen(&mut table, 60, &work(), Policy::CostBased).unwrap();
+    let index: usize = upstream[1..].parse().unwrap();
+    assert_ne!(index % 3, 0);
+}
+
+/// Guards against requests for models that an engine does not have loaded.
+#[test]
+fn only_engines_with_the_model_are_chosen() {
+    let mut table = table(5, &config(6, 0, 1));
+    for index in 0..6 {
+        let models = match index {
+            4 => vec!["m@2".into(), "m:lace".into()],
+            _ => vec!["other".into()],
+        };
+        let report = LoadReport {
+            models,
+            ..report(0, 0)
+        };
+        table.on_report(0, &name(format!("e{index}")), &report);
+    }
+    for model in ["m", "m:lace"] {
+        let work = Work {
+            model: model.into(),
+            ..work()
+        };
+        for policy in POLICIES {
+            assert_eq!(
+                chosen(&mut table, 0, &work, policy),
+                Some(name("e4")),
+                "{policy:?}"
+            );
+        }
+    }
+    let unknown = Work {
+        model: "m:felt".into(),
+        ..work()
+    };
+    assert!(chosen(&mut table, 0, &unknown, Policy::CostBased).is_none());
+}
+
+/// Guards against whole requests on engines that do one part only, and against a role change that is not followed.
+#[test]
+fn split_roles_get_a_pair_of_engines() {
+    let mut table = table(5, &config(2, 0, 1));
+    let with_role = |role| LoadReport {
+        role,
+        ..report(0, 0)
+    };
+    table.on_report(0, &name("e0"), &with_role(Role::Prefill));
+    table.on_report(0, &name("e1"), &with_role(Role::Decode));
+    let choice = table.choose(0, &work(), Policy::CostBased).unwrap();
+    assert_eq!(choice.upstream, "e1");
+    assert_eq!(choice.prefill_upstream, Some(name("e0")));
+    table.on_report(10, &name("e1"), &with_role(Role::Mixed));
+    let choice = table.choose(10, &work(), Policy::CostBased).unwrap();
+    assert_eq!(
+        (choice.upstream, choice.prefill_upstream),
+        (name("e1"), None)
+    );
+    table.on_report(20, &name("e1"), &with_role(Role::Prefill));
+    assert!(table.choose(20, &work(), Policy::CostBased).is_none());
+}
+
+/// Guards against plain services that need tokens or reports to be chosen.
+#[test]
+fn plain_services_are_chosen_by_their_requests() {
+    let mut table = table(5, &config(0, 3, 1));
+    let work = Work {
+        service: "rota".into(),
+        model: Name::default(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        ..work()
+    };
+    let busy = LoadReport {
+        models: Vec::new(),
+        ..report(32, 0)
+    };
+    table.on_report(0, &name("p0"), &busy);
+    for now_ms in 0..20 {
+        let upstream = chosen(&mut table, now_ms, &work, Policy::CostBased).unwrap();
+        let free = table.choose(now_ms, &work, Policy::LeastOutstanding);
+        assert!(free.is_some());
+        assert_ne!(upstream, "p0", "it is full");
+    }
+}
+
+/// Guards against an open circuit that lets requests through, and against one that never closes again.
+#[test]
+fn a_circuit_opens_lets_one_probe_through_and_closes() {
+    let mut table = table(5, &config(1, 0, 1));
+    let e0 = name("e0");
+    table.on_dispatch(0, exchange(1, 0), &e0, &cost());
+    table.on_failure(0, exchange(1, 0), Failure::Connect);
+    assert!(chosen(&mut table, 100, &work(), Policy::CostBased).is_none());
+    let probe_ms = 2_000;
+    assert!(chosen(&mut table, probe_ms, &work(), Policy::CostBased).is_some());
+    table.on_dispatch(probe_ms, exchange(2, 0), &e0, &cost());
+    assert!(chosen(&mut table, probe_ms, &work(), Policy::CostBased).is_none());
+    table.on_finish(probe_ms + 50, exchange(2, 0), End::Cancelled);
+    assert!(
+        table.accepts(probe_ms + 50, &e0),
+        "a cancelled probe must not block the next one"
+    );
+    table.on_dispatch(probe_ms + 60, exchange(3, 0), &e0, &cost());
+    table.on_finish(
+        probe_ms + 90,
+        exchange(3, 0),
+        End::Complete { output_tokens: 3 },
+    );
+    table.on_dispatch(probe_ms + 100, exchange(4, 0), &e0, &cost());
+    assert!(table.accepts(probe_ms + 100, &e0));
+}
+
+/// Guards against retries that multiply the load of a failing upstream, and against one tenant that uses up its budget for
+/// all others.
+#[test]
+fn retries_stay_a_share_of_requests() {
+    let mut table = table(5, &config(2, 0, 1));
+    let (e0, e1) = (name("e0"), name("e1"));
+    let mut retries = 0;
+    for request in 0..1_000 {
+        table.on_dispatch(0, exchange(request, 0), &e0, &cost());
+        retries += u32::from(table.take_retry(&e0, &name("t")));
+    }
+    assert!((100..=115).contains(&retries), "{retries}");
+    assert!(
+        !table.take_retry(&e1, &name("t")),
+        "the tenant's budget is used up"
+    );
+    assert!(table.take_retry(&e1, &name("other")));
+}
+
+/// Guards against a random choice: the same seed and events must give the same choices.
+#[test]
+fn the_same_seed_gives_the_same_choices() {
+    let run = || {
+        let mut table = table(9, &config(40, 0, 2));
+        let pick = |now_ms| chosen(&mut table, now_ms, &work(), Policy::CostBased);
+        (0..100).map(pick).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/crates/route/tests/common/mod.rs
@@ -0,0 +1,76 @@
+//! Tables for tests.
+#![allow(dead_code, reason = "each test uses a part")]
+
+use conf::{Name, Role, Service, ServiceConfig, ServiceKind, Upstream};
+use route::{Cost, ExchangeId, LoadReport, Table, Work};
+
+/// A model service `chat` and a plain service `rota`, with upstreams `e0..` and `p0..` spread over `zones` zones.
+pub fn config(engines: usize, workers: usize, zones: usize) -> ServiceConfig {
+    let service = |name: &'static str, kind| Service {
+        name: name.into(),
+        kind,
+        ..Service::default()
+    };
+    let upstream = |name: String, service: &'static str, index: usize| Upstream {
+        name: name.into(),
+        service: service.into(),
+        availability_zone: format!("z{}", index % zones).into(),
+        ..Upstream::default()
+    };
+    let engines = (0..engines).map(|index| upstream(format!("e{index}"), "chat", index));
+    let workers = (0..workers).map(|index| upstream(format!("p{index}"), "rota", index));
+    ServiceConfig {
+        services: vec![
+            service("chat", ServiceKind::Model),
+            service("rota", ServiceKind::Plain),
+        ],
+        upstreams: engines.chain(workers).collect(),
+        ..ServiceConfig::default()
+    }
+}
+
+pub fn table(seed: u64, config: &ServiceConfig) -> Table {
+    let mut table = Table::new(seed);
+    table.apply_config(config);
+    table
+}
+
+pub fn report(running: u32, prompt_tokens_waiting: u32) -> LoadReport {
+    LoadReport {
+        running,
+        prompt_tokens_waiting,
+        role: Role::Mixed,
+        models: vec!["m".into()],
+        ..LoadReport::default()
+    }
+}
+
+pub fn work() -> Work {
+    Work {
+        service: "chat".into(),
+        model: "m".into(),
+        prompt_tokens: 1_000,
+        output_tokens: 100,
+        rank: 1,
+        availability_zone: "z0".into(),
+        ..Work::default()
+    }
+}
+
+pub fn cost() -> Cost {
+    Cost {
+        tenant: "t".into(),
+        model: "m".into(),
+        prompt_tokens: 1_000,
+        output_tokens: 100,
+        ..Cost::default()
+    }
+}
+
+pub fn exchange(request: u64, attempt: u32) -> ExchangeId {
+    ExchangeId { request, attempt }
+}
+
+pub fn name(text: impl Into<String>) -> Name {
+    Name::from(text.into())
+}
--- /dev/null
+++ b/crates/route/tests/events.rs
@@ -0,0 +1,238 @@
+//! The accounting of the table under events that are late, duplicated or unknown.
+
+mod common;
+
+use common::{config, cost, exchange, name, report, table, work};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use route::{End, Failure, LoadDigest, Policy, Presence, Table};
+
+#[derive(Clone, Debug)]
+enum Event {
+    Dispatch(u8, u8, u8),
+    Progress(u8, u8, u16),
+    Finish(u8, u8, bool),
+    Fail(u8, u8, bool),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (request, attempt) = (u8::arbitrary(g) % 12, u8::arbitrary(g) % 3);
+        match u8::arbitrary(g) % 5 {
+            0 | 1 => Self::Dispatch(request, attempt, u8::arbitrary(g) % 4),
+            2 => Self::Progress(request, attempt, u16::arbitrary(g)),
+            3 => Self::Finish(request, attempt, bool::arbitrary(g)),
+            _ => Self::Fail(request, attempt, bool::arbitrary(g)),
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against an exchange that is counted twice or never released, under any order of events.
+    fn outstanding_equals_the_open_exchanges(events: Vec<Event>) -> bool {
+        let mut table = table(1, &config(4, 0, 1));
+        let mut open = std::collections::BTreeMap::new();
+        for (now_ms, event) in (0..).step_by(7).zip(events) {
+            match event {
+                Event::Dispatch(request, attempt, upstream) => {
+                    let id = exchange(request.into(), attempt.into());
+                    table.on_dispatch(now_ms, id, &name(format!("e{upstream}")), &cost());
+                    open.entry(id).or_insert(upstream);
+                }
+                Event::Progress(request, attempt, tokens) => {
+                    table.on_progress(exchange(request.into(), attempt.into()), tokens.into());
+                }
+                Event::Finish(request, attempt, complete) => {
+                    let id = exchange(request.into(), attempt.into());
+                    let end = if complete { End::Complete { output_tokens: 10 } } else { End::Cancelled };
+                    table.on_finish(now_ms, id, end);
+                    open.remove(&id);
+                }
+                Event::Fail(request, attempt, connect) => {
+                    let id = exchange(request.into(), attempt.into());
+                    let failure = if connect { Failure::Connect } else { Failure::Broken };
+                    table.on_failure(now_ms, id, failure);
+                    open.remove(&id);
+                }
+            }
+        }
+        (0..4u8).all(|upstream| {
+            let expected = open.values().filter(|other| **other == upstream).count() as u32;
+            let upstream = name(format!("e{upstream}"));
+            let none_left = expected > 0 || table.output_tokens_expected(&upstream) == 0;
+            table.outstanding(&upstream) == expected && none_left
+        })
+    }
+}
+
+fn figures(table: &Table) -> Vec<(u32, u64, u64)> {
+    let of = |index| {
+        let upstream = name(format!("e{index}"));
+        let in_flight = table.in_flight(500, &upstream) * 1_000.0;
+        (
+            table.outstanding(&upstream),
+            table.output_tokens_expected(&upstream),
+            in_flight as u64,
+        )
+    };
+    (0..3).map(of).collect()
+}
+
+/// Guards against a late end of a first attempt that releases the second one's place.
+#[test]
+fn a_late_event_of_an_earlier_attempt_changes_nothing() {
+    let mut table = table(1, &config(3, 0, 1));
+    table.on_dispatch(0, exchange(1, 0), &name("e0"), &cost());
+    table.on_failure(10, exchange(1, 0), Failure::Broken);
+    table.on_dispatch(20, exchange(1, 1), &name("e1"), &cost());
+    table.on_dispatch(20, exchange(2, 0), &name("e1"), &cost());
+    let before = figures(&table);
+    table.on_finish(30, exchange(1, 0), End::Complete { output_tokens: 5 });
+    table.on_failure(30, exchange(1, 0), Failure::Connect);
+    table.on_progress(exchange(1, 0), 9_000);
+    table.on_dispatch(30, exchange(1, 1), &name("e2"), &cost());
+    assert_eq!(figures(&table), before);
+}
+
+/// Guards against events of unknown upstreams and exchanges that change or break the table.
+#[test]
+fn unknown_names_change_nothing() {
+    let mut table = table(1, &config(3, 0, 1));
+    table.on_dispatch(0, exchange(1, 0), &name("e0"), &cost());
+    let before = figures(&table);
+    let other = name("unknown");
+    table.on_report(5, &other, &report(9, 9));
+    table.on_digest(5, &other, &LoadDigest::default());
+    table.on_dispatch(5, exchange(2, 0), &other, &cost());
+    table.on_finish(5, exchange(7, 0), End::Cancelled);
+    table.on_cache_events(&other, 1, &[]);
+    table.set_present(&other, Presence::Gone);
+    table.on_unreachable(5, &other);
+    assert_eq!(figures(&table), before);
+}
+
+/// Guards against an exchange of a removed upstream that is released on the upstream that took its place in the table.
+#[test]
+fn exchanges_of_a_removed_upstream_do_not_touch_its_successor() {
+    let mut table = table(1, &config(1, 0, 1));
+    table.on_dispatch(0, exchange(1, 0), &name("e0"), &cost());
+    let mut other = config(1, 0, 1);
+    other.upstreams[0].name = "new".into();
+    table.apply_config(&other);
+    table.on_dispatch(5, exchange(2, 0), &name("new"), &cost());
+    table.on_finish(10, exchange(1, 0), End::Complete { output_tokens: 5 });
+    table.on_failure(10, exchange(1, 0), Failure::Connect);
+    assert_eq!(table.outstanding(&name("new")), 1);
+    assert!(table.accepts(10, &name("new")));
+}
+
+/// Guards against a configuration change that forgets the load of upstreams that stay.
+#[test]
+fn a_configuration_change_keeps_what_is_known() {
+    let mut table = table(1, &config(2, 0, 1));
+    table.on_report(0, &name("e1"), &report(7, 0));
+    table.on_dispatch(5, exchange(1, 0), &name("e1"), &cost());
+    table.apply_config(&config(4, 0, 1));
+    assert_eq!(table.outstanding(&name("e1")), 1);
+    assert_eq!(table.in_flight(6, &name("e1")), 8.0);
+}
+
+/// Guards against counting own dispatches twice, once in the report and once as own.
+#[test]
+fn a_report_replaces_the_dispatches_that_it_covers() {
+    let mut table = table(1, &config(1, 0, 1));
+    let e0 = name("e0");
+    table.on_dispatch(100, exchange(1, 0), &e0, &cost());
+    table.on_dispatch(400, exchange(2, 0), &e0, &cost());
+    let covering_the_first = route::LoadReport {
+        age_ms: 200,
+        ..report(1, 0)
+    };
+    table.on_report(500, &e0, &covering_the_first);
+    assert_eq!(table.in_flight(500, &e0), 2.0);
+    table.on_finish(600, exchange(1, 0), End::Cancelled);
+    assert_eq!(table.in_flight(600, &e0), 1.0);
+}
+
+/// Guards against an old report or digest, delivered late, that replaces a newer one.
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let mut table = table(1, &config(1, 0, 1));
+    let e0 = name("e0");
+    table.on_report(1_000, &e0, &report(3, 0));
+    let late = route::LoadReport {
+        age_ms: 500,
+        role: conf::Role::Prefill,
+        ..report(30, 0)
+    };
+    table.on_report(1_100, &e0, &late);
+    let digest = LoadDigest {
+        age_ms: 600,
+        running: 40,
+        ..LoadDigest::default()
+    };
+    table.on_digest(1_100, &e0, &digest);
+    assert_eq!(table.in_flight(1_100, &e0), 3.0);
+    assert_eq!(table.role(&e0), Some(conf::Role::Mixed));
+}
+
+/// Guards against a report that is believed for ever after reports have stopped.
+#[test]
+fn without_reports_the_estimate_ages_to_own_dispatches() {
+    let mut table = table(1, &config(1, 0, 1));
+    let e0 = name("e0");
+    table.on_report(0, &e0, &report(20, 0));
+    table.on_dispatch(1, exchange(1, 0), &e0, &cost());
+    assert_eq!(table.in_flight(500, &e0), 21.0);
+    let later = table.in_flight(5_000, &e0);
+    assert!((1.0..21.0).contains(&later), "{later}");
+    assert_eq!(table.in_flight(20_000, &e0), 1.0);
+}
+
+/// Guards against answer lengths that mix tenants, and against an expectation that is shorter than what has come.
+#[test]
+fn output_lengths_follow_tenant_and_progress() {
+    let mut table = table(1, &config(1, 0, 1));
+    let answer = |table: &mut Table, request, tenant: &'static str, output_tokens| {
+        let cost = route::Cost {
+            tenant: tenant.into(),
+            ..cost()
+        };
+        table.on_dispatch(0, exchange(request, 0), &name("e0"), &cost);
+        table.on_finish(1, exchange(request, 0), End::Complete { output_tokens });
+    };
+    for request in 0..100 {
+        answer(&mut table, request, "short", 40 + request as u32 % 10);
+        answer(&mut table, 1_000 + request, "long", 900 + request as u32);
+    }
+    let expected =
+        |tenant: &'static str, so_far| table.expected_output(&tenant.into(), &"m".into(), so_far);
+    assert!(
+        (30..80).contains(&expected("short", 0)),
+        "{}",
+        expected("short", 0)
+    );
+    assert!(
+        (700..1_400).contains(&expected("long", 0)),
+        "{}",
+        expected("long", 0)
+    );
+    assert!(expected("short", 5_000) > 5_000);
+}
+
+quickcheck! {
+    /// Guards against an expected length that is not above the tokens already delivered.
+    fn expected_output_is_above_what_has_come(lengths: Vec<u32>, so_far: u32) -> bool {
+        let mut known = route::OutputLengths::default();
+        let (tenant, model) = (name("t"), name("m"));
+        lengths.iter().for_each(|length| known.observe(&tenant, &model, *length));
+        so_far == u32::MAX || known.expected(&tenant, &model, so_far) > so_far
+    }
+}
+
+/// Guards against a choice that still works on a service that a change has removed.
+#[test]
+fn a_removed_service_gets_no_choice() {
+    let mut table = table(1, &config(2, 0, 1));
+    table.apply_config(&conf::ServiceConfig::default());
+    assert!(table.choose(0, &work(), Policy::CostBased).is_none());
+}
