Plan roles for the recent windows instead of their mean

Ruled out: a faster smoothing; it follows each swing and changes more. Change: a change is judged by the weighted served tokens over the last 12 windows and the forecast. The model and the planner take the efficiency of mixed engines.

--- a/crates/plan/examples/fake/mod.rs
+++ b/crates/plan/examples/fake/mod.rs
@@ -6,8 +6,6 @@
 
 /// Window of the planner, in milliseconds.
 pub const WINDOW_MS: u64 = 5_000;
-/// Share of its speeds that a mixed engine keeps in the model.
-const MIXED_SHARE: f64 = 0.9;
 
 /// Which way the mix moves.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,7 +57,7 @@
 }
 
 /// Share of the demand that the engines serve, from their roles alone.
-fn served_share(engines: &[Engine], prompt: f64, output: f64) -> f64 {
+fn served_share(engines: &[Engine], prompt: f64, output: f64, mixed_efficiency: f64) -> f64 {
     let working = || engines.iter().filter(|engine| !engine.draining);
     let count = |role| working().filter(|engine| engine.role == role).count() as f64;
     let (prefill, decode, mixed) = (
@@ -70,7 +68,7 @@
     let fits = |share: f64| {
         let prompt_engines = (share * prompt / 20_000.0 - prefill).max(0.0);
         let output_engines = (share * output / 1_000.0 - decode).max(0.0);
-        prompt_engines + output_engines <= mixed * MIXED_SHARE
+        prompt_engines + output_engines <= mixed * mixed_efficiency
     };
     (0..=200)
         .rev()
@@ -80,11 +78,14 @@
 }
 
 /// Runs the planner on the model. A changing engine finishes its work, is away, and starts with an empty cache.
-pub fn run(mode: Mode, mix: Mix, seed: u64, length_ms: u64) -> Outcome {
+///
+/// `mixed_efficiency` is the share of its speeds that a mixed engine keeps, in the model and in the planner.
+pub fn run(mode: Mode, mix: Mix, mixed_efficiency: f64, seed: u64, length_ms: u64) -> Outcome {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut engines = fleet();
     let mut planner = Planner::new(PlannerConfig {
         mode,
+        mixed_efficiency,
         ..PlannerConfig::default()
     });
     let mut outcome = Outcome::default();
@@ -99,7 +100,7 @@
         }
         let (prompt, output) = demand(mix, now_ms, length_ms, &mut rng);
         let seconds = WINDOW_MS as f64 / 1_000.0;
-        let share = served_share(&engines, prompt, output);
+        let share = served_share(&engines, prompt, output, mixed_efficiency);
         outcome.asked_tokens += (prompt + output) * seconds;
         outcome.served_tokens += (prompt + output) * seconds * share;
         let demand = Demand {
--- a/crates/plan/examples/role_changes.rs
+++ b/crates/plan/examples/role_changes.rs
@@ -18,16 +18,19 @@
         Mix::Shift,
     ];
     println!(
-        "| mix | planner | role changes: mean (min to max) | tokens served, % of asked: mean (min to max) |"
+        "| mixed efficiency | mix | planner | role changes: mean (min to max) | tokens served, % of asked: mean (min to max) |"
     );
-    println!("|---|---|---|---|");
-    for mix in mixes {
+    println!("|---|---|---|---|---|");
+    for (efficiency, mix) in [0.9, 0.6]
+        .into_iter()
+        .flat_map(|efficiency| mixes.map(|mix| (efficiency, mix)))
+    {
         for mode in [Mode::Static, Mode::NoHysteresis, Mode::Hysteresis] {
-            let outcomes = SEEDS.map(|seed| fake::run(mode, mix, seed, LENGTH_MS));
+            let outcomes = SEEDS.map(|seed| fake::run(mode, mix, efficiency, seed, LENGTH_MS));
             let changes = outcomes.map(|outcome| f64::from(outcome.changes));
             let served = outcomes.map(|outcome| outcome.served_share() * 100.0);
             println!(
-                "| {mix:?} | {mode:?} | {} | {} |",
+                "| {efficiency} | {mix:?} | {mode:?} | {} | {} |",
                 spread(&changes),
                 spread(&served)
             );
--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -2,8 +2,8 @@
 
 use conf::{Name, Role};
 
-/// Share of its speeds that a mixed engine keeps: prompts delay the answers that run beside them.
-pub const MIXED_EFFICIENCY: f64 = 0.9;
+use crate::forecast::Sample;
+
 /// Steps of the search for the share of the demand that can be served.
 const SEARCH_STEPS: u32 = 30;
 
@@ -59,36 +59,52 @@
 }
 
 impl Capacity {
-    pub(crate) fn add(&mut self, engine: &Engine, role: Role) {
+    fn add(&mut self, engine: &Engine, role: Role, mixed_efficiency: f64) {
         match role {
             Role::Prefill => self.prefill += engine.prefill_tokens_per_s,
             Role::Decode => self.decode += engine.decode_tokens_per_s,
             Role::Mixed => {
-                self.mixed_prefill += engine.prefill_tokens_per_s * MIXED_EFFICIENCY;
-                self.mixed_decode += engine.decode_tokens_per_s * MIXED_EFFICIENCY;
+                self.mixed_prefill += engine.prefill_tokens_per_s * mixed_efficiency;
+                self.mixed_decode += engine.decode_tokens_per_s * mixed_efficiency;
             }
         }
     }
 
     /// Capacity of the engines that take work, with one of them in another role, or away if that is `None`.
-    pub(crate) fn with(engines: &[Engine], changed: Option<(usize, Option<Role>)>) -> Self {
+    pub(crate) fn with(
+        engines: &[Engine],
+        changed: Option<(usize, Option<Role>)>,
+        mixed_efficiency: f64,
+    ) -> Self {
         let mut capacity = Self::default();
         for (index, engine) in engines.iter().enumerate() {
             if engine.draining {
                 continue;
             }
-            match changed {
-                Some((other, role)) if other == index => {
-                    role.into_iter().for_each(|role| capacity.add(engine, role));
-                }
-                _ => capacity.add(engine, engine.role),
+            let role = match changed {
+                Some((other, role)) if other == index => role,
+                _ => Some(engine.role),
+            };
+            if let Some(role) = role {
+                capacity.add(engine, role, mixed_efficiency);
             }
         }
         capacity
     }
 
-    /// Share of the demand in tokens a second that can be served, from 0 to 1. A request needs both of its parts.
-    pub(crate) fn served_share(&self, prompt_per_s: f64, output_per_s: f64) -> f64 {
+    /// Tokens a second that can be served, as a weighted mean over the samples.
+    pub(crate) fn served_per_s(&self, samples: &[Sample]) -> f64 {
+        let weight: f64 = samples.iter().map(|sample| sample.weight).sum();
+        let served = samples.iter().map(|sample| {
+            let asked_per_s = sample.prompt_per_s + sample.output_per_s;
+            let share = self.served_share(sample.prompt_per_s, sample.output_per_s);
+            sample.weight * share * asked_per_s
+        });
+        served.sum::<f64>() / weight.max(f64::MIN_POSITIVE)
+    }
+
+    /// Share of the demand that can be served, from 0 to 1. A request needs both of its parts.
+    fn served_share(&self, prompt_per_s: f64, output_per_s: f64) -> f64 {
         if self.serves(1.0, prompt_per_s, output_per_s) {
             return 1.0;
         }
--- a/crates/plan/src/forecast.rs
+++ b/crates/plan/src/forecast.rs
@@ -1,10 +1,16 @@
 //! Forecast of the demand of one service.
 
+use std::collections::VecDeque;
+
 /// Smoothing of the level over windows.
 const LEVEL_SMOOTHING: f64 = 0.4;
 /// Smoothing of the trend over windows.
 const TREND_SMOOTHING: f64 = 0.2;
 
+/// Windows that are kept as they were. A smoothed mean hides swings that are faster than its smoothing, and roles that
+/// serve the mean may serve neither half of a swing.
+const RECENT_WINDOWS: usize = 12;
+
 /// Tokens asked of a service in a window. Prompt tokens found in caches do not count.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -45,27 +51,59 @@
         self.level = level;
     }
 
-    /// Mean over the next `windows` windows. The trend is followed for one window only: it reverses in swings.
-    fn mean_ahead(&self) -> f64 {
+    /// Value of the next window. The trend is not followed further: it reverses in swings.
+    fn next(&self) -> f64 {
         (self.level + self.trend).max(0.0)
     }
 }
 
+/// Prompt and output tokens a second that may be asked, with a weight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample {
+    pub(crate) weight: f64,
+    pub(crate) prompt_per_s: f64,
+    pub(crate) output_per_s: f64,
+}
+
+impl Sample {
+    pub(crate) fn of(demand: &Demand) -> Self {
+        let (prompt_per_s, output_per_s) = demand.per_s();
+        Self {
+            weight: 1.0,
+            prompt_per_s,
+            output_per_s,
+        }
+    }
+}
+
 /// Forecast of prompt and output tokens a second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Forecast {
     prompt: Series,
     output: Series,
+    recent: VecDeque<Sample>,
 }
 
 impl Forecast {
     pub(crate) fn observe(&mut self, demand: &Demand) {
-        let (prompt_per_s, output_per_s) = demand.per_s();
-        self.prompt.observe(prompt_per_s);
-        self.output.observe(output_per_s);
+        let sample = Sample::of(demand);
+        self.prompt.observe(sample.prompt_per_s);
+        self.output.observe(sample.output_per_s);
+        self.recent.push_back(sample);
+        if self.recent.len() > RECENT_WINDOWS {
+            self.recent.pop_front();
+        }
     }
 
-    pub(crate) fn per_s(&self) -> (f64, f64) {
-        (self.prompt.mean_ahead(), self.output.mean_ahead())
+    /// The recent windows, and with as much weight as all of them what the trend leads to.
+    pub(crate) fn samples(&self) -> Vec<Sample> {
+        let next = Sample {
+            weight: self.recent.len() as f64,
+            prompt_per_s: self.prompt.next(),
+            output_per_s: self.output.next(),
+        };
+        let mut samples: Vec<Sample> = self.recent.iter().copied().collect();
+        samples.push(next);
+        samples
     }
 }
--- a/crates/plan/src/roles.rs
+++ b/crates/plan/src/roles.rs
@@ -3,7 +3,7 @@
 use conf::{Map, Name, Role};
 
 use crate::capacity::{Capacity, Engine};
-use crate::forecast::{Demand, Forecast};
+use crate::forecast::{Demand, Forecast, Sample};
 
 /// Demand below which a role is not needed, in tokens a second.
 const NEEDED_TOKENS_PER_S: f64 = 1.0;
@@ -27,6 +27,8 @@
 pub struct PlannerConfig {
     /// How roles are planned.
     pub mode: Mode,
+    /// Share of its speeds that a mixed engine keeps: prompts delay the answers that run beside them.
+    pub mixed_efficiency: f64,
     /// Time over which a gain is counted, in milliseconds.
     pub horizon_ms: u64,
     /// Factor by which the gain must exceed the tokens lost.
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             mode: Mode::Hysteresis,
+            mixed_efficiency: 0.9,
             horizon_ms: 60_000,
             gain_factor: 1.5,
             confirmations: 2,
@@ -118,11 +121,11 @@
         if config.mode == Mode::Static || state.pending.is_some() {
             return None;
         }
-        let rates = match config.mode {
-            Mode::NoHysteresis => demand.per_s(),
-            _ => state.forecast.per_s(),
+        let samples = match config.mode {
+            Mode::NoHysteresis => vec![Sample::of(demand)],
+            _ => state.forecast.samples(),
         };
-        let change = best_change(config, rates, engines);
+        let change = best_change(config, &samples, engines);
         let change = match config.mode {
             Mode::NoHysteresis => change?,
             _ => state.confirm(now_ms, config, change)?,
@@ -189,13 +192,13 @@
 /// The change with the largest gain above its loss, if any pays off. A change to a mixed role is preferred.
 fn best_change(
     config: &PlannerConfig,
-    rates: (f64, f64),
+    samples: &[Sample],
     engines: &[Engine],
 ) -> Option<RoleChange> {
     let changes = (0..engines.len()).flat_map(|index| {
         [Role::Mixed, Role::Prefill, Role::Decode]
             .into_iter()
-            .filter_map(move |to| assess(config, rates, engines, index, to))
+            .filter_map(move |to| assess(config, samples, engines, index, to))
     });
     let value = |change: &RoleChange| {
         let net = change.gain_tokens - change.lost_tokens;
@@ -214,20 +217,17 @@
 /// The change of one engine to one role, if it is allowed and pays off.
 fn assess(
     config: &PlannerConfig,
-    rates: (f64, f64),
+    samples: &[Sample],
     engines: &[Engine],
     index: usize,
     to: Role,
 ) -> Option<RoleChange> {
     let engine = &engines[index];
-    if engine.draining || engine.role == to || !keeps_roles(engines, rates, index) {
+    if engine.draining || engine.role == to || !keeps_roles(engines, samples, index) {
         return None;
     }
-    let (prompt_per_s, output_per_s) = rates;
-    let served_per_s = |changed| {
-        let capacity = Capacity::with(engines, changed);
-        capacity.served_share(prompt_per_s, output_per_s) * (prompt_per_s + output_per_s)
-    };
+    let served_per_s =
+        |changed| Capacity::with(engines, changed, config.mixed_efficiency).served_per_s(samples);
     let before = served_per_s(None);
     let after = served_per_s(Some((index, Some(to))));
     let during = served_per_s(Some((index, None)));
@@ -254,7 +254,7 @@
 }
 
 /// Whether the zone of an engine keeps an engine for each needed role while this one is away. A mixed engine covers both.
-fn keeps_roles(engines: &[Engine], (prompt_per_s, output_per_s): (f64, f64), index: usize) -> bool {
+fn keeps_roles(engines: &[Engine], samples: &[Sample], index: usize) -> bool {
     let zone = &engines[index].availability_zone;
     let others = || {
         let others = engines.iter().enumerate();
@@ -264,6 +264,11 @@
     };
     let covers =
         |role| others().any(|(_, engine)| engine.role == role || engine.role == Role::Mixed);
-    (prompt_per_s < NEEDED_TOKENS_PER_S || covers(Role::Prefill))
-        && (output_per_s < NEEDED_TOKENS_PER_S || covers(Role::Decode))
+    let needed = |rate: fn(&Sample) -> f64| {
+        samples
+            .iter()
+            .any(|sample| rate(sample) >= NEEDED_TOKENS_PER_S)
+    };
+    (!needed(|sample| sample.prompt_per_s) || covers(Role::Prefill))
+        && (!needed(|sample| sample.output_per_s) || covers(Role::Decode))
 }
--- a/crates/plan/tests/roles.rs
+++ b/crates/plan/tests/roles.rs
@@ -116,12 +116,13 @@
 /// Guards against roles that follow each swing of the mix and lose more by draining than they gain.
 #[test]
 fn swings_cause_few_changes_at_no_loss() {
-    for period_ms in [20_000, 60_000, 240_000] {
+    let periods = [20_000, 60_000, 240_000];
+    for (efficiency, period_ms) in periods.into_iter().flat_map(|ms| [(0.9, ms), (0.6, ms)]) {
         let mix = Mix::Swing { period_ms };
         for seed in SEEDS {
-            let calm = fake::run(Mode::Hysteresis, mix, seed, LENGTH_MS);
-            let nervous = fake::run(Mode::NoHysteresis, mix, seed, LENGTH_MS);
-            let seen = format!("period {period_ms}, seed {seed}: {calm:?}, {nervous:?}");
+            let calm = fake::run(Mode::Hysteresis, mix, efficiency, seed, LENGTH_MS);
+            let nervous = fake::run(Mode::NoHysteresis, mix, efficiency, seed, LENGTH_MS);
+            let seen = format!("{efficiency}, {period_ms} ms, seed {seed}: {calm:?}, {nervous:?}");
             assert!(calm.changes * 3 <= nervous.changes, "{seen}");
             assert!(calm.served_tokens >= nervous.served_tokens, "{seen}");
         }
@@ -132,8 +133,8 @@
 #[test]
 fn a_lasting_shift_is_followed() {
     for seed in SEEDS {
-        let planned = fake::run(Mode::Hysteresis, Mix::Shift, seed, LENGTH_MS);
-        let fixed = fake::run(Mode::Static, Mix::Shift, seed, LENGTH_MS);
+        let planned = fake::run(Mode::Hysteresis, Mix::Shift, 0.9, seed, LENGTH_MS);
+        let fixed = fake::run(Mode::Static, Mix::Shift, 0.9, seed, LENGTH_MS);
         assert!(planned.changes > 0);
         assert_eq!(fixed.changes, 0);
         assert!(
