Judge role changes by the last 48 windows

Cause: 12 windows of 5 s forget the other half of a swing of 240 s. Change: 48 windows, weight 0.1; the served share in closed form. Conclusion: kept for swings within minutes.

--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -4,9 +4,6 @@
 
 use crate::forecast::Sample;
 
-/// Steps of the search for the share of the demand that can be served.
-const SEARCH_STEPS: u32 = 30;
-
 /// An engine as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -104,29 +101,26 @@
     }
 
     /// Share of the demand that can be served, from 0 to 1. A request needs both of its parts.
+    ///
+    /// The mixed engines divide their time between what the others leave of the prompts and of the output. That bounds the
+    /// share by the prompts alone, by the output alone and by both together.
     fn served_share(&self, prompt_per_s: f64, output_per_s: f64) -> f64 {
-        if self.serves(1.0, prompt_per_s, output_per_s) {
-            return 1.0;
-        }
-        let (mut low, mut high) = (0.0, 1.0);
-        for _ in 0..SEARCH_STEPS {
-            let share = (low + high) / 2.0;
-            match self.serves(share, prompt_per_s, output_per_s) {
-                true => low = share,
-                false => high = share,
-            }
+        let by_prompt = ratio(self.prefill + self.mixed_prefill, prompt_per_s);
+        let by_output = ratio(self.decode + self.mixed_decode, output_per_s);
+        let mut share = by_prompt.min(by_output).min(1.0);
+        if self.mixed_prefill > 0.0 && self.mixed_decode > 0.0 {
+            let time = 1.0 + self.prefill / self.mixed_prefill + self.decode / self.mixed_decode;
+            let asked = prompt_per_s / self.mixed_prefill + output_per_s / self.mixed_decode;
+            share = share.min(ratio(time, asked));
         }
-        low
+        share
     }
+}
 
-    fn serves(&self, share: f64, prompt_per_s: f64, output_per_s: f64) -> bool {
-        let prompt_left = (share * prompt_per_s - self.prefill).max(0.0);
-        let output_left = (share * output_per_s - self.decode).max(0.0);
-        // The mixed engines divide their time between what the others leave.
-        let time = |left: f64, speed: f64| match left > 0.0 {
-            true => left / speed.max(f64::MIN_POSITIVE),
-            false => 0.0,
-        };
-        time(prompt_left, self.mixed_prefill) + time(output_left, self.mixed_decode) <= 1.0
+/// `a / b`, or infinity if nothing is asked.
+fn ratio(a: f64, b: f64) -> f64 {
+    match b > 0.0 {
+        true => a / b,
+        false => f64::INFINITY,
     }
 }
--- a/crates/plan/src/forecast.rs
+++ b/crates/plan/src/forecast.rs
@@ -7,9 +7,13 @@
 /// Smoothing of the trend over windows.
 const TREND_SMOOTHING: f64 = 0.2;
 
-/// Windows that are kept as they were. A smoothed mean hides swings that are faster than its smoothing, and roles that
+/// Windows that are kept as they were: 4 minutes at 5 s, since the mix swings within minutes. A smoothed mean hides swings that are faster than its smoothing, and roles that
 /// serve the mean may serve neither half of a swing.
-const RECENT_WINDOWS: usize = 12;
+const RECENT_WINDOWS: usize = 48;
+
+/// Weight of the window that the trend leads to, relative to all recent windows together. Above 0.1 the planner follows
+/// swings of 20 to 60 s.
+const NEXT_WEIGHT: f64 = 0.1;
 
 /// Tokens asked of a service in a window. Prompt tokens found in caches do not count.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -95,10 +99,10 @@
         }
     }
 
-    /// The recent windows, and with as much weight as all of them what the trend leads to.
+    /// The recent windows, and what the trend leads to.
     pub(crate) fn samples(&self) -> Vec<Sample> {
         let next = Sample {
-            weight: self.recent.len() as f64,
+            weight: self.recent.len() as f64 * NEXT_WEIGHT,
             prompt_per_s: self.prompt.next(),
             output_per_s: self.output.next(),
         };
