Count a gain over the time for which it has lasted

Ruled out: a longer fixed horizon; it makes the first reaction to a swing larger. Change: the horizon of a change from one role to another grows with the time for which it has been a gain in every window.

--- a/crates/plan/src/forecast.rs
+++ b/crates/plan/src/forecast.rs
@@ -7,8 +7,8 @@
 /// Smoothing of the trend over windows.
 const TREND_SMOOTHING: f64 = 0.2;
 
-/// Windows that are kept as they were: 4 minutes at 5 s, since the mix swings within minutes. A smoothed mean hides swings that are faster than its smoothing, and roles that
-/// serve the mean may serve neither half of a swing.
+/// Windows that are kept as they were: 4 minutes at 5 s, since the mix swings within minutes. A smoothed mean hides swings
+/// that are faster than its smoothing, and roles that serve the mean may serve neither half of a swing.
 const RECENT_WINDOWS: usize = 48;
 
 /// Weight of the window that the trend leads to, relative to all recent windows together. Above 0.1 the planner follows
--- a/crates/plan/src/roles.rs
+++ b/crates/plan/src/roles.rs
@@ -1,12 +1,14 @@
 //! The role planner.
 
-use conf::{Map, Name, Role};
+use conf::{Map, Name, Role, Set};
 
 use crate::capacity::{Capacity, Engine};
 use crate::forecast::{Demand, Forecast, Sample};
 
 /// Demand below which a role is not needed, in tokens a second.
 const NEEDED_TOKENS_PER_S: f64 = 1.0;
+/// Smallest gain that counts, as a share of the tokens served.
+const GAIN_MIN: f64 = 0.000_1;
 /// Advantage in tokens that a change to a dedicated role must have over one to a mixed role, relative to the latter.
 const MIXED_PREFERENCE: f64 = 1.1;
 
@@ -86,6 +88,8 @@
     next_change_ms: u64,
     /// The change that paid off in the last windows, and in how many.
     candidate: Option<(Role, Role, u32)>,
+    /// Since when a change from one role to another would have been a gain in every window.
+    gaining_since_ms: Map<(Role, Role), u64>,
 }
 
 /// Plans the roles of all services. Each service is planned on its own.
@@ -125,7 +129,16 @@
             Mode::NoHysteresis => vec![Sample::of(demand)],
             _ => state.forecast.samples(),
         };
-        let change = best_change(config, &samples, engines);
+        let assessments = assess_all(config, &samples, engines);
+        state.note_gains(now_ms, &assessments);
+        let paying = assessments
+            .into_iter()
+            .filter_map(|assessment| {
+                let horizon_ms = state.horizon_ms(now_ms, config, &assessment);
+                assessment.into_change(config, horizon_ms)
+            })
+            .collect();
+        let change = best(paying);
         let change = match config.mode {
             Mode::NoHysteresis => change?,
             _ => state.confirm(now_ms, config, change)?,
@@ -168,6 +181,28 @@
         }
     }
 
+    fn note_gains(&mut self, now_ms: u64, assessments: &[Assessment]) {
+        let gaining: Set<(Role, Role)> = assessments
+            .iter()
+            .filter(|assessment| assessment.gain_per_s > 0.0)
+            .map(|assessment| (assessment.change.from, assessment.change.to))
+            .collect();
+        self.gaining_since_ms
+            .retain(|change, _| gaining.contains(change));
+        for change in gaining {
+            self.gaining_since_ms.entry(change).or_insert(now_ms);
+        }
+    }
+
+    /// Time over which a gain is counted: what has been a gain for longer than the horizon is taken to last as long again.
+    /// Otherwise a small lasting gain would never outweigh the loss.
+    fn horizon_ms(&self, now_ms: u64, config: &PlannerConfig, assessment: &Assessment) -> f64 {
+        let change = (assessment.change.from, assessment.change.to);
+        let since_ms = self.gaining_since_ms.get(&change).copied();
+        let lasted_ms = since_ms.map_or(0, |since_ms| now_ms - since_ms);
+        lasted_ms.max(config.horizon_ms) as f64
+    }
+
     /// Lets a change pass once it has paid off in enough windows in a row and the last change is long enough ago.
     fn confirm(
         &mut self,
@@ -189,17 +224,29 @@
     }
 }
 
-/// The change with the largest gain above its loss, if any pays off. A change to a mixed role is preferred.
-fn best_change(
-    config: &PlannerConfig,
-    samples: &[Sample],
-    engines: &[Engine],
-) -> Option<RoleChange> {
-    let changes = (0..engines.len()).flat_map(|index| {
-        [Role::Mixed, Role::Prefill, Role::Decode]
-            .into_iter()
-            .filter_map(move |to| assess(config, samples, engines, index, to))
-    });
+/// What a change of one engine to one role would bring.
+#[derive(Clone, Debug)]
+struct Assessment {
+    change: RoleChange,
+    gain_per_s: f64,
+    away_ms: f64,
+}
+
+impl Assessment {
+    /// The change, if it pays off over the horizon.
+    fn into_change(mut self, config: &PlannerConfig, horizon_ms: f64) -> Option<RoleChange> {
+        let change = &mut self.change;
+        change.gain_tokens = self.gain_per_s * (horizon_ms - self.away_ms).max(0.0) / 1_000.0;
+        let pays_off = match config.mode {
+            Mode::NoHysteresis => self.gain_per_s > 0.0,
+            _ => change.gain_tokens > change.lost_tokens * config.gain_factor,
+        };
+        (pays_off && self.gain_per_s > 0.0).then_some(self.change)
+    }
+}
+
+/// The change with the largest gain above its loss. A change to a mixed role is preferred, and the first of equals.
+fn best(changes: Vec<RoleChange>) -> Option<RoleChange> {
     let value = |change: &RoleChange| {
         let net = change.gain_tokens - change.lost_tokens;
         match change.to {
@@ -207,50 +254,65 @@
             _ => net,
         }
     };
-    // The first of equals wins, so that the choice does not depend on rounding in `max_by`.
-    changes.fold(None, |best: Option<RoleChange>, change| match best {
-        Some(best) if value(&best) >= value(&change) => Some(best),
-        _ => Some(change),
-    })
+    changes
+        .into_iter()
+        .reduce(|best, change| match value(&best) >= value(&change) {
+            true => best,
+            false => change,
+        })
+}
+
+fn assess_all(config: &PlannerConfig, samples: &[Sample], engines: &[Engine]) -> Vec<Assessment> {
+    let mut assessments = Vec::new();
+    for index in 0..engines.len() {
+        if engines[index].draining || !keeps_roles(engines, samples, index) {
+            continue;
+        }
+        for to in [Role::Mixed, Role::Prefill, Role::Decode] {
+            if engines[index].role != to {
+                assessments.push(assess(config, samples, engines, index, to));
+            }
+        }
+    }
+    assessments
 }
 
-/// The change of one engine to one role, if it is allowed and pays off.
 fn assess(
     config: &PlannerConfig,
     samples: &[Sample],
     engines: &[Engine],
     index: usize,
     to: Role,
-) -> Option<RoleChange> {
+) -> Assessment {
     let engine = &engines[index];
-    if engine.draining || engine.role == to || !keeps_roles(engines, samples, index) {
-        return None;
-    }
     let served_per_s =
         |changed| Capacity::with(engines, changed, config.mixed_efficiency).served_per_s(samples);
     let before = served_per_s(None);
     let after = served_per_s(Some((index, Some(to))));
     let during = served_per_s(Some((index, None)));
     let away_ms = (engine.drain_ms + engine.switch_ms) as f64;
-    let gaining_ms = (config.horizon_ms as f64 - away_ms).max(0.0);
-    let gain_tokens = (after - before) * gaining_ms / 1_000.0;
     let cached_tokens = match engine.exports_kv {
         true => 0.0,
         false => engine.cached_tokens,
     };
-    let lost_tokens = (before - during).max(0.0) * away_ms / 1_000.0 + cached_tokens;
-    let pays_off = match config.mode {
-        Mode::NoHysteresis => after > before * 1.000_001,
-        _ => gain_tokens > lost_tokens * config.gain_factor && gain_tokens > 0.0,
-    };
-    pays_off.then(|| RoleChange {
-        upstream: engine.name.clone(),
-        from: engine.role,
-        to,
-        gain_tokens,
-        lost_tokens,
-        export_kv: engine.exports_kv && engine.cached_tokens > 0.0,
-    })
+    let gain_per_s = after - before;
+    Assessment {
+        change: RoleChange {
+            upstream: engine.name.clone(),
+            from: engine.role,
+            to,
+            gain_tokens: 0.0,
+            lost_tokens: (before - during).max(0.0) * away_ms / 1_000.0 + cached_tokens,
+            export_kv: engine.exports_kv && engine.cached_tokens > 0.0,
+        },
+        // Differences by rounding are no gain.
+        gain_per_s: if gain_per_s > before * GAIN_MIN {
+            gain_per_s
+        } else {
+            0.0
+        },
+        away_ms,
+    }
 }
 
 /// Whether the zone of an engine keeps an engine for each needed role while this one is away. A mixed engine covers both.
