--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -56,37 +56,39 @@
 }
 
 impl Capacity {
-    fn add(&mut self, engine: &Engine, role: Role, mixed_efficiency: f64) {
-        match role {
-            Role::Prefill => self.prefill += engine.prefill_tokens_per_s,
-            Role::Decode => self.decode += engine.decode_tokens_per_s,
-            Role::Mixed => {
-                self.mixed_prefill += engine.prefill_tokens_per_s * mixed_efficiency;
-                self.mixed_decode += engine.decode_tokens_per_s * mixed_efficiency;
-            }
+    /// Capacity of the engines that take work.
+    pub(crate) fn of(engines: &[Engine], mixed_efficiency: f64) -> Self {
+        let mut capacity = Self::default();
+        for engine in engines.iter().filter(|engine| !engine.draining) {
+            capacity = capacity.plus(engine, engine.role, mixed_efficiency);
         }
+        capacity
     }
 
-    /// Capacity of the engines that take work, with one of them in another role, or away if that is `None`.
-    pub(crate) fn with(
-        engines: &[Engine],
-        changed: Option<(usize, Option<Role>)>,
-        mixed_efficiency: f64,
-    ) -> Self {
-        let mut capacity = Self::default();
-        for (index, engine) in engines.iter().enumerate() {
-            if engine.draining {
-                continue;
-            }
-            let role = match changed {
-                Some((other, role)) if other == index => role,
-                _ => Some(engine.role),
-            };
-            if let Some(role) = role {
-                capacity.add(engine, role, mixed_efficiency);
+    /// Capacity with one more engine in a role.
+    pub(crate) fn plus(self, engine: &Engine, role: Role, mixed_efficiency: f64) -> Self {
+        self.with(engine, role, mixed_efficiency, 1.0)
+    }
+
+    /// Capacity without one of its engines.
+    pub(crate) fn minus(self, engine: &Engine, mixed_efficiency: f64) -> Self {
+        self.with(engine, engine.role, mixed_efficiency, -1.0)
+    }
+
+    fn with(mut self, engine: &Engine, role: Role, mixed_efficiency: f64, sign: f64) -> Self {
+        let prefill = sign * engine.prefill_tokens_per_s;
+        let decode = sign * engine.decode_tokens_per_s;
+        // A speed below 0 can only come from rounding.
+        let add = |speed: &mut f64, by: f64| *speed = (*speed + by).max(0.0);
+        match role {
+            Role::Prefill => add(&mut self.prefill, prefill),
+            Role::Decode => add(&mut self.decode, decode),
+            Role::Mixed => {
+                add(&mut self.mixed_prefill, prefill * mixed_efficiency);
+                add(&mut self.mixed_decode, decode * mixed_efficiency);
             }
         }
-        capacity
+        self
     }
 
     /// Tokens a second that can be served, as a weighted mean over the samples.
--- a/crates/plan/src/roles.rs
+++ b/crates/plan/src/roles.rs
@@ -262,75 +262,119 @@
         })
 }
 
+/// Tokens served a second before, while and after an engine changes from one role to another.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    before: f64,
+    during: f64,
+    after: f64,
+}
+
+/// An engine's part in what is served: its roles before and after, and its speeds.
+type Part = (Role, Role, u64, u64);
+
 fn assess_all(config: &PlannerConfig, samples: &[Sample], engines: &[Engine]) -> Vec<Assessment> {
+    let capacity = Capacity::of(engines, config.mixed_efficiency);
+    let before = capacity.served_per_s(samples);
+    let covered = covered_by_zone(engines);
+    let needed = needed_roles(samples);
+    // Most engines of a fleet are alike, and what is served does not depend on which of them changes.
+    let mut known: Map<Part, Served> = Map::default();
     let mut assessments = Vec::new();
-    for index in 0..engines.len() {
-        if engines[index].draining || !keeps_roles(engines, samples, index) {
+    for engine in engines {
+        if engine.draining || !keeps_roles(engine, &covered, needed) {
             continue;
         }
         for to in [Role::Mixed, Role::Prefill, Role::Decode] {
-            if engines[index].role != to {
-                assessments.push(assess(config, samples, engines, index, to));
+            if engine.role == to {
+                continue;
             }
+            let speeds = (engine.prefill_tokens_per_s, engine.decode_tokens_per_s);
+            let part = (engine.role, to, speeds.0.to_bits(), speeds.1.to_bits());
+            let served = *known.entry(part).or_insert_with(|| {
+                let away = capacity.minus(engine, config.mixed_efficiency);
+                let changed = away.plus(engine, to, config.mixed_efficiency);
+                Served {
+                    before,
+                    during: away.served_per_s(samples),
+                    after: changed.served_per_s(samples),
+                }
+            });
+            assessments.push(assess(engine, to, served));
         }
     }
     assessments
 }
 
-fn assess(
-    config: &PlannerConfig,
-    samples: &[Sample],
-    engines: &[Engine],
-    index: usize,
-    to: Role,
-) -> Assessment {
-    let engine = &engines[index];
-    let served_per_s =
-        |changed| Capacity::with(engines, changed, config.mixed_efficiency).served_per_s(samples);
-    let before = served_per_s(None);
-    let after = served_per_s(Some((index, Some(to))));
-    let during = served_per_s(Some((index, None)));
+fn assess(engine: &Engine, to: Role, served: Served) -> Assessment {
     let away_ms = (engine.drain_ms + engine.switch_ms) as f64;
     let cached_tokens = match engine.exports_kv {
         true => 0.0,
         false => engine.cached_tokens,
     };
-    let gain_per_s = after - before;
+    let away_tokens = (served.before - served.during).max(0.0) * away_ms / 1_000.0;
+    let gain_per_s = served.after - served.before;
+    // Differences by rounding are no gain.
+    let is_gain = gain_per_s > served.before * GAIN_MIN;
     Assessment {
         change: RoleChange {
             upstream: engine.name.clone(),
             from: engine.role,
             to,
             gain_tokens: 0.0,
-            lost_tokens: (before - during).max(0.0) * away_ms / 1_000.0 + cached_tokens,
+            lost_tokens: away_tokens + cached_tokens,
             export_kv: engine.exports_kv && engine.cached_tokens > 0.0,
         },
-        // Differences by rounding are no gain.
-        gain_per_s: if gain_per_s > before * GAIN_MIN {
-            gain_per_s
-        } else {
-            0.0
-        },
+        gain_per_s: if is_gain { gain_per_s } else { 0.0 },
         away_ms,
     }
 }
 
-/// Whether the zone of an engine keeps an engine for each needed role while this one is away. A mixed engine covers both.
-fn keeps_roles(engines: &[Engine], samples: &[Sample], index: usize) -> bool {
-    let zone = &engines[index].availability_zone;
-    let others = || {
-        let others = engines.iter().enumerate();
-        others.filter(|(other, engine)| {
-            *other != index && !engine.draining && engine.availability_zone == *zone
-        })
-    };
-    let covers =
-        |role| others().any(|(_, engine)| engine.role == role || engine.role == Role::Mixed);
-    let needed = |rate: fn(&Sample) -> f64| {
+/// Engines of a zone that take prompts and that generate output. A mixed engine does both.
+#[derive(Clone, Copy, Debug, Default)]
+struct Covered {
+    prompt: u32,
+    output: u32,
+}
+
+impl Covered {
+    fn of(role: Role) -> Self {
+        Self {
+            prompt: u32::from(role != Role::Decode),
+            output: u32::from(role != Role::Prefill),
+        }
+    }
+}
+
+fn covered_by_zone(engines: &[Engine]) -> Map<Name, Covered> {
+    let mut zones: Map<Name, Covered> = Map::default();
+    for engine in engines.iter().filter(|engine| !engine.draining) {
+        let zone = zones.entry(engine.availability_zone.clone()).or_default();
+        let own = Covered::of(engine.role);
+        zone.prompt += own.prompt;
+        zone.output += own.output;
+    }
+    zones
+}
+
+/// Whether there is a demand for prompts and for output.
+fn needed_roles(samples: &[Sample]) -> (bool, bool) {
+    let any = |rate: fn(&Sample) -> f64| {
         samples
             .iter()
-            .any(|sample| rate(sample) >= NEEDED_TOKENS_PER_S)
+            .map(rate)
+            .any(|rate| rate >= NEEDED_TOKENS_PER_S)
     };
-    (!needed(|sample| sample.prompt_per_s) || covers(Role::Prefill))
-        && (!needed(|sample| sample.output_per_s) || covers(Role::Decode))
+    (
+        any(|sample| sample.prompt_per_s),
+        any(|sample| sample.output_per_s),
+    )
+}
+
+/// Whether the zone of an engine keeps an engine for each needed role while this one is away.
+fn keeps_roles(engine: &Engine, covered: &Map<Name, Covered>, needed: (bool, bool)) -> bool {
+    let zone = covered.get(&engine.availability_zone).copied();
+    let zone = zone.unwrap_or_default();
+    let own = Covered::of(engine.role);
+    (!needed.0 || zone.prompt > own.prompt) && (!needed.1 || zone.output > own.output)
 }
