Add scenarios for crashes, pauses, lost disks, lost majorities and cuts

Ruled out: expecting an answer in the moment after the leader is lost, because a refusal as not run with Retry-After is allowed then; calls may now repeat while they are refused so, as callers do. Change: seven scenarios and a wait for the voter set.

--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -27,3 +27,45 @@
 fn whole_path() {
     run("whole_path");
 }
+
+/// Guards against an engine crash that a caller sees.
+#[test]
+fn engine_crash() {
+    run("engine_crash");
+}
+
+/// Guards against a killed voter that takes accepted changes, records or the service with it.
+#[test]
+fn killed_voters() {
+    run("killed_voters");
+}
+
+/// Guards against accepted changes or records that only live in memory.
+#[test]
+fn full_restart() {
+    run("full_restart");
+}
+
+/// Guards against non-idempotent work that runs without a record, or a refusal that is not true.
+#[test]
+fn majority_lost() {
+    run("majority_lost");
+}
+
+/// Guards against a paused leader that stops the others, or that acts on old authority when it goes on.
+#[test]
+fn frozen_voters() {
+    run("frozen_voters");
+}
+
+/// Guards against a voter that votes under its old identity, or never counts again.
+#[test]
+fn wiped_voter() {
+    run("wiped_voter");
+}
+
+/// Guards against a leader that goes on alone, or a cut-off voter that never catches up.
+#[test]
+fn cut_voters() {
+    run("cut_voters");
+}
--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -59,7 +59,8 @@
     },
 
     /// Waits until a condition holds for each name: `ready`, `not_ready`, `in_force` (the newest
-    /// revision that any named instance knows), `exit`, `idle` (no open exchanges).
+    /// revision that any named instance knows), `exit`, `idle` (no open exchanges), `voters` (all
+    /// voters and no learner).
     Wait {
         condition: String,
         #[arg(pos, many)]
@@ -92,6 +93,9 @@
         key: Option<String>,
         #[arg(key)]
         tenant: Option<String>,
+        /// Whether the call is repeated while it is refused as not run, as `Retry-After` asks.
+        #[arg(key, optional)]
+        retry: bool,
     },
 
     /// Starts callers that ask models through the ready ones of the named instances.
--- a/crates/mustardstack/tests/support/runner.rs
+++ b/crates/mustardstack/tests/support/runner.rs
@@ -394,6 +394,7 @@
             "ready" => self.for_each(names, |runner, name| runner.wait_ready(name, true)),
             "not_ready" => self.for_each(names, |runner, name| runner.wait_ready(name, false)),
             "in_force" => self.wait_in_force(names),
+            "voters" => self.for_each(names, Self::wait_voters),
             "idle" => self.for_each(names, Self::wait_idle),
             "exit" => self.wait_exit(names),
             other => Err(format!("no condition {other}").into()),
@@ -430,6 +431,18 @@
         Ok(format!("revision {revision}"))
     }
 
+    /// Waits until the instance counts every voter of the scenario and no learner.
+    fn wait_voters(&mut self, id: &str) -> Result<()> {
+        let instances = self.cluster.instances.values();
+        let expected = instances.filter(|instance| instance.is_voter).count();
+        wait::until("all voters", || {
+            let status = self.status(id)?;
+            let count = |field: &str| status[field].as_array().map(Vec::len);
+            let complete = count("voters") == Some(expected) && count("learners") == Some(0);
+            Ok(complete.then_some(()))
+        })
+    }
+
     fn wait_idle(&mut self, id: &str) -> Result<()> {
         wait::until("the end of open exchanges", || {
             Ok((self.status(id)?["open_exchanges"] == 0).then_some(()))
@@ -488,6 +501,7 @@
             body,
             key,
             tenant,
+            retry,
         } = command
         else {
             return Err("not a call command".into());
@@ -498,7 +512,11 @@
         let url = self.caller_url(through, path)?;
         let method = Method::try_from(method.as_str())?;
         let body = body.as_deref().unwrap_or_default();
-        let exchange = self.send(method, &url, &headers, body);
+        let exchange = wait::until("an answer that is not a refusal", || {
+            let exchange = self.send(method.clone(), &url, &headers, body);
+            let is_not_run = exchange.run().as_deref() == Some("not_run");
+            Ok((!retry || !is_not_run).then_some(exchange))
+        })?;
         Ok(describe_call(&exchange))
     }
 
