Add scenarios for drained upstreams and orders

Change: commands for orders, drains and the requests that engines ended; the wait for voters excludes replicas whose disk was wiped.

--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -69,3 +69,15 @@
 fn cut_voters() {
     run("cut_voters");
 }
+
+/// Guards against a leaving upstream that still receives work or cuts what it carries.
+#[test]
+fn drained_upstream() {
+    run("drained_upstream");
+}
+
+/// Guards against an order that is lost, repeated or cuts answers.
+#[test]
+fn ordered_engine() {
+    run("ordered_engine");
+}
--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -60,7 +60,8 @@
 
     /// Waits until a condition holds for each name: `ready`, `not_ready`, `in_force` (the newest
     /// revision that any named instance knows), `exit`, `idle` (no open exchanges), `voters` (all
-    /// voters and no learner).
+    /// voters, no learner and no lost replica), `changed` (an engine has carried out an order),
+    /// `drained` (every running instance drains the upstream, which has no work left).
     Wait {
         condition: String,
         #[arg(pos, many)]
@@ -125,6 +126,23 @@
     /// Prints the orders that an engine received, without their numbers.
     Orders(String),
 
+    /// Prints whether engines have ended requests since the last look.
+    Requests(Vec<String>),
+
+    /// Orders an engine to change its role, or to load or unload a model.
+    Order {
+        through: String,
+        upstream: String,
+        #[arg(key, many)]
+        change: Vec<(String, String)>,
+    },
+
+    /// Drains an upstream. Example: drain a engine-1
+    Drain { through: String, upstream: String },
+
+    /// Ends the draining of an upstream.
+    Undrain { through: String, upstream: String },
+
     /// Sets the platform's list. Example: list p a=live b=leaving
     List {
         platform: String,
