--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -107,7 +107,6 @@
             Effect::ReadPlatformList => self.read_platform_list(),
             Effect::AdminReply { token, reply } => self.admin_replies.complete(token, reply),
             Effect::InForce { revision, config } => {
-                spdlog::info!("fleet: revision {revision} is in force");
                 metrics::gauge!("mustardstack_revision").set(revision as f64);
                 self.view.send_replace(Arc::new(CallerView::new(&config)));
             }
