Bound stalled callers and connections that have proved nothing

Cause: a caller that takes no bytes held its exchange, and with it a planned stop, without limit; a body whose exchange ended early could end as if it were whole; and a peer connection could claim 16 MiB before its proof.

Change: a caller that takes no frame for 60 s counts as gone; a streamed body ends cleanly only after it was finished, and breaks off otherwise; a peer connection is read for 16 KiB until it has proved the secret. The recovered replica state is no longer copied at start.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -317,7 +317,7 @@
     /// A non-idempotent attempt goes on without its caller, because the ledger needs its outcome.
     async fn lose_caller(&mut self) -> Stage {
         self.caller_gone = true;
-        self.reply.close();
+        self.reply.abort();
         self.send(Event::CallerGone { exchange: self.id }).await;
         let Some(number) = self.running.as_ref().map(|running| running.number) else {
             return Stage::Done;
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -133,7 +133,13 @@
     /// Fails if the instance cannot start, or cannot go on.
     pub async fn run(mut self, stop: ShutdownSignal) -> Result<(), Error> {
         let store = self.open_store()?;
-        let start = self.start.clone();
+        // The recovered state may be large and is not kept twice.
+        let kept = Start {
+            settings: self.start.settings.clone(),
+            incarnation: self.start.incarnation,
+            ..Start::default()
+        };
+        let start = std::mem::replace(&mut self.start, kept);
         let make_step: MakeStep = Box::new(move |now_ms| {
             let mut state = State::new(start, now_ms);
             Box::new(move |now_ms, event, effects| {
--- a/crates/node/src/peer/incoming.rs
+++ b/crates/node/src/peer/incoming.rs
@@ -1,14 +1,19 @@
 //! The peer listener.
 
 use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side as RpcSide;
 use capnp_rpc::{RpcSystem, twoparty};
 use conf::Name;
 use reducer::Event;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -24,6 +29,8 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes that are read from a connection before it has proved the secret. Both calls take less than 1 KiB.
+const UNPROVED_BYTES: usize = 16 * 1024;
 /// Longest instance id, in bytes.
 const MAX_ID_BYTES: usize = 256;
 
@@ -61,6 +68,11 @@
     let _ = stream.set_nodelay(true);
     let is_proved = service.is_proved.clone();
     let (reader, writer) = stream.into_split();
+    let reader = ProvedReader {
+        reader,
+        is_proved: is_proved.clone(),
+        allowed_bytes: UNPROVED_BYTES,
+    };
     let network = twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader.compat()),
         futures::io::BufWriter::new(writer.compat_write()),
@@ -80,6 +92,35 @@
     }
 }
 
+/// Reads no more than a few calls from a connection that has proved nothing.
+struct ProvedReader {
+    reader: OwnedReadHalf,
+    is_proved: Rc<Cell<bool>>,
+    allowed_bytes: usize,
+}
+
+impl AsyncRead for ProvedReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.reader).poll_read(cx, buf))?;
+        if self.is_proved.get() {
+            return Poll::Ready(Ok(()));
+        }
+        let read = buf.filled().len() - before;
+        match self.allowed_bytes.checked_sub(read) {
+            Some(left) => {
+                self.allowed_bytes = left;
+                Poll::Ready(Ok(()))
+            }
+            None => Poll::Ready(Err(io::ErrorKind::PermissionDenied.into())),
+        }
+    }
+}
+
 /// Bootstrap object of a connection.
 struct PeerService {
     id: Name,
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -2,10 +2,12 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use futures::Stream;
 use http::{HeaderMap, StatusCode};
 use http_body::Frame;
 use tokio::sync::{mpsc, oneshot};
@@ -16,13 +18,15 @@
 /// Frames between the exchange and the caller's connection. Beyond that the caller is slower than the upstream.
 const WAITING_FRAMES: usize = 16;
 
-type BodyFrame = Result<Frame<Bytes>, BoxError>;
+/// Time for which a caller may take no bytes. Its exchange would otherwise hold a place at an
+/// upstream, and hold up a planned stop, for as long as the caller likes.
+const STALL_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The answer to a caller, while it is being written.
 #[derive(Debug)]
 pub struct Reply {
     state: State,
-    pending: VecDeque<BodyFrame>,
+    pending: VecDeque<Bytes>,
 }
 
 #[derive(Debug)]
@@ -30,17 +34,25 @@
     /// Nothing has been sent.
     Waiting(oneshot::Sender<Response>),
     /// The head was sent.
-    Streaming(mpsc::Sender<BodyFrame>),
+    Streaming(Stream),
     /// The answer is whole, or the caller has gone.
     Closed,
 }
 
+/// The body of a started answer.
+#[derive(Debug)]
+struct Stream {
+    frames: mpsc::Sender<Bytes>,
+    /// Set before the end of a whole body. Any other end breaks the caller's connection.
+    is_whole: Arc<AtomicBool>,
+}
+
 /// What [`Reply::drive`] saw.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flow {
     /// All frames were handed to the caller's connection.
     Drained,
-    /// The caller has closed its connection.
+    /// The caller has closed its connection, or takes no bytes any more.
     CallerGone,
 }
 
@@ -67,9 +79,15 @@
 
     /// Sends the head of an answer whose body follows in frames.
     pub fn start(&mut self, status: StatusCode, headers: HeaderMap) {
-        let (sender, receiver) = mpsc::channel(WAITING_FRAMES);
-        let body = Body::from_stream(Frames(receiver));
-        if let State::Waiting(head) = std::mem::replace(&mut self.state, State::Streaming(sender)) {
+        let (frames, receiver) = mpsc::channel(WAITING_FRAMES);
+        let is_whole = Arc::<AtomicBool>::default();
+        let body = Body::from_stream(Frames {
+            frames: receiver,
+            is_whole: is_whole.clone(),
+            is_ended: false,
+        });
+        let stream = State::Streaming(Stream { frames, is_whole });
+        if let State::Waiting(head) = std::mem::replace(&mut self.state, stream) {
             // A caller that has gone is found by `drive`.
             let _ = head.send(response(status, headers, body));
         }
@@ -78,7 +96,7 @@
     /// Appends bytes to the body of a started answer.
     pub fn push(&mut self, data: Bytes) {
         if matches!(self.state, State::Streaming(_)) {
-            self.pending.push_back(Ok(Frame::data(data)));
+            self.pending.push_back(data);
         }
     }
 
@@ -89,16 +107,8 @@
         }
     }
 
-    /// Breaks the caller's connection, so that a body that is not whole is seen as such.
+    /// Ends the answer as it is. A body that was started breaks off, so that it is not taken for a whole one.
     pub fn abort(&mut self) {
-        if matches!(self.state, State::Streaming(_)) {
-            self.pending
-                .push_back(Err("the answer is not whole".into()));
-        }
-    }
-
-    /// Forgets a caller that has gone.
-    pub fn close(&mut self) {
         self.state = State::Closed;
         self.pending.clear();
     }
@@ -107,28 +117,31 @@
     pub async fn drive(&mut self) -> Flow {
         match &mut self.state {
             State::Waiting(head) => head.closed().await,
-            State::Streaming(sender) if self.pending.is_empty() => sender.closed().await,
-            State::Streaming(sender) => return drain(sender, &mut self.pending).await,
+            State::Streaming(stream) if self.pending.is_empty() => stream.frames.closed().await,
+            State::Streaming(stream) => return drain(stream, &mut self.pending).await,
             State::Closed => std::future::pending().await,
         }
         Flow::CallerGone
     }
 
-    /// Hands over the frames that are left and ends the body.
+    /// Hands over the frames that are left and ends the body as a whole one.
     pub async fn finish(mut self) {
-        if let State::Streaming(sender) = &self.state {
-            drain(sender, &mut self.pending).await;
+        if let State::Streaming(stream) = &self.state
+            && drain(stream, &mut self.pending).await == Flow::Drained
+        {
+            stream.is_whole.store(true, Ordering::Release);
         }
     }
 }
 
-async fn drain(sender: &mpsc::Sender<BodyFrame>, pending: &mut VecDeque<BodyFrame>) -> Flow {
+async fn drain(stream: &Stream, pending: &mut VecDeque<Bytes>) -> Flow {
     while !pending.is_empty() {
-        let Ok(permit) = sender.reserve().await else {
+        let place = tokio::time::timeout(STALL_TIMEOUT, stream.frames.reserve());
+        let Ok(Ok(place)) = place.await else {
             return Flow::CallerGone;
         };
         if let Some(frame) = pending.pop_front() {
-            permit.send(frame);
+            place.send(frame);
         }
     }
     Flow::Drained
@@ -142,12 +155,22 @@
     response
 }
 
-struct Frames(mpsc::Receiver<BodyFrame>);
+struct Frames {
+    frames: mpsc::Receiver<Bytes>,
+    is_whole: Arc<AtomicBool>,
+    is_ended: bool,
+}
 
-impl Stream for Frames {
-    type Item = BodyFrame;
+impl futures::Stream for Frames {
+    type Item = Result<Frame<Bytes>, BoxError>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
+        let frame = std::task::ready!(self.frames.poll_recv(cx));
+        if let Some(data) = frame {
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+        let is_cut = !self.is_whole.load(Ordering::Acquire) && !self.is_ended;
+        self.is_ended = true;
+        Poll::Ready(is_cut.then(|| Err("the answer is not whole".into())))
     }
 }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -220,3 +220,23 @@
     read.await.expect("the connection is kept").unwrap();
     assert!(answer.is_empty());
 }
+
+/// Guards against memory that a connection can claim before it has proved anything.
+#[tokio::test]
+async fn a_connection_that_sends_much_before_its_proof_is_closed() {
+    let south = start("south", "secret").await;
+    let address = south.settings.instance.peer_address.to_string();
+    let attempt = async move {
+        let stream = TcpStream::connect(&address).await.unwrap();
+        let mut system = rpc(stream, Side::Client, None);
+        let peer: peer::Client = system.bootstrap(Side::Server);
+        tokio::task::spawn_local(system);
+        let mut request = peer.challenge_request();
+        request.get().set_id("north");
+        request.get().set_nonce(&[7; 64 * 1024]);
+        let error = request.send().promise.await.err().unwrap();
+        // A message that was read would be refused for the length of its nonce.
+        assert!(error.extra.contains("permission denied"), "{error}");
+    };
+    tokio::task::LocalSet::new().run_until(attempt).await;
+}
