Test that an answer survives the crash of its engine

Cause: resumption was tested with a scripted reducer only.

Change: one instance with the real reducer and two stand-in engines; the engine that runs the request is crashed mid-stream.

Conclusion: the caller sees the whole answer, with one id and one end.

--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -210,6 +210,74 @@
     }
 }
 
+/// Guards against a caller that notices the crash of the engine that answers it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_the_crash_of_its_engine() {
+    let engine = || {
+        let settings = standin::engine::Settings {
+            request_tokens_per_s: 200.0,
+            load_lag_ms: 0.0,
+            ..Default::default()
+        };
+        standin::engine::start(settings).unwrap()
+    };
+    let mut engines = [engine(), engine()];
+    let members = start_cluster(1).await;
+    members[0]
+        .wait_status(|status| status.leader.is_some())
+        .await;
+    let mut config = config(&engines[0].address().to_string(), "127.0.0.1:1");
+    let mut second = config.upstreams[0].clone();
+    second.name = "engine-2".into();
+    second.address = engines[1].address().to_string().into();
+    config.upstreams.push(second);
+    let (status, reply) = members[0]
+        .admin("POST", "/admin/apply", &apply_request(&config))
+        .await;
+    assert_eq!(status, 200, "{reply}");
+    members[0]
+        .wait_status(|status| {
+            status.ready && status.upstreams.iter().filter(|u| u.reachable).count() == 2
+        })
+        .await;
+    let chat = standin::prompt::ChatRequest {
+        model: "assistant".into(),
+        messages: vec![standin::prompt::ChatMessage {
+            role: "user".into(),
+            content: "How many lilies? answer-tokens=400".into(),
+        }],
+        stream: true,
+        ..Default::default()
+    };
+    let body = serde_json::to_string(&chat).unwrap();
+    let sent = request("POST", "/v1/chat/completions", &body);
+    let response = support::send(&members[0].settings.instance.caller_address, sent).await;
+    let mut body = response.into_body();
+    let mut streamed = String::new();
+    while streamed.matches("data: ").count() < 20 {
+        streamed.push_str(&support::frame(&mut body).await.unwrap().unwrap());
+    }
+    for engine in &mut engines {
+        let address = engine.address().to_string();
+        let load = support::send(&address, support::get("/load")).await;
+        let load = text(&mut load.into_body()).await.unwrap();
+        let load: Value = serde_json::from_str(&load).unwrap();
+        if load["running"] == 1 {
+            engine.crash();
+        }
+    }
+    streamed.push_str(&text(&mut body).await.unwrap());
+    let (streamed, ids, reasons) = read_stream(&streamed);
+    assert_eq!(streamed, chat.answer());
+    assert_eq!(ids.len(), 1);
+    assert_eq!(reasons, ["stop", "[DONE]"]);
+    let crashed = engines
+        .iter_mut()
+        .filter_map(|engine| std::net::TcpStream::connect(engine.address()).err());
+    assert_eq!(crashed.count(), 1);
+    stop_all(members).await;
+}
+
 async fn stop_all(members: Vec<Member>) -> Vec<(tempfile::TempDir, conf::Settings)> {
     futures::future::join_all(members.into_iter().map(Member::stop)).await
 }
