--- a/crates/node/src/peer/incoming.rs
+++ b/crates/node/src/peer/incoming.rs
@@ -181,11 +181,10 @@
             .challenged
             .take()
             .ok_or_else(|| failed("hello without a challenge"))?;
-        let is_same = read_id(params.get_id()?)? == challenged.connecting_id
-            && params.get_nonce()? == challenged.accepting_nonce;
+        // The proof covers the id and the nonces of the challenge, whatever the call repeats of them.
         let handshake = challenged.handshake(&self.id);
         let proof = params.get_proof()?;
-        if !is_same || !self.secret.verify(Side::Connecting, &handshake, proof) {
+        if !self.secret.verify(Side::Connecting, &handshake, proof) {
             let id = &challenged.connecting_id;
             spdlog::warn!("peer: a connection that calls itself {id} does not hold the secret");
             return Err(failed("the proof is wrong"));
--- /dev/null
+++ b/crates/node/tests/view.rs
@@ -0,0 +1,45 @@
+//! The configuration in force as the callers' listener sees it.
+
+mod support;
+
+use std::sync::Arc;
+
+use conf::Name;
+use http::Method;
+use node::view::{CallerView, RouteMatch};
+use support::{KEY, service_config};
+
+/// Guards against a key that is accepted because part of its digest is that of another.
+#[test]
+fn a_key_must_match_the_whole_digest() {
+    let mut config = service_config();
+    let digest = support::key_sha256();
+    let last = if digest.ends_with('0') { "1" } else { "0" };
+    let altered = format!("{}{last}", &digest[..63]);
+    config.tenants[0].key_sha256 = Name::from(altered);
+    let view = CallerView::new(&Arc::new(config.clone()));
+    assert_eq!(view.tenant(KEY), None);
+    config.tenants.push(conf::Tenant {
+        name: "trust".into(),
+        key_sha256: digest.into(),
+        ..Default::default()
+    });
+    let view = CallerView::new(&Arc::new(config));
+    assert_eq!(view.tenant(KEY).unwrap(), "trust");
+}
+
+/// Guards against a route that takes paths which only begin with the same letters.
+#[test]
+fn a_prefix_ends_at_a_segment() {
+    let view = CallerView::new(&Arc::new(service_config()));
+    let route = |method, path| match view.route(&method, path) {
+        RouteMatch::Found(route) => route.name,
+        other => Name::from(format!("{other:?}")),
+    };
+    assert_eq!(route(Method::GET, "/rota/plan"), "plan");
+    assert_eq!(route(Method::GET, "/rota/plan/week"), "plan");
+    assert_eq!(route(Method::GET, "/rota/planning"), "swap");
+    assert_eq!(route(Method::POST, "/rota/plan"), "swap");
+    assert_eq!(route(Method::PUT, "/rota/plan"), "WrongMethod");
+    assert_eq!(route(Method::GET, "/rotation"), "Unknown");
+}
