Keep the end of a chat answer in order and survive odd events

Cause: a usage event after the finishing event overtook it, and an event with an empty list of choices on a resumed answer panicked the exchange's task, so that the reducer would have waited for the attempt's end for ever.

Change: everything from the finishing event on is held until the end marker; events of later attempts are changed through checked access.

--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -62,15 +62,15 @@
     output_tokens: u32,
     /// Whether an earlier attempt has begun the answer, so that events of this one are adapted to it.
     continued: bool,
-    /// The last event before the end marker, held back until the marker has come.
+    /// The last events before the end marker, held back until the marker has come.
     held: Option<Held>,
     source: Source,
 }
 
-/// The finishing event of an attempt.
+/// The finishing event of an attempt, with what came after it, such as the usage.
 #[derive(Debug)]
 struct Held {
-    event: Bytes,
+    events: BytesMut,
     finish_reason: String,
 }
 
@@ -251,7 +251,7 @@
             };
             if event.data == END_MARKER {
                 if let Some(held) = &self.held {
-                    forward.extend_from_slice(&held.event);
+                    forward.extend_from_slice(&held.events);
                 }
                 forward.extend_from_slice(&event.raw);
                 return ChatStep::Done(forward.freeze());
@@ -296,11 +296,15 @@
             self.text.push_str(&content);
             self.output_tokens += 1;
         }
+        if let Some(held) = &mut self.held {
+            held.events.extend_from_slice(&bytes);
+            return Ok(Bytes::new());
+        }
         let Some(finish_reason) = reason else {
             return Ok(bytes);
         };
         self.held = Some(Held {
-            event: bytes,
+            events: BytesMut::from(&bytes[..]),
             finish_reason,
         });
         Ok(Bytes::new())
@@ -311,17 +315,20 @@
         if self.id.is_some() && !self.continued {
             return Ok(event.raw);
         }
-        let mut chunk: Value = serde_json::from_str(&event.data).map_err(|_| NoAnswer)?;
+        let mut chunk: Map<String, Value> =
+            serde_json::from_str(&event.data).map_err(|_| NoAnswer)?;
         let Some(id) = &self.id else {
-            self.id = Some(chunk["id"].take());
+            self.id = Some(chunk.remove("id").unwrap_or_default());
             return Ok(event.raw);
         };
-        chunk["id"] = id.clone();
-        if let Some(delta) = chunk["choices"][0]["delta"].as_object_mut() {
-            delta.remove("role");
-        }
+        chunk.insert("id".to_owned(), id.clone());
         if chunk.get("usage").is_some_and(Value::is_object) {
-            chunk["usage"] = self.usage();
+            chunk.insert("usage".to_owned(), self.usage());
+        }
+        let mut chunk = Value::Object(chunk);
+        let delta = chunk.pointer_mut("/choices/0/delta");
+        if let Some(delta) = delta.and_then(Value::as_object_mut) {
+            delta.remove("role");
         }
         Ok(event_bytes(&chunk))
     }
@@ -345,7 +352,7 @@
         self.output_tokens += tokens.unwrap_or(estimate) as u32;
         let finish = self.chunk(json!({}), Some(reason));
         self.held = Some(Held {
-            event: event_bytes(&finish),
+            events: BytesMut::from(&event_bytes(&finish)[..]),
             finish_reason: reason.to_owned(),
         });
         let mut events = BytesMut::new();
--- a/crates/node/tests/chat.rs
+++ b/crates/node/tests/chat.rs
@@ -135,6 +135,38 @@
     assert_eq!(reasons, ["stop", "[DONE]"]);
 }
 
+/// Guards against a usage event that changes places with the end of the answer, and against an end
+/// that the caller sees before a break and again after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_of_an_answer_is_passed_on_once_and_in_order() {
+    let engine = Upstream::start().await;
+    let addresses = vec![engine.address.clone(); 2];
+    let mut instance = TestInstance::start(dispatcher(addresses)).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move {
+        text(&mut support::send(&address, chat(true)).await.into_body()).await
+    });
+    let finish = r#"{"id":"a","choices":[{"delta":{},"finish_reason":"stop"}]}"#;
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    call.event(finish).await;
+    drop(call);
+    assert_eq!(instance.ended(1).await, End::Broken);
+    let mut call = engine.call().await;
+    call.begin_events().await;
+    call.event(finish).await;
+    let usage = r#"{"id":"b","choices":[],"usage":{"completion_tokens":0}}"#;
+    call.event(usage).await;
+    call.event("[DONE]").await;
+    let body = answer.await.unwrap().unwrap();
+    let events: Vec<&str> = body.trim_end().split("\n\n").collect();
+    assert_eq!(events.len(), 4, "{body}");
+    assert!(events[1].contains("\"finish_reason\":\"stop\""));
+    assert!(events[2].contains("\"completion_tokens\":1"));
+    assert_eq!(events[3], "data: [DONE]");
+}
+
 /// Guards against retrying what may have run, and against not retrying what has not.
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_tell_what_may_have_run() {
