--- a/crates/conf/src/keys.rs
+++ b/crates/conf/src/keys.rs
@@ -404,6 +404,33 @@
             ),
         ],
     },
+    Section {
+        name: "decisions",
+        shape: Shape::Table,
+        about: "How decisions are taken. Values other than the defaults are baselines for experiments.",
+        keys: &[
+            choice(
+                "routing",
+                &[
+                    "cost_based",
+                    "round_robin",
+                    "least_outstanding",
+                    "prefix_hash",
+                ],
+                "How upstreams are chosen.",
+            ),
+            choice(
+                "queueing",
+                &["ranked", "single_queue"],
+                "How queues are served.",
+            ),
+            choice(
+                "planning",
+                &["hysteresis", "no_hysteresis", "static"],
+                "How roles of engines are planned.",
+            ),
+        ],
+    },
 ];
 
 /// The sections of the service configuration.
--- a/crates/conf/src/reference.rs
+++ b/crates/conf/src/reference.rs
@@ -49,6 +49,7 @@
         "log" => value(&defaults.log),
         "timing" => value(&defaults.timing),
         "limits" => value(&defaults.limits),
+        "decisions" => value(&defaults.decisions),
         "ranks" => value(&RankPolicy::default()),
         "tenants" => value(&Tenant::default()),
         "models" => value(&Model::default()),
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -20,6 +20,59 @@
     pub timing: Timing,
     /// Bounds on what callers may send.
     pub limits: Limits,
+    /// How decisions are taken.
+    pub decisions: Decisions,
+}
+
+/// How decisions are taken. Values other than the defaults are baselines for experiments.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Decisions {
+    /// How upstreams are chosen.
+    pub routing: Routing,
+    /// How queues are served.
+    pub queueing: Queueing,
+    /// How roles of engines are planned.
+    pub planning: Planning,
+}
+
+/// How upstreams are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Routing {
+    /// Lowest expected cost.
+    #[default]
+    CostBased,
+    /// Each upstream in turn.
+    RoundRobin,
+    /// Fewest of the instance's own open exchanges.
+    LeastOutstanding,
+    /// Hash of the prompt's first chunk.
+    PrefixHash,
+}
+
+/// How queues are served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Queueing {
+    /// By rank, floor, tenant and deadline.
+    #[default]
+    Ranked,
+    /// In order of arrival.
+    SingleQueue,
+}
+
+/// How roles of engines are planned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Planning {
+    /// By forecast gain and cost, with hysteresis.
+    #[default]
+    Hysteresis,
+    /// By the gain at the demand of the last window alone.
+    NoHysteresis,
+    /// Never.
+    Static,
 }
 
 /// Identity and addresses of an instance.
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use admit::{Discipline, Queues};
+use conf::settings::{Queueing, Routing};
 use conf::{Map, Name, ServiceConfig, Settings};
 use fleet::{Follower, GateHolder, OrderGate, PeerMessage, PlatformList};
 use quorum::{Recovered, Replica, ReplicaId, ReplicaSettings};
@@ -32,10 +33,6 @@
     pub replica: Option<(u64, Recovered)>,
     /// Seed of every generator in the state.
     pub seed: u64,
-    /// How upstreams are chosen.
-    pub policy: Policy,
-    /// How queues are served.
-    pub discipline: Discipline,
 }
 
 /// The state of an instance.
@@ -90,8 +87,8 @@
             proposer: Proposer::new(id, start.incarnation),
             services: Arc::default(),
             table: Table::new(start.seed),
-            queues: Queues::new(start.discipline),
-            policy: start.policy,
+            queues: Queues::new(discipline(settings.decisions.queueing)),
+            policy: policy(settings.decisions.routing),
             exchanges: BTreeMap::new(),
             next_attempt: 0,
             watch: Watch::new(&settings),
@@ -247,6 +244,22 @@
     });
 }
 
+fn policy(routing: Routing) -> Policy {
+    match routing {
+        Routing::CostBased => Policy::CostBased,
+        Routing::RoundRobin => Policy::RoundRobin,
+        Routing::LeastOutstanding => Policy::LeastOutstanding,
+        Routing::PrefixHash => Policy::PrefixHash,
+    }
+}
+
+fn discipline(queueing: Queueing) -> Discipline {
+    match queueing {
+        Queueing::Ranked => Discipline::Ranked,
+        Queueing::SingleQueue => Discipline::SingleQueue,
+    }
+}
+
 fn new_replication(
     settings: &Settings,
     storage_id: u64,
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -189,7 +189,6 @@
             incarnation: node.incarnation,
             replica: is_voter.then(|| (node.disk.storage_id, node.disk.recovered.clone())),
             seed,
-            ..Start::default()
         };
         node.state = Some(State::new(start, now_ms));
         let tick = Event::Tick {
