--- /dev/null
+++ b/crates/reducer/examples/memory.rs
@@ -0,0 +1,151 @@
+//! Prints the resident memory of an entry's and of a leader's state, and the time to bring a
+//! configuration into force, at several sizes.
+//!
+//! `cargo run --release -p reducer --example memory`
+//!
+//! Each figure is a difference of `/proc/self/statm` in a process of its own.
+
+mod target;
+
+use std::process::Command;
+use std::time::Instant;
+
+use reducer::{Arrival, Event, Work};
+use target::{Entry, Leader, Size};
+
+const PAGE_BYTES: u64 = 4096;
+
+/// What grows, with its counts.
+const GROWING: [(&str, [usize; 4]); 6] = [
+    ("upstreams", [13, 186, 650, 1_300]),
+    ("instances", [8, 46, 160, 320]),
+    ("tenants", [100, 1_000, 5_000, 11_000]),
+    ("exchanges", [0, 1_000, 4_000, 16_000]),
+    ("leader-instances", [8, 46, 160, 320]),
+    ("leader-upstreams", [13, 186, 650, 1_300]),
+];
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    if let [_, kind, count] = &args[..] {
+        return measure(kind, count.parse().expect("a count"));
+    }
+    println!("growing              count  resident_KiB  config_bytes  parse_ms  in_force_ms");
+    let program = std::env::current_exe().expect("the example's path");
+    for (kind, counts) in GROWING {
+        for count in counts {
+            // A state of its own process, because freed pages of an earlier one would be reused.
+            let status = Command::new(&program)
+                .args([kind, &count.to_string()])
+                .status();
+            assert!(status.is_ok_and(|status| status.success()));
+        }
+    }
+}
+
+fn measure(kind: &str, count: usize) {
+    let base = Size {
+        upstreams: 13,
+        instances: 8,
+        tenants: 100,
+    };
+    let size = match kind {
+        "upstreams" | "leader-upstreams" => Size {
+            upstreams: count,
+            ..base
+        },
+        "instances" | "leader-instances" => Size {
+            instances: count,
+            ..base
+        },
+        "tenants" => Size {
+            tenants: count,
+            ..base
+        },
+        "exchanges" => Size {
+            upstreams: 186,
+            ..base
+        },
+        _ => panic!("unknown kind {kind}"),
+    };
+    let before = resident_bytes();
+    let text = target::config(size).canonical_text();
+    let started = Instant::now();
+    let parsed = conf::ServiceConfig::from_canonical_text(&text).expect("the text parses");
+    let parse_ms = millis(started);
+    drop(parsed);
+    if kind.starts_with("leader") {
+        let mut leader = Leader::new(size);
+        for n in 1..size.instances {
+            let event = leader.report(n, 1, 0);
+            leader.run(event);
+        }
+        for _ in 0..500 {
+            leader.tick();
+        }
+        return print(kind, count, before, text.len(), parse_ms, 0.0);
+    }
+    let mut entry = Entry::new(size);
+    if kind == "exchanges" {
+        open(&mut entry, count as u64, size);
+        return print(kind, count, before, text.len(), parse_ms, 0.0);
+    }
+    print(
+        kind,
+        count,
+        before,
+        text.len(),
+        parse_ms,
+        in_force_ms(&mut entry, size),
+    );
+}
+
+fn print(kind: &str, count: usize, before: u64, text_bytes: usize, parse_ms: f64, force_ms: f64) {
+    let grown = (resident_bytes() - before) / 1024;
+    println!("{kind:<18} {count:>7} {grown:>13} {text_bytes:>13} {parse_ms:>9.2} {force_ms:>12.2}");
+}
+
+fn open(entry: &mut Entry, count: u64, size: Size) {
+    for exchange in 0..count {
+        entry.now_ms += 1;
+        let arrival = Arrival {
+            exchange,
+            tenant: target::tenant_name(exchange as usize % size.tenants),
+            rank: None,
+            work: Work::Chat {
+                model: target::model_name(exchange as usize % target::MODELS),
+                prompt_tokens: 8_000,
+                chunk_hashes: vec![exchange * 2, exchange * 2 + 1],
+                max_tokens: None,
+            },
+        };
+        entry.step(Event::Arrived(Box::new(arrival)));
+    }
+    assert_eq!(entry.state.open_exchanges() as u64, count);
+}
+
+// Includes the parse; the message has been decoded already.
+fn in_force_ms(entry: &mut Entry, size: Size) -> f64 {
+    let revision = target::revision(&target::config(size), 2);
+    entry.now_ms += 500;
+    entry.tick();
+    let reply = fleet::LeaderReply {
+        revision: 2,
+        config: Some(revision),
+        ..entry.reply()
+    };
+    let event = entry.from_leader(reply);
+    let started = Instant::now();
+    entry.step(event);
+    millis(started)
+}
+
+fn millis(started: Instant) -> f64 {
+    started.elapsed().as_secs_f64() * 1e3
+}
+
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- /dev/null
+++ b/crates/reducer/examples/target/mod.rs
@@ -0,0 +1,404 @@
+//! States of an entry and of a leader for a fleet of a given size.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+
+use conf::admin::ApplyRequest;
+use conf::settings::{Instance, Voter};
+use conf::{
+    Fencing, Idempotency, Model, Name, RankPolicy, Route, Service, ServiceConfig, ServiceKind,
+    Settings, Tenant, Upstream,
+};
+use fleet::{
+    ClusterView, ConfigRevision, Gate, GateHolder, InstanceInfo, InstanceReport, InstanceView,
+    LeaderReply, PeerMessage,
+};
+use reducer::{AdminRequest, Effect, Event, LoadReport, Start, State, step};
+
+pub const ZONES: usize = 7;
+pub const MODELS: usize = 17;
+pub const CHUNKS_PER_ENGINE: u64 = 64;
+pub const EPOCH_MS: u64 = 1_700_000_000_000;
+const VOTERS: usize = 3;
+
+/// Numbers of upstreams, instances and tenants.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub upstreams: usize,
+    pub instances: usize,
+    pub tenants: usize,
+}
+
+/// Makes the configuration: plain workers are 3 of the upstreams, all others engines.
+pub fn config(size: Size) -> ServiceConfig {
+    let rank = |name: &str, floor| RankPolicy {
+        name: Name::new(name),
+        floor,
+        ..RankPolicy::default()
+    };
+    ServiceConfig {
+        ranks: vec![rank("urgent", 0.3), rank("normal", 0.2), rank("late", 0.1)],
+        tenants: (0..size.tenants).map(tenant).collect(),
+        models: (0..MODELS)
+            .map(|n| Model {
+                name: model_name(n),
+                version: "1".into(),
+                weights_bytes: 140_000_000_000,
+                ..Model::default()
+            })
+            .collect(),
+        services: vec![
+            Service {
+                name: "assistant".into(),
+                kind: ServiceKind::Model,
+                models: (0..MODELS).map(model_name).collect(),
+            },
+            Service {
+                name: "orders".into(),
+                kind: ServiceKind::Plain,
+                ..Service::default()
+            },
+        ],
+        routes: vec![Route {
+            name: "pay".into(),
+            path_prefix: "/pay".into(),
+            service: "orders".into(),
+            idempotency: Idempotency::NonIdempotent,
+            ..Route::default()
+        }],
+        upstreams: (0..size.upstreams).map(upstream).collect(),
+    }
+}
+
+pub fn tenant_name(n: usize) -> Name {
+    format!("tenant-{n:05}").into()
+}
+
+pub fn model_name(n: usize) -> Name {
+    format!("model-{n:02}").into()
+}
+
+pub fn zone(n: usize) -> Name {
+    format!("region-{}-zone-{}", n % 3, n % ZONES).into()
+}
+
+pub fn instance_info(n: usize) -> InstanceInfo {
+    InstanceInfo {
+        id: format!("instance-{n:03}").into(),
+        incarnation: 1_700_000_000_000,
+        availability_zone: zone(n),
+        peer_address: format!("10.0.{}.{}:7000", n / 250, n % 250).into(),
+    }
+}
+
+pub fn is_engine(n: usize) -> bool {
+    n >= 3
+}
+
+fn tenant(n: usize) -> Tenant {
+    Tenant {
+        name: tenant_name(n),
+        key_sha256: conf::content_id(&format!("key-{n}")),
+        ranks: vec!["normal".into(), "urgent".into(), "late".into()],
+        ..Tenant::default()
+    }
+}
+
+fn upstream(n: usize) -> Upstream {
+    Upstream {
+        name: format!("upstream-{n:04}").into(),
+        service: if is_engine(n) { "assistant" } else { "orders" }.into(),
+        address: format!("10.1.{}.{}:8000", n / 250, n % 250).into(),
+        availability_zone: zone(n),
+        fencing: Fencing::Enforced,
+        max_running: 128,
+        ..Upstream::default()
+    }
+}
+
+/// Model of the engine `n`, so that each model that is asked for has an engine.
+fn loaded_model(n: usize) -> Name {
+    format!("model-{:02}@1", n.saturating_sub(3) % MODELS).into()
+}
+
+pub fn load_report(n: usize) -> LoadReport {
+    LoadReport {
+        running: (n % 20) as u32,
+        prompt_tokens_waiting: 1_000,
+        kv_chunks_used: 20,
+        kv_chunks_total: CHUNKS_PER_ENGINE as u32,
+        role: is_engine(n).then_some(conf::Role::Mixed),
+        models: vec![loaded_model(n)],
+        ..LoadReport::default()
+    }
+}
+
+pub fn revision(config: &ServiceConfig, revision: u64) -> ConfigRevision {
+    let canonical = config.canonical_text();
+    ConfigRevision {
+        revision,
+        base_revision: revision - 1,
+        content_id: conf::content_id(&canonical),
+        canonical: canonical.into(),
+        files: Vec::new(),
+        author: "operator".into(),
+        at_ms: EPOCH_MS,
+    }
+}
+
+/// The view that a leader sends when every engine has a gate.
+pub fn view(size: Size, version: u64) -> ClusterView {
+    ClusterView {
+        version,
+        instances: (0..size.instances)
+            .map(|n| InstanceView {
+                info: instance_info(n),
+                draining: false,
+                revision: 1,
+            })
+            .collect(),
+        draining_upstreams: Vec::new(),
+        gates: (0..size.upstreams)
+            .filter(|n| is_engine(*n))
+            .map(|n| Gate {
+                upstream: upstream(n).name,
+                holder: Some(GateHolder {
+                    instance: instance_info(n % size.instances).id,
+                    incarnation: 1_700_000_000_000,
+                }),
+                epoch: 1,
+                order: None,
+            })
+            .collect(),
+    }
+}
+
+fn voters(count: usize) -> Vec<Voter> {
+    (0..count)
+        .map(|n| Voter {
+            id: instance_info(n).id,
+            availability_zone: zone(n),
+            peer_address: instance_info(n).peer_address,
+        })
+        .collect()
+}
+
+fn settings(n: usize, voter_count: usize) -> Settings {
+    let info = instance_info(n);
+    Settings {
+        instance: Instance {
+            id: info.id,
+            availability_zone: info.availability_zone,
+            peer_address: info.peer_address,
+            ..Instance::default()
+        },
+        voters: voters(voter_count),
+        ..Settings::default()
+    }
+}
+
+/// An entry that is no voter, with the configuration in force and one load report of each upstream.
+pub struct Entry {
+    pub state: State,
+    pub now_ms: u64,
+    pub effects: Vec<Effect>,
+    sequence: u64,
+}
+
+impl Entry {
+    pub fn new(size: Size) -> Self {
+        let start = Start {
+            settings: settings(VOTERS, VOTERS),
+            incarnation: 1,
+            replica: None,
+            seed: 1,
+        };
+        let mut entry = Self {
+            state: State::new(start, 1_000),
+            now_ms: 1_000,
+            effects: Vec::new(),
+            sequence: 0,
+        };
+        entry.tick();
+        let reply = LeaderReply {
+            config: Some(revision(&config(size), 1)),
+            view: Some(view(size, 1)),
+            ..entry.reply()
+        };
+        entry.step(entry.from_leader(reply));
+        assert_eq!(entry.state.revision(), 1, "the configuration is in force");
+        entry.report_loads(size);
+        entry
+    }
+
+    pub fn step(&mut self, event: Event) {
+        self.effects.clear();
+        step(&mut self.state, self.now_ms, event, &mut self.effects);
+    }
+
+    /// Ticks and notes the number of a report that was sent.
+    pub fn tick(&mut self) {
+        let unix_ms = EPOCH_MS + self.now_ms;
+        self.step(Event::Tick { unix_ms });
+        self.note_report();
+    }
+
+    pub fn note_report(&mut self) {
+        for effect in &self.effects {
+            if let Effect::Send {
+                message: PeerMessage::Report(report),
+                ..
+            } = effect
+            {
+                self.sequence = report.sequence;
+            }
+        }
+    }
+
+    /// The leader's answer to the last report, with neither configuration nor view.
+    pub fn reply(&self) -> LeaderReply {
+        LeaderReply {
+            sequence: self.sequence,
+            is_leader: true,
+            leader: Some(instance_info(0).id),
+            term: 1,
+            revision: 1,
+            ..LeaderReply::default()
+        }
+    }
+
+    pub fn from_leader(&self, reply: LeaderReply) -> Event {
+        Event::Peer {
+            from: instance_info(0).id,
+            message: PeerMessage::ReportReply(reply),
+        }
+    }
+
+    pub fn report_loads(&mut self, size: Size) {
+        for n in 0..size.upstreams {
+            self.step(load_event(n));
+        }
+    }
+}
+
+pub fn load_event(n: usize) -> Event {
+    Event::Load {
+        upstream: upstream(n).name,
+        report: Some(load_report(n)),
+    }
+}
+
+/// The only voter of a cluster. Writes count as synced at once.
+pub struct Leader {
+    pub state: State,
+    pub now_ms: u64,
+    pub effects: Vec<Effect>,
+    pub sequence: u64,
+    queue: VecDeque<Event>,
+}
+
+impl Leader {
+    /// Makes a leader with one accepted configuration and `instances` that report.
+    pub fn new(size: Size) -> Self {
+        let mut leader = Self::empty();
+        leader.apply(&config(size), 0);
+        leader
+    }
+
+    /// Makes a leader without a configuration.
+    pub fn empty() -> Self {
+        let start = Start {
+            settings: settings(0, 1),
+            incarnation: 1,
+            replica: Some((1, quorum::Recovered::default())),
+            seed: 1,
+        };
+        let mut leader = Self {
+            state: State::new(start, 1_000),
+            now_ms: 1_000,
+            effects: Vec::new(),
+            sequence: 0,
+            queue: VecDeque::new(),
+        };
+        while !leader.state.leads() {
+            leader.tick();
+            assert!(leader.now_ms < 60_000, "the only voter leads");
+        }
+        leader
+    }
+
+    pub fn apply(&mut self, config: &ServiceConfig, base_revision: u64) {
+        let canonical = config.canonical_text();
+        let request = ApplyRequest {
+            base_revision,
+            content_id: conf::content_id(&canonical),
+            canonical: canonical.into(),
+            files: Vec::new(),
+            author: "operator".into(),
+        };
+        self.run(Event::Admin {
+            token: 1,
+            request: AdminRequest::Apply(request),
+        });
+    }
+
+    /// Handles an event alone. What it wants written is left in `effects`.
+    pub fn step(&mut self, event: Event) {
+        self.effects.clear();
+        step(&mut self.state, self.now_ms, event, &mut self.effects);
+    }
+
+    /// Returns the event that reports the last write of `effects` as synced.
+    pub fn persisted(&self) -> Option<Event> {
+        self.effects
+            .iter()
+            .filter_map(|effect| match effect {
+                Effect::Persist { ticket, .. } => Some(Event::Persisted { ticket: *ticket }),
+                _ => None,
+            })
+            .next_back()
+    }
+
+    /// Handles an event and syncs what it writes.
+    pub fn run(&mut self, event: Event) {
+        self.queue.push_back(event);
+        while let Some(event) = self.queue.pop_front() {
+            self.step(event);
+            if let Some(event) = self.persisted() {
+                self.queue.push_back(event);
+            }
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.now_ms += 20;
+        let unix_ms = EPOCH_MS + self.now_ms;
+        self.run(Event::Tick { unix_ms });
+    }
+
+    pub fn report(&mut self, n: usize, revision: u64, view_version: u64) -> Event {
+        self.sequence += 1;
+        let info = instance_info(n);
+        Event::Peer {
+            from: info.id.clone(),
+            message: PeerMessage::Report(InstanceReport {
+                info,
+                sequence: self.sequence,
+                revision,
+                stopping: false,
+                view_version,
+            }),
+        }
+    }
+
+    /// Returns the answer to the last report.
+    pub fn answer(&self) -> Option<&LeaderReply> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Send {
+                message: PeerMessage::ReportReply(reply),
+                ..
+            } => Some(reply),
+            _ => None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/examples/control_state.rs
@@ -0,0 +1,164 @@
+//! Prints the size of the control state and the time to apply, encode and restore it.
+//!
+//! `cargo run --release -p wire --example control_state`
+//!
+//! Records hold an answer of 512 bytes. Revisions are those of a configuration of 186 upstreams and
+//! 1,000 tenants, and of the target size of 1,300 upstreams and 11,000 tenants.
+
+use std::time::Instant;
+
+use conf::{ServiceConfig, Tenant, Upstream};
+use fleet::{Command, Configure, ControlState, Proposal, ProposalId};
+use ledger::{Answer, AttemptId, Begin, Finish, Key, Outcome};
+
+const ANSWER_BYTES: usize = 512;
+const PAGE_BYTES: u64 = 4096;
+
+fn main() {
+    println!(
+        "state                   count  apply_us  resident_B/item  encoded_bytes  parts_ms  encode_ms  restore_ms"
+    );
+    for records in [1_000, 10_000, 100_000, 200_000] {
+        measure("ledger records", records, |state, n| {
+            state.apply(&begin(n));
+            state.apply(&finish(n));
+        });
+    }
+    for (upstreams, tenants) in [(186, 1_000), (1_300, 11_000)] {
+        let name = format!("revisions {upstreams}/{tenants}");
+        for revisions in [1, 16, 64, 256] {
+            let mut base = config(upstreams, tenants);
+            measure(&name, revisions, |state, n| {
+                base.tenants[0].weight = n as f64 + 1.0;
+                let canonical = base.canonical_text();
+                state.apply(&proposal(
+                    n,
+                    Command::Configure(Configure {
+                        base_revision: state.revision(),
+                        content_id: conf::content_id(&canonical),
+                        canonical: canonical.into(),
+                        files: Vec::new(),
+                        author: "operator".into(),
+                    }),
+                ));
+            });
+        }
+    }
+}
+
+fn measure(name: &str, count: u64, mut add: impl FnMut(&mut ControlState, u64)) {
+    let before = resident_bytes();
+    let mut state = ControlState::default();
+    let started = Instant::now();
+    for n in 0..count {
+        add(&mut state, n);
+    }
+    let apply_us = started.elapsed().as_secs_f64() * 1e6 / count as f64;
+    let grown = resident_bytes().saturating_sub(before) / count;
+    let started = Instant::now();
+    let parts = state.to_parts();
+    let parts_ms = millis(started);
+    let started = Instant::now();
+    let encoded = wire::encode_control(&parts);
+    let encode_ms = millis(started);
+    drop(parts);
+    match encoded {
+        Err(error) => println!("{name:<22} {count:>6} {apply_us:>9.2} {grown:>16} {error}"),
+        Ok(data) => {
+            let started = Instant::now();
+            let parts = wire::decode_control(&data).expect("the state decodes");
+            let restored = ControlState::from_parts(parts);
+            let restore_ms = millis(started);
+            assert_eq!(restored.revision(), state.revision());
+            println!(
+                "{name:<22} {count:>6} {apply_us:>9.2} {grown:>16} {:>14} {parts_ms:>9.2} {encode_ms:>10.2} {restore_ms:>11.2}",
+                data.len()
+            );
+        }
+    }
+}
+
+fn millis(started: Instant) -> f64 {
+    started.elapsed().as_secs_f64() * 1e3
+}
+
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+fn proposal(sequence: u64, command: Command) -> Proposal {
+    Proposal {
+        id: ProposalId {
+            instance: "instance-017".into(),
+            incarnation: 1,
+            sequence,
+        },
+        at_ms: 1_700_000_000_000,
+        command,
+    }
+}
+
+fn key(n: u64) -> Key {
+    Key {
+        tenant: format!("tenant-{:05}", n % 11_000).into(),
+        key: format!("4fd8a3c1-06c5-4f7c-8f3a-{n:012x}").into(),
+    }
+}
+
+fn attempt(n: u64) -> AttemptId {
+    AttemptId {
+        instance: "instance-017".into(),
+        incarnation: 1,
+        sequence: n,
+    }
+}
+
+fn begin(n: u64) -> Proposal {
+    let begin = Begin {
+        key: key(n),
+        body_sha256: [7; 32],
+        attempt: attempt(n),
+        answer_timeout_ms: 12_000,
+        retention_ms: 86_400_000,
+    };
+    proposal(n * 2, Command::Begin(begin))
+}
+
+fn finish(n: u64) -> Proposal {
+    let finish = Finish {
+        key: key(n),
+        attempt: attempt(n),
+        outcome: Outcome::Answered(Answer {
+            status: 200,
+            headers: vec![("content-type".into(), "application/json".into())],
+            body: vec![b'x'; ANSWER_BYTES].into(),
+            truncated: false,
+        }),
+    };
+    proposal(n * 2 + 1, Command::Finish(finish))
+}
+
+fn config(upstreams: usize, tenants: usize) -> ServiceConfig {
+    ServiceConfig {
+        tenants: (0..tenants)
+            .map(|n| Tenant {
+                name: format!("tenant-{n:05}").into(),
+                key_sha256: conf::content_id(&format!("key-{n}")),
+                ranks: vec!["normal".into(), "urgent".into(), "late".into()],
+                ..Tenant::default()
+            })
+            .collect(),
+        upstreams: (0..upstreams)
+            .map(|n| Upstream {
+                name: format!("upstream-{n:04}").into(),
+                service: "assistant".into(),
+                address: format!("10.1.{}.{}:8000", n / 250, n % 250).into(),
+                availability_zone: format!("region-{}-zone-{}", n % 3, n % 7).into(),
+                ..Upstream::default()
+            })
+            .collect(),
+        ..ServiceConfig::default()
+    }
+}
