Look up the own drain mark once a view instead of once an event

Every event of an entry asks whether the instance has a drain mark, and each time the list of instances in the view was searched by name.

Conclusion: the mark is kept beside the view and set whenever a view arrives.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -50,6 +50,7 @@
     config_lease_deadline_ms: u64,
     gate_lease_deadline_ms: u64,
     view: ClusterView,
+    is_marked: bool,
     live_instances: u64,
     instances_in_force: u64,
     is_settled: bool,
@@ -87,6 +88,7 @@
             config_lease_deadline_ms: 0,
             gate_lease_deadline_ms: 0,
             view: ClusterView::default(),
+            is_marked: false,
             live_instances: 0,
             instances_in_force: 0,
             is_settled: false,
@@ -129,6 +131,11 @@
         &self.view
     }
 
+    /// Returns whether the view shows this instance as draining.
+    pub fn is_marked(&self) -> bool {
+        self.is_marked
+    }
+
     /// Returns the known leader.
     pub fn leader(&self) -> Option<&Name> {
         self.leader.as_ref()
@@ -294,6 +301,12 @@
         };
         let changed = view.version != self.view.version;
         self.view = view.clone();
+        // Asked with every event, so it is looked up only when a view arrives.
+        let own_id = &self.info.id;
+        self.is_marked = view
+            .instances
+            .iter()
+            .any(|instance| instance.info.id == *own_id && instance.draining);
         changed
     }
 
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -159,14 +159,7 @@
 
     /// Returns whether the instance is stopping or has a drain mark.
     pub(crate) fn is_draining(&self) -> bool {
-        let id = self.id();
-        let is_marked = self
-            .follower
-            .view()
-            .instances
-            .iter()
-            .any(|instance| instance.info.id == *id && instance.draining);
-        self.stopping_since_ms.is_some() || is_marked
+        self.stopping_since_ms.is_some() || self.follower.is_marked()
     }
 }
 
