Count instances in force only for the revision that was counted

A voter takes an accepted revision from the log at once, and its status went on showing the leader's counts of the revision before: 'revision 2, in force on 6 of 6' while entries still had revision 1, for up to one report interval. 'apply' waits for exactly this and returned too early: with real processes it saw a median of 0.000 s from accept to in force at 3, 6 and 12 instances, less than the interval at which entries can hear of a revision at all.

Ruled out: a wrong count at the leader; its roster counts reports by revision correctly. The counts now belong to the revision that the leader named with them, and are 0 for a later one. The new test fails without the change (status shows 5 of 5 in force before the entries have revision 2).

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -53,6 +53,7 @@
     is_marked: bool,
     live_instances: u64,
     instances_in_force: u64,
+    counted_revision: u64,
     is_settled: bool,
     recovery: Option<Recovery>,
 }
@@ -91,6 +92,7 @@
             is_marked: false,
             live_instances: 0,
             instances_in_force: 0,
+            counted_revision: 0,
             is_settled: false,
             recovery: None,
         }
@@ -141,9 +143,13 @@
         self.leader.as_ref()
     }
 
-    /// Returns the counts of live instances and of those with the current revision in force.
+    /// Returns the counts of live instances and of those with the current revision in force. A
+    /// voter has a revision from the log before the leader has counted it; then none is known to.
     pub fn in_force_counts(&self) -> (u64, u64) {
-        (self.live_instances, self.instances_in_force)
+        match self.counted_revision < self.revision() {
+            true => (self.live_instances, 0),
+            false => (self.live_instances, self.instances_in_force),
+        }
     }
 
     /// Returns the peer address of an instance.
@@ -195,6 +201,7 @@
         self.unanswered.retain(|_, sent| *sent > sent_at_ms);
         self.live_instances = reply.live_instances;
         self.instances_in_force = reply.instances_in_force;
+        self.counted_revision = reply.revision;
         let change = Change {
             config: self.adopt(reply.config.clone()),
             view: self.adopt_view(reply.view.as_ref()),
--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -4,7 +4,7 @@
 
 use conf::admin::{ApplyReply, ChangeReply};
 use conf::{Fencing, Name, Role};
-use reducer::Refusal;
+use reducer::{AdminReply, AdminRequest, Refusal};
 use support::config::config;
 use support::upstream::{Engine, PlainService};
 use support::{Cluster, Outcome};
@@ -55,6 +55,31 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// Guards against a status that counts the instances of an earlier revision as having the new one,
+/// which a voter takes from the log before the leader has counted it.
+#[test]
+fn status_does_not_count_instances_that_lack_the_revision() {
+    let mut cluster = start(11, 2);
+    assert!(cluster.run_until(10_000, |c| c.leader().is_some()));
+    cluster.run(5_000);
+    cluster.apply(&"v0".into(), 1, &config(2));
+    for _ in 0..200 {
+        cluster.run(10);
+        let voters = ["v0", "v1", "v2"].map(Name::new);
+        let tokens = voters.map(|id| cluster.admin(&id, AdminRequest::Status));
+        cluster.run(1);
+        for token in tokens {
+            let Some(AdminReply::Status(status)) = cluster.admin_replies.get(&token) else {
+                panic!("no status");
+            };
+            let counts_all = status.instances_in_force >= status.live_instances;
+            let claims = status.revision == 2 && status.live_instances > 0 && counts_all;
+            assert!(!claims || cluster.all_in_force(2), "{status:?}");
+        }
+    }
+    assert!(cluster.all_in_force(2));
+}
+
 /// Guards against two accepted changes with one base, and against a resend that counts twice.
 #[test]
 fn one_of_two_racing_operators_wins_and_a_resend_is_recognised() {
