Find an arrival's tenant by name instead of searching the list

The list of tenants was searched by name for each arrival.

Ruled out as the whole cause: what is left of the growth is not in this crate. The rank queues keep every tenant that was served lately and pass over all of them for each dispatch (admit, Lane::find, tokens_ahead and forget_idle).

--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -380,6 +380,7 @@
     state.queues.apply_config(&config);
     state.watch.apply_config(state.now_ms, &config);
     state.speeds = serve::speeds(&config);
+    state.tenants = serve::tenant_positions(&config);
     state.services = config.clone();
     apply_drain_marks(state);
     log(
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One caller's request on its way through the instance.
 
 use conf::service::RankPolicy;
-use conf::{Idempotency, Name, Route as PlainRoute, ServiceConfig};
+use conf::{Idempotency, Name, Route as PlainRoute, ServiceConfig, Tenant};
 use ledger::{AttemptId, Begin, Key};
 
 use crate::effect::Refusal;
@@ -88,7 +88,7 @@
 }
 
 impl Exchange {
-    /// Resolves a request against the configuration in force.
+    /// Resolves a request of `tenant` against the configuration in force.
     ///
     /// # Errors
     ///
@@ -96,14 +96,11 @@
     pub fn resolve(
         now_ms: u64,
         config: &ServiceConfig,
+        tenant: Option<&Tenant>,
         arrival: Arrival,
         fallback_key: impl FnOnce() -> Name,
     ) -> Result<Self, Refusal> {
-        let tenant = config
-            .tenants
-            .iter()
-            .find(|tenant| tenant.name == arrival.tenant)
-            .ok_or(Refusal::NotReady)?;
+        let tenant = tenant.ok_or(Refusal::NotReady)?;
         let route = route_of(config, &arrival.work)?;
         let wanted = arrival
             .rank
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -47,6 +47,14 @@
     speeds
 }
 
+/// Returns the position of each tenant in the configuration.
+pub(crate) fn tenant_positions(config: &ServiceConfig) -> Map<Name, usize> {
+    let tenants = config.tenants.iter().enumerate();
+    tenants
+        .map(|(position, tenant)| (tenant.name.clone(), position))
+        .collect()
+}
+
 /// Admits or refuses a caller's request.
 pub(crate) fn on_arrival(state: &mut State, arrival: Arrival, effects: &mut Vec<Effect>) {
     let exchange_id = arrival.exchange;
@@ -55,7 +63,10 @@
     }
     let fallback_key = format!("entry:{}:{}:{exchange_id}", state.id(), state.incarnation);
     let services = state.services.clone();
-    let resolved = Exchange::resolve(state.now_ms, &services, arrival, || fallback_key.into());
+    let position = state.tenants.get(&arrival.tenant);
+    let tenant = position.map(|position| &services.tenants[*position]);
+    let fallback_key = || fallback_key.into();
+    let resolved = Exchange::resolve(state.now_ms, &services, tenant, arrival, fallback_key);
     let exchange = match resolved {
         Ok(exchange) => exchange,
         Err(refusal) => return effects.push(refuse(exchange_id, refusal)),
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -49,6 +49,8 @@
     pub(crate) order_gate: OrderGate,
     pub(crate) proposer: Proposer,
     pub(crate) services: Arc<ServiceConfig>,
+    /// Positions in `services.tenants` by name.
+    pub(crate) tenants: Map<Name, usize>,
     pub(crate) table: Table,
     pub(crate) queues: Queues,
     pub(crate) policy: Policy,
@@ -86,6 +88,7 @@
             }),
             proposer: Proposer::new(id, start.incarnation),
             services: Arc::default(),
+            tenants: Map::default(),
             table: Table::new(start.seed),
             queues: Queues::new(discipline(settings.decisions.queueing)),
             policy: policy(settings.decisions.routing),
