Build the leader's view only when something in it has changed

A leader answered each report with a newly built and hashed view of all instances and gates. Measured with event_time: a report took 2.2 us (median) at 13 upstreams and 8 instances, 27 us at 186, 104 us at 650 and 247 us at 1,300; 353 us at the target size of 1,300 upstreams and 320 instances. 320 instances report twice a second: 640 x 353 us is 23 % of a core.

Ruled out: the number of tenants (25 us at 11,000 tenants, 27 us at 100, for 186 upstreams).

The view and the counts are kept until a report says something new, a lease runs out, the platform's list is read, or a command outside the ledger is applied; a stale view could show a moved gate to its former holder, so there is no time-based reuse.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -24,6 +24,18 @@
     reported_at_ms: u64,
 }
 
+impl Seen {
+    fn order(&self) -> (u64, u64) {
+        (self.report.info.incarnation, self.report.sequence)
+    }
+
+    fn says_the_same(&self, report: &InstanceReport) -> bool {
+        self.report.info == report.info
+            && self.report.revision == report.revision
+            && self.report.stopping == report.stopping
+    }
+}
+
 /// How many instances have the current revision in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct InForce {
@@ -43,19 +55,33 @@
         }
     }
 
-    /// Takes a report. One that is older than the latest changes nothing.
-    pub fn on_report(&mut self, now_ms: u64, report: &InstanceReport) {
+    /// Takes a report. One that is older than the latest changes nothing. Returns whether counts or
+    /// the view may differ from before the report.
+    pub fn on_report(&mut self, now_ms: u64, report: &InstanceReport) -> bool {
         let order = (report.info.incarnation, report.sequence);
-        if let Some(seen) = self.seen.get(&report.info.id)
-            && (seen.report.info.incarnation, seen.report.sequence) >= order
-        {
-            return;
+        let earlier = self.seen.get(&report.info.id);
+        if earlier.is_some_and(|seen| seen.order() >= order) {
+            return false;
         }
+        let is_repeat = earlier.is_some_and(|seen| {
+            now_ms < seen.reported_at_ms + self.lease_ms && seen.says_the_same(report)
+        });
         let seen = Seen {
             report: report.clone(),
             reported_at_ms: now_ms,
         };
         self.seen.insert(report.info.id.clone(), seen);
+        !is_repeat
+    }
+
+    /// Returns until when counts and the view stay as they are at `now_ms` without a report: until
+    /// the next lease runs out or the roster is settled, in milliseconds.
+    pub fn steady_until_ms(&self, now_ms: u64) -> u64 {
+        let leases = self.seen.values();
+        let ends = leases.map(|seen| seen.reported_at_ms + self.lease_ms);
+        let settled_ms = self.since_ms + self.lease_ms;
+        let ends = ends.chain([settled_ms]).filter(|end_ms| *end_ms > now_ms);
+        ends.min().unwrap_or(u64::MAX)
     }
 
     /// Returns the reports of all instances whose lease is valid.
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -112,6 +112,9 @@
     }
     let entries = list.into_iter().map(|listed| (listed.id, listed.state));
     state.platform.update(state.now_ms, entries);
+    if let Some(leadership) = &mut state.leadership {
+        leadership.on_platform_list();
+    }
 }
 
 /// Begins a planned stop.
@@ -317,7 +320,9 @@
     let (now_ms, id) = (state.now_ms, state.id().clone());
     let reply = match (&mut state.leadership, &state.replication) {
         (Some(leadership), Some(replication)) if leads => {
-            leadership.on_report(now_ms, &id, report, replication.control(), &state.platform)
+            let changes = replication.control_changes();
+            let control = replication.control();
+            leadership.on_report(now_ms, &id, report, control, changes, &state.platform)
         }
         (_, Some(replication)) => LeaderReply {
             sequence: report.sequence,
--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -2,7 +2,9 @@
 
 use conf::Name;
 use fleet::grant::{GrantSettings, due_grants};
-use fleet::{Command, ControlState, InstanceReport, LeaderReply, PlatformList, Roster};
+use fleet::{
+    ClusterView, Command, ControlState, InForce, InstanceReport, LeaderReply, PlatformList, Roster,
+};
 
 /// Interval of the leader's duties, in milliseconds.
 const DUTY_INTERVAL_MS: u64 = 200;
@@ -12,14 +14,26 @@
 pub(crate) struct Leadership {
     term: u64,
     roster: Roster,
+    summary: Option<Summary>,
     next_duty_ms: u64,
 }
 
+/// The view and the counts, kept while nothing that they are made of has changed.
+#[derive(Clone, Debug)]
+struct Summary {
+    view: ClusterView,
+    counts: InForce,
+    /// Changes of the control state that it contains.
+    control_changes: u64,
+    valid_until_ms: u64,
+}
+
 impl Leadership {
     pub fn new(now_ms: u64, term: u64, lease_ms: u64) -> Self {
         Self {
             term,
             roster: Roster::new(now_ms, lease_ms),
+            summary: None,
             next_duty_ms: now_ms,
         }
     }
@@ -35,28 +49,55 @@
         own_id: &Name,
         report: &InstanceReport,
         control: &ControlState,
+        control_changes: u64,
         platform: &PlatformList,
     ) -> LeaderReply {
-        self.roster.on_report(now_ms, report);
-        let revision = control.revision();
-        let counts = self.roster.in_force(now_ms, revision);
-        let view = self.roster.view(now_ms, control, platform);
+        if self.roster.on_report(now_ms, report) {
+            self.summary = None;
+        }
+        let (term, revision) = (self.term, control.revision());
+        let summary = self.summary(now_ms, control, control_changes, platform);
+        let (view, counts) = (&summary.view, summary.counts);
         LeaderReply {
             sequence: report.sequence,
             is_leader: true,
             leader: Some(own_id.clone()),
-            term: self.term,
+            term,
             revision,
             config: control
                 .current()
                 .filter(|current| report.revision < current.revision)
                 .cloned(),
-            view: (view.version != report.view_version).then_some(view),
+            view: (view.version != report.view_version).then(|| view.clone()),
             live_instances: counts.live,
             instances_in_force: counts.in_force,
         }
     }
 
+    /// Notes that the platform's list was read.
+    pub fn on_platform_list(&mut self) {
+        self.summary = None;
+    }
+
+    // Building a view takes a time proportional to the fleet, and every instance reports twice a second.
+    fn summary(
+        &mut self,
+        now_ms: u64,
+        control: &ControlState,
+        control_changes: u64,
+        platform: &PlatformList,
+    ) -> &Summary {
+        let kept = self.summary.take().filter(|summary| {
+            summary.control_changes == control_changes && now_ms < summary.valid_until_ms
+        });
+        self.summary.insert(kept.unwrap_or_else(|| Summary {
+            view: self.roster.view(now_ms, control, platform),
+            counts: self.roster.in_force(now_ms, control.revision()),
+            control_changes,
+            valid_until_ms: self.roster.steady_until_ms(now_ms),
+        }))
+    }
+
     /// Returns the commands that are due.
     pub fn duties(
         &mut self,
--- a/crates/reducer/src/replication.rs
+++ b/crates/reducer/src/replication.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use conf::{Map, Name};
-use fleet::{CommandReply, ControlState, Proposal, ProposalId};
+use fleet::{Command, CommandReply, ControlState, Proposal, ProposalId};
 use quorum::{EntryBody, Input, Output, Replica, ReplicaId, Status};
 
 /// Time for which the origin of a forwarded proposal is remembered, in milliseconds.
@@ -16,6 +16,8 @@
     id: ReplicaId,
     replica: Replica,
     control: ControlState,
+    /// Changes of the control state outside the ledger.
+    control_changes: u64,
     applied_term: u64,
     origins: BTreeMap<ProposalId, Origin>,
     proposals: Map<u64, ProposalId>,
@@ -66,6 +68,7 @@
             id,
             replica,
             control: ControlState::default(),
+            control_changes: 0,
             applied_term: 0,
             origins: BTreeMap::new(),
             proposals: Map::default(),
@@ -81,6 +84,11 @@
         &self.control
     }
 
+    /// Returns a number that grows with each change of the control state outside the ledger.
+    pub fn control_changes(&self) -> u64 {
+        self.control_changes
+    }
+
     pub fn status(&self) -> Status {
         self.replica.status()
     }
@@ -161,6 +169,7 @@
                 match wire::decode_control(&snapshot.state) {
                     Ok(parts) => {
                         self.control = ControlState::from_parts(parts);
+                        self.control_changes += 1;
                         requests.push(Request::Restored);
                     }
                     Err(_) => requests.push(Request::Undecodable {
@@ -185,6 +194,9 @@
             return Request::Undecodable { index };
         };
         let reply = self.control.apply(&proposal);
+        if !is_ledger_only(&proposal.command) {
+            self.control_changes += 1;
+        }
         let origin = self
             .origins
             .remove(&proposal.id)
@@ -200,3 +212,10 @@
         self.origins.retain(|_, origin| now_ms < origin.deadline_ms);
     }
 }
+
+fn is_ledger_only(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::Begin(_) | Command::Finish(_) | Command::Advance
+    )
+}
