--- a/crates/reducer/src/replication.rs
+++ b/crates/reducer/src/replication.rs
@@ -178,8 +178,11 @@
                 }
             }
             Output::TakeSnapshot { index } => {
-                let state = wire::encode_control(&self.control.to_parts()).ok()?;
-                return Some(Input::StateAt { index, state });
+                match wire::encode_control(&self.control.to_parts()) {
+                    Ok(state) => return Some(Input::StateAt { index, state }),
+                    // No snapshot is taken from here on, and the log is not cut any more.
+                    Err(_) => requests.push(Request::Undecodable { index }),
+                }
             }
             Output::LeaderChanged { term, leader } => {
                 requests.push(Request::LeaderChanged { term, leader });
