--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -137,6 +137,14 @@
         engines(&self.services)
     }
 
+    /// Returns the upstreams with a drain mark.
+    pub fn draining_upstreams(&self) -> impl Iterator<Item = &Name> {
+        self.drains.iter().filter_map(|target| match target {
+            DrainTarget::Upstream(name) => Some(name),
+            DrainTarget::Instance(_) => None,
+        })
+    }
+
     /// Splits the state into its serialisable parts.
     pub fn to_parts(&self) -> ControlParts {
         ControlParts {
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -6,7 +6,9 @@
 use conf::settings::{Settings, Timing, Voter};
 
 use crate::command::ConfigRevision;
-use crate::message::{ClusterView, InstanceInfo, InstanceReport, LeaderReply, PeerMessage};
+use crate::message::{
+    ClusterView, InstanceInfo, InstanceReport, LeaderReply, PeerMessage, ServiceDemand,
+};
 
 /// Reports without an answer after which the leader is looked for again.
 const UNANSWERED_LIMIT: usize = 3;
@@ -156,11 +158,16 @@
     }
 
     /// Sends the report that is due and looks for the configuration if no leader answers.
-    pub fn tick(&mut self, now_ms: u64, is_stopping: bool) -> Vec<Outgoing> {
+    pub fn tick(
+        &mut self,
+        now_ms: u64,
+        is_stopping: bool,
+        demand: impl FnOnce() -> Vec<ServiceDemand>,
+    ) -> Vec<Outgoing> {
         let mut out = Vec::new();
         if now_ms >= self.next_report_ms {
             self.next_report_ms = now_ms + self.timing.report_interval_ms;
-            self.report(now_ms, is_stopping, &mut out);
+            self.report(now_ms, is_stopping, demand(), &mut out);
         }
         self.recover(now_ms, &mut out);
         out
@@ -241,7 +248,13 @@
             .collect()
     }
 
-    fn report(&mut self, now_ms: u64, is_stopping: bool, out: &mut Vec<Outgoing>) {
+    fn report(
+        &mut self,
+        now_ms: u64,
+        is_stopping: bool,
+        demand: Vec<ServiceDemand>,
+        out: &mut Vec<Outgoing>,
+    ) {
         if self.unanswered.len() >= UNANSWERED_LIMIT {
             self.leader = None;
             self.unanswered.pop_first();
@@ -254,6 +267,7 @@
             revision: self.revision(),
             stopping: is_stopping,
             view_version: self.view.version,
+            demand,
         });
         for voter in &self.voters {
             if self
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod command;
 pub mod control;
 pub mod follower;
-
 pub mod grant;
 pub mod message;
 pub mod order_gate;
@@ -19,7 +18,7 @@
 pub use follower::Follower;
 pub use message::{
     ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LoadDigest,
-    PeerMessage, ProposeReply,
+    PeerMessage, ProposeReply, ServiceDemand,
 };
 pub use order_gate::{EngineState, GateAction, OrderAnswer, OrderGate};
 pub use platform::{ListedState, PlatformList};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -57,6 +57,19 @@
     pub stopping: bool,
     /// Version of the view that the instance has.
     pub view_version: u64,
+    /// Tokens asked of model services through this process.
+    pub demand: Vec<ServiceDemand>,
+}
+
+/// Tokens asked of a service through one process since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: Name,
+    /// Prompt tokens that were not expected in a cache.
+    pub prompt_tokens: u64,
+    /// Output tokens, expected or generated.
+    pub output_tokens: u64,
 }
 
 /// An instance as others know it.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -128,18 +128,10 @@
                 revision: report.revision,
             })
             .collect();
-        let draining_upstreams = control
-            .drains
-            .iter()
-            .filter_map(|target| match target {
-                DrainTarget::Upstream(name) => Some(name.clone()),
-                DrainTarget::Instance(_) => None,
-            })
-            .collect();
         let mut view = ClusterView {
             version: 0,
             instances,
-            draining_upstreams,
+            draining_upstreams: control.draining_upstreams().cloned().collect(),
             gates: control.gate_list(),
         };
         view.version = hash(&view);
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -47,14 +47,16 @@
     let now_ms = state.now_ms;
     let is_stopping = state.stopping_since_ms.is_some();
     let revision = state.follower.revision();
-    for outgoing in state.follower.tick(now_ms, is_stopping) {
+    let demand = &state.demand;
+    let reported = || serve::reported_demand(demand);
+    for outgoing in state.follower.tick(now_ms, is_stopping, reported) {
         state.send_to(outgoing.to, outgoing.address, outgoing.message, effects);
     }
     // A cut-off instance finds its configuration by itself after a restart.
     if state.follower.revision() != revision {
         bring_into_force(state, effects);
     }
-    lead(state);
+    lead(state, effects);
     work_gates(state, effects);
     for settled in state.proposer.expire(now_ms) {
         on_settled(state, settled, effects);
@@ -238,7 +240,8 @@
         state.leadership = None;
     } else if state.leadership.as_ref().is_none_or(|l| l.term() != term) {
         let lease_ms = state.settings.timing.config_lease_ms;
-        state.leadership = Some(Leadership::new(state.now_ms, term, lease_ms));
+        let planning = state.settings.decisions.planning;
+        state.leadership = Some(Leadership::new(state.now_ms, term, lease_ms, planning));
     }
     state.follower.set_leader(leader);
     state.follower.hurry_report(state.now_ms);
@@ -399,7 +402,7 @@
     }
 }
 
-fn lead(state: &mut State) {
+fn lead(state: &mut State, effects: &mut Vec<Effect>) {
     if !state.leads() {
         return;
     }
@@ -412,18 +415,26 @@
     let (Some(leadership), Some(replication)) = (&mut state.leadership, &state.replication) else {
         return;
     };
-    let duties = leadership.duties(
-        now_ms,
-        unix_ms,
-        settings,
-        replication.control(),
-        &state.platform,
-    );
+    let control = replication.control();
+    let duties = leadership.duties(now_ms, unix_ms, settings, control, &state.platform);
+    let changes = leadership.role_changes(now_ms, control, &state.loads);
     for command in duties {
         state
             .proposer
             .propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
     }
+    for (service, command) in changes {
+        log(
+            effects,
+            Level::Info,
+            Part::Plan,
+            format!("{service}: {command:?}"),
+        );
+        effects.push(Effect::Record(Sample::RoleChanged { service }));
+        state
+            .proposer
+            .propose_duty(now_ms, command, DUTY_TIMEOUT_MS);
+    }
 }
 
 fn work_gates(state: &mut State, effects: &mut Vec<Effect>) {
--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -1,9 +1,13 @@
 //! Duties of the leader: the roster of instances, gates and the cluster clock.
 
-use conf::Name;
+use conf::settings::Planning;
+use conf::{Map, Name};
 use fleet::grant::{GrantSettings, due_grants};
 use fleet::{Command, ControlState, InstanceReport, LeaderReply, PlatformList, Roster};
 
+use crate::event::LoadReport;
+use crate::planning::RolePlanning;
+
 /// Interval of the leader's duties, in milliseconds.
 const DUTY_INTERVAL_MS: u64 = 200;
 
@@ -12,14 +16,16 @@
 pub(crate) struct Leadership {
     term: u64,
     roster: Roster,
+    planning: RolePlanning,
     next_duty_ms: u64,
 }
 
 impl Leadership {
-    pub fn new(now_ms: u64, term: u64, lease_ms: u64) -> Self {
+    pub fn new(now_ms: u64, term: u64, lease_ms: u64, planning: Planning) -> Self {
         Self {
             term,
             roster: Roster::new(now_ms, lease_ms),
+            planning: RolePlanning::new(now_ms, planning),
             next_duty_ms: now_ms,
         }
     }
@@ -38,6 +44,7 @@
         platform: &PlatformList,
     ) -> LeaderReply {
         self.roster.on_report(now_ms, report);
+        self.planning.on_report(report);
         let revision = control.revision();
         let counts = self.roster.in_force(now_ms, revision);
         let view = self.roster.view(now_ms, control, platform);
@@ -57,6 +64,18 @@
         }
     }
 
+    /// Returns the role changes that pay off, with the services that they are made for.
+    pub fn role_changes(
+        &mut self,
+        now_ms: u64,
+        control: &ControlState,
+        loads: &Map<Name, LoadReport>,
+    ) -> Vec<(Name, Command)> {
+        let draining: Vec<Name> = control.draining_upstreams().cloned().collect();
+        self.planning
+            .due(now_ms, control.services(), loads, &draining)
+    }
+
     /// Returns the commands that are due.
     pub fn duties(
         &mut self,
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 mod exchange;
 mod leader;
+mod planning;
 mod proposer;
 mod replication;
 mod serve;
--- /dev/null
+++ b/crates/reducer/src/planning.rs
@@ -0,0 +1,133 @@
+//! Planning of engine roles by the leader, from the demand that instances report.
+
+use std::collections::BTreeMap;
+
+use conf::settings::Planning;
+use conf::{Map, Name, ServiceConfig, ServiceKind};
+use fleet::{Command, InstanceReport, OrderChange};
+use plan::roles::{Mode, Planner, PlannerConfig};
+use plan::{Demand, Engine};
+
+use crate::event::LoadReport;
+
+/// Length of a demand window, in milliseconds.
+const WINDOW_MS: u64 = 5_000;
+
+/// Time that a role change takes an engine away, in milliseconds.
+const SWITCH_MS: u64 = 3_000;
+
+/// The leader's planner with the demand that it has seen.
+#[derive(Clone, Debug)]
+pub(crate) struct RolePlanning {
+    planner: Planner,
+    window_start_ms: u64,
+    /// Totals reported last, by instance, incarnation and service.
+    totals: BTreeMap<(Name, u64, Name), (u64, u64)>,
+    window: Map<Name, (u64, u64)>,
+}
+
+impl RolePlanning {
+    pub fn new(now_ms: u64, planning: Planning) -> Self {
+        let mode = match planning {
+            Planning::Hysteresis => Mode::Hysteresis,
+            Planning::NoHysteresis => Mode::NoHysteresis,
+            Planning::Static => Mode::Static,
+        };
+        Self {
+            planner: Planner::new(PlannerConfig {
+                mode,
+                ..PlannerConfig::default()
+            }),
+            window_start_ms: now_ms,
+            totals: BTreeMap::new(),
+            window: Map::default(),
+        }
+    }
+
+    /// Adds the tokens that an instance was asked for since its last report.
+    pub fn on_report(&mut self, report: &InstanceReport) {
+        for demand in &report.demand {
+            let key = (
+                report.info.id.clone(),
+                report.info.incarnation,
+                demand.service.clone(),
+            );
+            let now = (demand.prompt_tokens, demand.output_tokens);
+            // The first report to this leader only sets the starting point.
+            let before = self.totals.insert(key, now).unwrap_or(now);
+            let window = self.window.entry(demand.service.clone()).or_default();
+            window.0 += now.0.saturating_sub(before.0);
+            window.1 += now.1.saturating_sub(before.1);
+        }
+    }
+
+    /// Returns the orders that pay off, once for each window.
+    pub fn due(
+        &mut self,
+        now_ms: u64,
+        services: &ServiceConfig,
+        loads: &Map<Name, LoadReport>,
+        draining: &[Name],
+    ) -> Vec<(Name, Command)> {
+        let window_ms = now_ms.saturating_sub(self.window_start_ms);
+        if window_ms < WINDOW_MS {
+            return Vec::new();
+        }
+        self.window_start_ms = now_ms;
+        let window = std::mem::take(&mut self.window);
+        self.planner
+            .retain(|name| services.services.iter().any(|s| s.name == *name));
+        let mut orders = Vec::new();
+        for service in &services.services {
+            if service.kind != ServiceKind::Model {
+                continue;
+            }
+            let (prompt, output) = window.get(&service.name).copied().unwrap_or_default();
+            let demand = Demand {
+                prompt_tokens: prompt as f64,
+                output_tokens: output as f64,
+                window_ms,
+            };
+            let engines = engines(services, &service.name, loads, draining);
+            let change = self.planner.plan(now_ms, &service.name, &demand, &engines);
+            if let Some(change) = change {
+                let command = Command::Order {
+                    upstream: change.upstream,
+                    change: OrderChange {
+                        role: Some(change.to),
+                        ..OrderChange::default()
+                    },
+                };
+                orders.push((service.name.clone(), command));
+            }
+        }
+        orders
+    }
+}
+
+fn engines(
+    services: &ServiceConfig,
+    service: &Name,
+    loads: &Map<Name, LoadReport>,
+    draining: &[Name],
+) -> Vec<Engine> {
+    services
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.service == *service)
+        .map(|upstream| {
+            let load = loads.get(&upstream.name);
+            let role = load.and_then(|load| load.role);
+            Engine {
+                name: upstream.name.clone(),
+                availability_zone: upstream.availability_zone.clone(),
+                role: role.unwrap_or(upstream.role),
+                draining: role.is_none() || draining.contains(&upstream.name),
+                prefill_tokens_per_s: upstream.prefill_tokens_per_s,
+                decode_tokens_per_s: upstream.decode_tokens_per_s,
+                switch_ms: SWITCH_MS,
+                ..Engine::default()
+            }
+        })
+        .collect()
+}
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -2,7 +2,7 @@
 
 use admit::{Running, Waiting};
 use conf::{Map, Name, ServiceConfig};
-use fleet::{Command, CommandReply, LoadDigest};
+use fleet::{Command, CommandReply, LoadDigest, ServiceDemand};
 use ledger::{Answer, AttemptId, BeginReply, Finish, Outcome};
 use route::{Cost, Failure, Presence, Work as RouteWork};
 
@@ -47,6 +47,18 @@
     speeds
 }
 
+/// Returns the tokens asked of each service, for the report to the leader.
+pub(crate) fn reported_demand(demand: &Map<Name, (u64, u64)>) -> Vec<ServiceDemand> {
+    demand
+        .iter()
+        .map(|(service, (prompt_tokens, output_tokens))| ServiceDemand {
+            service: service.clone(),
+            prompt_tokens: *prompt_tokens,
+            output_tokens: *output_tokens,
+        })
+        .collect()
+}
+
 /// Admits or refuses a caller's request.
 pub(crate) fn on_arrival(state: &mut State, arrival: Arrival, effects: &mut Vec<Effect>) {
     let exchange_id = arrival.exchange;
@@ -67,6 +79,7 @@
         }
         Err(refusal) => {
             let refusal = from_admission(refusal);
+            note_refused_demand(state, &exchange);
             record_refusal(&exchange, &refusal, effects);
             effects.push(refuse(exchange_id, refusal));
         }
@@ -422,6 +435,11 @@
         total_ms: choice.total_ms,
     };
     let attempt = open.attempt;
+    if attempt == 1 && !cost.model.is_empty() {
+        let demand = state.demand.entry(open.service.clone()).or_default();
+        demand.0 += u64::from(cost.prompt_tokens);
+        demand.1 += u64::from(cost.output_tokens);
+    }
     state
         .table
         .on_dispatch(now_ms, route_id(exchange, attempt), &choice.upstream, &cost);
@@ -735,6 +753,16 @@
     }));
 }
 
+// What was refused was asked for all the same, and a change of roles might have served it.
+fn note_refused_demand(state: &mut State, exchange: &Exchange) {
+    if let Kind::Chat { prompt_tokens, .. } = exchange.kind {
+        let output_tokens = exchange.output_to_come(expected_output(&state.table, exchange));
+        let demand = state.demand.entry(exchange.service.clone()).or_default();
+        demand.0 += u64::from(prompt_tokens);
+        demand.1 += u64::from(output_tokens);
+    }
+}
+
 fn record_refusal(exchange: &Exchange, refusal: &Refusal, effects: &mut Vec<Effect>) {
     effects.push(Effect::Record(Sample::Refused {
         tenant: exchange.tenant.clone(),
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -57,6 +57,8 @@
     pub(crate) watch: Watch,
     pub(crate) speeds: Map<Name, serve::Speed>,
     pub(crate) loads: Map<Name, LoadReport>,
+    /// Prompt and output tokens asked of each model service since the start.
+    pub(crate) demand: Map<Name, (u64, u64)>,
     pub(crate) next_preempt_ms: u64,
     pub(crate) stopping_since_ms: Option<u64>,
     pub(crate) has_exited: bool,
@@ -94,6 +96,7 @@
             watch: Watch::new(&settings),
             speeds: Map::default(),
             loads: Map::default(),
+            demand: Map::default(),
             next_preempt_ms: 0,
             stopping_since_ms: None,
             has_exited: false,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -334,12 +334,19 @@
   peerAddress @3 :Text;
 }
 
+struct ServiceDemand {
+  service @0 :Text;
+  promptTokens @1 :UInt64;
+  outputTokens @2 :UInt64;
+}
+
 struct InstanceReport {
   info @0 :InstanceInfo;
   sequence @1 :UInt64;
   revision @2 :UInt64;
   stopping @3 :Bool;
   viewVersion @4 :UInt64;
+  demand @5 :List(ServiceDemand);
 }
 
 struct Gate {
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -2,6 +2,7 @@
 
 use fleet::{
     ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LoadDigest,
+    ServiceDemand,
 };
 
 use crate::command::{read_holder, write_holder};
@@ -34,6 +35,24 @@
     builder.set_revision(report.revision);
     builder.set_stopping(report.stopping);
     builder.set_view_version(report.view_version);
+    let mut demand = builder.init_demand(report.demand.len() as u32);
+    for (index, service) in (0..).zip(&report.demand) {
+        write_demand(service, demand.reborrow().get(index));
+    }
+}
+
+fn write_demand(demand: &ServiceDemand, mut builder: schema::service_demand::Builder<'_>) {
+    builder.set_service(demand.service.as_str());
+    builder.set_prompt_tokens(demand.prompt_tokens);
+    builder.set_output_tokens(demand.output_tokens);
+}
+
+fn read_demand(reader: schema::service_demand::Reader<'_>) -> Result<ServiceDemand, DecodeError> {
+    Ok(ServiceDemand {
+        service: read_name(reader.get_service())?,
+        prompt_tokens: reader.get_prompt_tokens(),
+        output_tokens: reader.get_output_tokens(),
+    })
 }
 
 pub fn read_report(
@@ -45,6 +64,11 @@
         revision: reader.get_revision(),
         stopping: reader.get_stopping(),
         view_version: reader.get_view_version(),
+        demand: reader
+            .get_demand()?
+            .iter()
+            .map(read_demand)
+            .collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -23320,6 +23320,373 @@
     }
 }
 
+pub mod service_demand {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_prompt_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_output_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_prompt_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_prompt_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_output_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_output_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(134, 229, 251, 131, 184, 140, 14, 202),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
+            ::capnp::word(99, 101, 68, 101, 109, 97, 110, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 117, 116, 112, 117, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xca0e_8cb8_83fb_e586;
+    }
+}
+
 pub mod instance_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -23450,6 +23817,21 @@
         pub fn get_view_version(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_demand(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::service_demand::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -23459,7 +23841,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 1,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -23599,6 +23981,42 @@
         pub fn set_view_version(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_demand(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::service_demand::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_demand(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::service_demand::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_demand(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::service_demand::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline {
@@ -23617,17 +24035,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 185, 228, 1, 65, 237, 212, 199),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -23635,42 +24053,49 @@
             ::capnp::word(110, 99, 101, 82, 101, 112, 111, 114),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -23715,6 +24140,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(134, 229, 251, 131, 184, 140, 14, 202),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -23723,6 +24160,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::service_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -23741,9 +24179,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 3, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 0, 2, 1, 3, 4];
         pub(crate) const TYPE_ID: u64 = 0xc7d4_ed41_01e4_b91a;
     }
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -89,6 +89,7 @@
             revision: number(g),
             stopping: flag(g),
             view_version: number(g),
+            demand: list(g, demand),
         }),
         4 => PeerMessage::ReportReply(leader_reply(g)),
         5 => PeerMessage::Digest(list(g, digest)),
@@ -104,6 +105,14 @@
     }
 }
 
+fn demand(g: &mut Gen) -> fleet::ServiceDemand {
+    fleet::ServiceDemand {
+        service: name(g),
+        prompt_tokens: number(g),
+        output_tokens: number(g),
+    }
+}
+
 fn replica(g: &mut Gen) -> ReplicaId {
     ReplicaId {
         instance: name(g),
