Split the scenario runner by topic and add a scenario for a cut-off entry

Change: one module for each group of commands, and cut_entry. Relays lie only on the voters' addresses; replies of the leader go to the reported peer address and pass by them, so a cut stops what the cut-off side sends.

--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -2,6 +2,7 @@
 //!
 //! `UPDATE_GOLDENFILES=1 cargo test -p mustardstack --test scenarios` writes the expected output
 //! of a new scenario.
+#![forbid(unsafe_code)]
 
 mod support;
 
@@ -81,3 +82,9 @@
 fn ordered_engine() {
     run("ordered_engine");
 }
+
+/// Guards against a cut-off instance that stops serving, runs work without a record or reverts.
+#[test]
+fn cut_entry() {
+    run("cut_entry");
+}
--- /dev/null
+++ b/crates/mustardstack/tests/support/caller.rs
@@ -0,0 +1,165 @@
+//! Commands that send requests, alone or in the background.
+
+use std::collections::BTreeMap;
+
+use conf::Name;
+use http::{Method, StatusCode};
+use standin::{
+    client::{Ending, Exchange},
+    prompt::{ChatMessage, ChatRequest},
+};
+
+use super::{
+    Result,
+    command::Command,
+    runner::ScenarioRunner,
+    wait,
+    workload::{Workload, WorkloadSettings},
+};
+
+/// Tenant of callers that name none. A tenant's API key is its name and `-key`.
+const DEFAULT_TENANT: &str = "cooperative";
+
+impl ScenarioRunner {
+    pub(super) fn chat(&mut self, command: &Command) -> Result<String> {
+        let Command::Chat {
+            through,
+            prompt,
+            stream,
+            tokens,
+            tenant,
+            rank,
+            model,
+        } = command
+        else {
+            return Err("not a chat command".into());
+        };
+        let message = ChatMessage {
+            role: "user".into(),
+            content: Name::from(prompt.clone()),
+        };
+        let request = ChatRequest {
+            model: Name::from(model.clone().unwrap_or_else(|| "assistant".to_owned())),
+            messages: vec![message],
+            stream: *stream,
+            max_tokens: *tokens,
+            ..ChatRequest::default()
+        };
+        let bearer = bearer(tenant.as_deref());
+        let mut headers = vec![("authorization", bearer.as_str())];
+        headers.extend(rank.as_deref().map(|rank| ("x-mustardstack-rank", rank)));
+        let base_url = self.caller_url(through, "")?;
+        let chat = self.client.chat(&base_url, &headers, &request);
+        let exchange = self.runtime.block_on(chat);
+        Ok(describe_chat(&exchange, &request))
+    }
+
+    pub(super) fn call(&mut self, command: &Command) -> Result<String> {
+        let Command::Call {
+            through,
+            method,
+            path,
+            body,
+            key,
+            tenant,
+            retry,
+        } = command
+        else {
+            return Err("not a call command".into());
+        };
+        let bearer = bearer(tenant.as_deref());
+        let mut headers = vec![("authorization", bearer.as_str())];
+        headers.extend(key.as_deref().map(|key| ("idempotency-key", key)));
+        let url = self.caller_url(through, path)?;
+        let method = Method::try_from(method.as_str())?;
+        let body = body.as_deref().unwrap_or_default();
+        let exchange = wait::until("an answer that is not a refusal", || {
+            let exchange = self.send(method.clone(), &url, &headers, body);
+            let is_not_run = exchange.run().as_deref() == Some("not_run");
+            Ok((!retry || !is_not_run).then_some(exchange))
+        })?;
+        Ok(describe_call(&exchange))
+    }
+
+    pub(super) fn load(
+        &mut self,
+        through: &[String],
+        callers: usize,
+        tokens: u32,
+        tenant: Option<&str>,
+    ) -> Result<String> {
+        if self.workload.is_some() {
+            return Err("callers run already".into());
+        }
+        let mut instances = BTreeMap::new();
+        for id in through {
+            instances.insert(id.clone(), self.cluster.get(id)?.caller);
+        }
+        let settings = WorkloadSettings {
+            instances,
+            callers,
+            tokens,
+            key: api_key(tenant),
+        };
+        let client = self.client.clone();
+        self.workload = Some(Workload::start(self.runtime.handle(), client, settings));
+        Ok(String::new())
+    }
+
+    pub(super) fn wait_answers(&mut self, count: usize) -> Result<String> {
+        let workload = self.workload.as_ref().ok_or("no callers run")?;
+        let goal = workload.answers() + u64::try_from(count)?;
+        wait::until("answers", || Ok((workload.answers() >= goal).then_some(())))?;
+        Ok(String::new())
+    }
+
+    pub(super) fn summary(&mut self) -> Result<String> {
+        let workload = self.workload.take().ok_or("no callers run")?;
+        Ok(workload.finish().to_string())
+    }
+}
+
+fn api_key(tenant: Option<&str>) -> String {
+    format!("{}-key", tenant.unwrap_or(DEFAULT_TENANT))
+}
+
+fn bearer(tenant: Option<&str>) -> String {
+    format!("Bearer {}", api_key(tenant))
+}
+
+fn describe_chat(exchange: &Exchange, request: &ChatRequest) -> String {
+    if exchange.ending != Ending::Whole || exchange.status != Some(StatusCode::OK) {
+        return describe_failure(exchange);
+    }
+    let text = match request.stream {
+        true => Some(exchange.text.clone()),
+        false => exchange.completion_text(),
+    };
+    match text == Some(request.answer()) {
+        true => "200 whole".to_owned(),
+        false => "200 wrong".to_owned(),
+    }
+}
+
+fn describe_call(exchange: &Exchange) -> String {
+    if exchange.ending != Ending::Whole || exchange.status != Some(StatusCode::OK) {
+        return describe_failure(exchange);
+    }
+    match exchange.json()["executions"].as_u64() {
+        Some(executions) => format!("200 executions={executions}"),
+        None => "200 without executions".to_owned(),
+    }
+}
+
+fn describe_failure(exchange: &Exchange) -> String {
+    match (&exchange.ending, exchange.status) {
+        (Ending::Whole, Some(status)) => match exchange.run() {
+            Some(run) => format!("{} run={run}", status.as_u16()),
+            None => status.as_u16().to_string(),
+        },
+        (Ending::Cut, _) => "cut".to_owned(),
+        (Ending::TimedOut, _) => "timed out".to_owned(),
+        (Ending::NotConnected, _) => "not connected".to_owned(),
+        _ => "no response".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/mustardstack/tests/support/condition.rs
@@ -0,0 +1,111 @@
+//! The conditions of the `wait` command.
+
+use std::fmt::Write;
+
+use http::Method;
+use serde_json::Value;
+
+use super::{Result, runner::ScenarioRunner, wait};
+
+impl ScenarioRunner {
+    pub(super) fn wait(&mut self, condition: &str, names: &[String]) -> Result<String> {
+        match condition {
+            "ready" => self.for_each(names, |runner, name| runner.wait_ready(name, true)),
+            "not_ready" => self.for_each(names, |runner, name| runner.wait_ready(name, false)),
+            "in_force" => self.wait_in_force(names),
+            "voters" => self.for_each(names, Self::wait_voters),
+            "changed" => self.for_each(names, Self::wait_changed),
+            "drained" => self.for_each(names, Self::wait_drained),
+            "idle" => self.for_each(names, Self::wait_idle),
+            "exit" => self.wait_exit(names),
+            other => Err(format!("no condition {other}").into()),
+        }
+    }
+
+    pub(super) fn wait_ready(&mut self, id: &str, ready: bool) -> Result<()> {
+        let url = self.caller_url(id, "/readyz")?;
+        wait::until("readiness", || {
+            let probe = self.send(Method::GET, &url, &[], "");
+            Ok((probe.is_whole_ok() == ready).then_some(()))
+        })
+    }
+
+    /// Waits until all named instances have the newest revision in force, and say that every live
+    /// instance has.
+    pub(super) fn wait_in_force(&mut self, names: &[String]) -> Result<String> {
+        let revision = wait::until("the revision in force", || {
+            let mut revisions = Vec::new();
+            for name in names {
+                let status = self.status(name)?;
+                let live = status["live_instances"].as_u64();
+                if live.is_none() || status["instances_in_force"].as_u64() != live {
+                    return Ok(None);
+                }
+                revisions.push(status["revision"].as_u64());
+            }
+            revisions.dedup();
+            Ok(match revisions[..] {
+                [Some(revision)] if revision > 0 => Some(revision),
+                _ => None,
+            })
+        })?;
+        Ok(format!("revision {revision}"))
+    }
+
+    /// Waits until the instance counts every voter of the scenario, no learner and no replica
+    /// whose disk was wiped.
+    pub(super) fn wait_voters(&mut self, id: &str) -> Result<()> {
+        let instances = self.cluster.instances.values();
+        let expected = instances.filter(|instance| instance.is_voter).count();
+        wait::until("all voters", || {
+            let status = self.status(id)?;
+            let count = |field: &str| status[field].as_array().map(Vec::len);
+            let voters = status["voters"].as_array().cloned().unwrap_or_default();
+            let is_lost = |name: &str| self.lost_replicas.contains(name);
+            let has_lost = voters.iter().filter_map(Value::as_str).any(is_lost);
+            let is_complete = count("voters") == Some(expected) && count("learners") == Some(0);
+            Ok((is_complete && !has_lost).then_some(()))
+        })
+    }
+
+    pub(super) fn wait_changed(&mut self, engine: &str) -> Result<()> {
+        wait::until("the order to be carried out", || {
+            let state = self.debug(engine, "/order")?;
+            let is_done = state["sequence"] != 0
+                && state["changing_to"].is_null()
+                && state["loading"].is_null();
+            Ok(is_done.then_some(()))
+        })
+    }
+
+    pub(super) fn wait_drained(&mut self, upstream: &str) -> Result<()> {
+        wait::until("the upstream to be drained", || {
+            for instance in self.running_instances()? {
+                let status = self.status(&instance)?;
+                let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
+                let is_draining =
+                    |entry: &Value| entry["name"] == upstream && entry["draining"] == true;
+                if !upstreams.iter().any(is_draining) {
+                    return Ok(None);
+                }
+            }
+            let load = self.debug(upstream, "/load")?;
+            Ok((load["running"] == 0 && load["waiting"] == 0).then_some(()))
+        })
+    }
+
+    pub(super) fn wait_idle(&mut self, id: &str) -> Result<()> {
+        wait::until("the end of open exchanges", || {
+            Ok((self.status(id)?["open_exchanges"] == 0).then_some(()))
+        })
+    }
+
+    pub(super) fn wait_exit(&mut self, names: &[String]) -> Result<String> {
+        let mut output = String::new();
+        for name in names {
+            let status = self.process(name)?.wait_exit()?;
+            writeln!(output, "{name}: {status}")?;
+        }
+        Ok(output)
+    }
+}
--- a/crates/mustardstack/tests/support/mod.rs
+++ b/crates/mustardstack/tests/support/mod.rs
@@ -1,9 +1,14 @@
 //! Parts of the scenario language.
 
+pub mod administer;
+pub mod caller;
 pub mod command;
+pub mod condition;
 pub mod instance;
+pub mod lifecycle;
 pub mod port;
 pub mod process;
+pub mod readback;
 pub mod relay;
 pub mod runner;
 pub mod standin;
