--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -169,7 +169,8 @@
             let impostor = Impostor {
                 hellos: hellos.clone(),
             };
-            let (stream, _) = listener.accept().await.unwrap();
+            let accepted = tokio::time::timeout(support::LONG, listener.accept());
+            let (stream, _) = accepted.await.expect("no second attempt").unwrap();
             let system = rpc(stream, Side::Server, Some(capnp_rpc::new_client(impostor)));
             // The connection is closed by the other end, which then tries again.
             let closed = tokio::time::timeout(support::LONG, system);
