Hand the KV cache of a prompt from a prefill engine to the one that answers

The routing table may choose one engine for the prompt and another for the answer. The reducer accounts for both stages, and the node asks the first engine for one token, exports the prompt's chunks and passes them on as kv_import. A prompt stage that fails costs time only: the answering engine then computes the prompt itself. Connections to upstreams are given up after 1 s, since a host that is gone answers nothing.

--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -145,6 +145,20 @@
         Bytes::from(serde_json::to_vec(&self.request).expect("JSON values serialise"))
     }
 
+    /// Returns the body of a request that computes the prompt and one output token.
+    pub fn prefill_body(&self) -> Bytes {
+        let mut request = self.request.clone();
+        request.remove("max_completion_tokens");
+        request.insert("max_tokens".to_owned(), Value::from(1));
+        Bytes::from(serde_json::to_vec(&request).expect("JSON values serialise"))
+    }
+
+    /// Returns the hashes of the prompt's chunks as the engines' interface writes them.
+    pub fn chunk_names(&self) -> Vec<String> {
+        let hashes = &self.asked.chunk_hashes;
+        hashes.iter().map(|hash| format!("{hash:016x}")).collect()
+    }
+
     /// Takes the head of the engine's answer.
     pub fn read_head(&mut self, status: StatusCode, headers: &HeaderMap) -> HeadVerdict {
         let relayed = [
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -54,6 +54,7 @@
                 attempt,
                 upstream: _,
                 address,
+                prefill,
                 priority,
                 send_deadline_ms,
                 answer_deadline_ms,
@@ -66,6 +67,7 @@
                 let dispatch = Dispatch {
                     attempt,
                     priority,
+                    prefill_address: prefill.map(|prefill| prefill.address),
                     target,
                 };
                 self.control(exchange, Control::Dispatch(dispatch));
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::engine::EngineClient;
 use crate::headers::{self, PRIORITY, REPLAYED, REQUEST_ID};
+use crate::prefill::PrefillStage;
 use crate::queue::EventQueue;
 use crate::refusal::Refused;
 use crate::reply::{self, Flow, Reply};
@@ -52,6 +53,8 @@
     pub attempt: u32,
     /// Priority, 0 most urgent.
     pub priority: u8,
+    /// Address of an engine that computes the prompt first.
+    pub prefill_address: Option<Name>,
     /// Address and deadlines.
     pub target: Target,
 }
@@ -258,15 +261,42 @@
         set(&mut head.headers, header::HOST, &address);
         set(&mut head.headers, REQUEST_ID, &request_id);
         set(&mut head.headers, PRIORITY, &dispatch.priority.to_string());
+        let prefill = dispatch
+            .prefill_address
+            .and_then(|address| self.prefill_stage(address, &head, &request_id));
         self.running = Some(Running {
             number: dispatch.attempt,
-            attempt: Attempt::start(self.shared.clock, dispatch.target, head, body),
+            attempt: Attempt::start(self.shared.clock, dispatch.target, prefill, head, body),
             address,
             started: false,
             reported_tokens,
         });
     }
 
+    fn prefill_stage(
+        &self,
+        address: Name,
+        head: &RequestParts,
+        request_id: &str,
+    ) -> Option<PrefillStage> {
+        let Work::Chat(chat) = &self.work else {
+            return None;
+        };
+        let mut head = head.clone();
+        set(&mut head.headers, header::HOST, &address);
+        set(
+            &mut head.headers,
+            REQUEST_ID,
+            &format!("{request_id}-prefill"),
+        );
+        Some(PrefillStage {
+            address,
+            head,
+            body: chat.prefill_body(),
+            chunks: chat.chunk_names(),
+        })
+    }
+
     fn request_id(&self, attempt: u32) -> String {
         format!("{}-{}-{attempt}", self.shared.id_prefix, self.id)
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod logs;
 mod peer;
 mod persist;
+mod prefill;
 pub mod prompt;
 mod queue;
 mod reactor;
--- /dev/null
+++ b/crates/node/src/prefill.rs
@@ -0,0 +1,63 @@
+//! Computing a prompt on one engine and handing its KV cache to another.
+
+use bytes::Bytes;
+use conf::Name;
+use http::header;
+use http::request::Parts as RequestParts;
+use http::{StatusCode, Uri};
+use serde_json::{Map, Value};
+
+use crate::clock::Clock;
+use crate::upstream::{Target, read_whole};
+
+/// The prompt stage of an attempt.
+#[derive(Debug)]
+pub struct PrefillStage {
+    /// Address of the engine that computes the prompt.
+    pub address: Name,
+    /// Head of the chat request, with an id of its own.
+    pub head: RequestParts,
+    /// Chat request for one output token.
+    pub body: Bytes,
+    /// Hashes of the prompt's chunks, in hexadecimal.
+    pub chunks: Vec<String>,
+}
+
+impl PrefillStage {
+    /// Computes the prompt and returns `request` with the exported KV cache. A stage that fails
+    /// costs time only: the request is returned as it is, and its engine computes the prompt.
+    pub async fn extend(self, clock: Clock, target: &Target, request: Bytes) -> Bytes {
+        match self.export(clock, target).await {
+            Some(block) => with_import(&request, block).unwrap_or(request),
+            None => request,
+        }
+    }
+
+    async fn export(self, clock: Clock, target: &Target) -> Option<Value> {
+        let target = Target {
+            address: self.address.clone(),
+            ..target.clone()
+        };
+        let mut export_head = self.head.clone();
+        export_head.uri = Uri::from_static("/kv/export");
+        export_head.headers.remove(header::CONTENT_LENGTH);
+        let (status, _) = read_whole(clock, &target, self.head, self.body).await?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        let mut asked = Map::new();
+        asked.insert("chunks".to_owned(), Value::from(self.chunks));
+        let body = Bytes::from(serde_json::to_vec(&asked).ok()?);
+        let (status, block) = read_whole(clock, &target, export_head, body).await?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        serde_json::from_slice(&block).ok()
+    }
+}
+
+fn with_import(request: &[u8], block: Value) -> Option<Bytes> {
+    let mut request: Map<String, Value> = serde_json::from_slice(request).ok()?;
+    request.insert("kv_import".to_owned(), block);
+    Some(Bytes::from(serde_json::to_vec(&request).ok()?))
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,8 +3,11 @@
 //! Every attempt has a connection of its own. A pooled connection may be closed by the upstream
 //! while a request is written to it, and then it is unknown whether the request ran.
 
-use bytes::Bytes;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
 use conf::Name;
+use http::StatusCode;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http_body_util::{BodyExt, Full};
@@ -14,14 +17,18 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::clock::Clock;
 use crate::gated::{GatedStream, SentFlag};
+use crate::prefill::PrefillStage;
 
 /// Pieces of an answer that wait for the exchange. Beyond that the upstream's connection is not read.
 const WAITING_PIECES: usize = 16;
 
+/// Time for a connection to an upstream. A host that is gone answers nothing, and another upstream can take the request.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What happened to an attempt.
 #[derive(Debug)]
 pub enum Piece {
@@ -57,9 +64,15 @@
 
 impl Attempt {
     /// Starts an attempt.
-    pub fn start(clock: Clock, target: Target, head: RequestParts, body: Bytes) -> Self {
+    pub fn start(
+        clock: Clock,
+        target: Target,
+        prefill: Option<PrefillStage>,
+        head: RequestParts,
+        body: Bytes,
+    ) -> Self {
         let (sender, pieces) = mpsc::channel(WAITING_PIECES);
-        let task = tokio::spawn(run(clock, target, head, body, sender));
+        let task = tokio::spawn(run(clock, target, prefill, head, body, sender));
         Self { pieces, task }
     }
 
@@ -78,12 +91,19 @@
 async fn run(
     clock: Clock,
     target: Target,
+    prefill: Option<PrefillStage>,
     head: RequestParts,
     body: Bytes,
     sender: mpsc::Sender<Piece>,
 ) {
     let sent = SentFlag::default();
-    let exchange = exchange(clock, &target, head, body, &sent, &sender);
+    let exchange = async {
+        let body = match prefill {
+            Some(stage) => stage.extend(clock, &target, body).await,
+            None => body,
+        };
+        exchange(clock, &target, head, body, &sent, &sender).await
+    };
     let end = match timeout_at(clock.instant(target.answer_deadline_ms), exchange).await {
         Ok(Ok(())) => Piece::Finished,
         _ if sent.is_set() => Piece::Broken,
@@ -123,11 +143,41 @@
     answer.await
 }
 
+/// Sends a request and reads the whole answer. `None` if the connection failed.
+pub async fn read_whole(
+    clock: Clock,
+    target: &Target,
+    head: RequestParts,
+    body: Bytes,
+) -> Option<(StatusCode, BytesMut)> {
+    let (sender, mut pieces) = mpsc::channel(WAITING_PIECES);
+    let reading = async move {
+        let sent = SentFlag::default();
+        exchange(clock, target, head, body, &sent, &sender).await
+    };
+    let collecting = async move {
+        let mut status = None;
+        let mut data = BytesMut::new();
+        while let Some(piece) = pieces.recv().await {
+            match piece {
+                Piece::Head(head) => status = Some(head.status),
+                Piece::Data(bytes) => data.extend_from_slice(&bytes),
+                Piece::Finished | Piece::NotSent | Piece::Broken => {}
+            }
+        }
+        (status, data)
+    };
+    let (result, (status, data)) = tokio::join!(reading, collecting);
+    result.ok()?;
+    Some((status?, data))
+}
+
 async fn connect(clock: Clock, target: &Target) -> Result<TcpStream, Failed> {
-    let connecting = TcpStream::connect(target.address.as_str());
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address.as_str()));
     let stream = timeout_at(clock.instant(target.send_deadline_ms), connecting)
         .await
         .map_err(|_| Failed)?
+        .map_err(|_| Failed)?
         .map_err(|_| Failed)?;
     // Without it the kernel may hold back small writes; a failure costs latency only.
     let _ = stream.set_nodelay(true);
--- a/crates/node/tests/chat.rs
+++ b/crates/node/tests/chat.rs
@@ -392,3 +392,56 @@
     assert_eq!(chunk_hashes, expected);
     answer.abort();
 }
+
+/// Guards against a prompt that is computed twice when one engine computes it for another, and
+/// against an answer that is lost with the engine that only computes the prompt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_is_computed_on_one_engine_and_handed_to_another() {
+    let (prefill, decode) = (Upstream::start().await, Upstream::start().await);
+    let (prefill_address, address) = (prefill.address.clone(), decode.address.clone());
+    let script: support::Script = Box::new(move |now_ms, event, effects| {
+        if let Event::Arrived(arrival) = event {
+            let mut effect = dispatch(now_ms, arrival.exchange, 1, &address);
+            if let Effect::Dispatch { prefill, .. } = &mut effect {
+                *prefill = Some(reducer::Prefill {
+                    upstream: "prefill".into(),
+                    address: prefill_address.clone(),
+                });
+            }
+            effects.push(effect);
+        }
+    });
+    let instance = TestInstance::start(script).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let ask = move |address: conf::Name| {
+        tokio::spawn(async move {
+            text(&mut support::send(&address, chat(true)).await.into_body()).await
+        })
+    };
+
+    let answer = ask(address.clone());
+    let mut call = prefill.call().await;
+    let body: serde_json::Value = serde_json::from_str(&call.body).unwrap();
+    assert_eq!(body["max_tokens"], 1);
+    call.begin_events().await;
+    call.end_events("p", "length").await;
+    let mut call = prefill.call().await;
+    assert!(call.head.starts_with("post /kv/export "));
+    call.answer("200 OK", "", r#"{"chunks":["0f"]}"#).await;
+    let mut call = decode.call().await;
+    let body: serde_json::Value = serde_json::from_str(&call.body).unwrap();
+    assert_eq!(body["kv_import"]["chunks"][0], "0f");
+    call.begin_events().await;
+    call.token("a", "Marta").await;
+    call.end_events("a", "stop").await;
+    assert!(answer.await.unwrap().unwrap().contains("Marta"));
+
+    let answer = ask(address);
+    drop(prefill.call().await);
+    let mut call = decode.call().await;
+    assert!(!call.body.contains("kv_import"));
+    call.begin_events().await;
+    call.token("a", "Pilar").await;
+    call.end_events("a", "stop").await;
+    assert!(answer.await.unwrap().unwrap().contains("Pilar"));
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -249,6 +249,7 @@
         attempt,
         upstream: "engine".into(),
         address: address.clone(),
+        prefill: None,
         priority: 1,
         send_deadline_ms: now_ms + 10_000,
         answer_deadline_ms: now_ms + 60_000,
--- a/crates/reducer/src/effect.rs
+++ b/crates/reducer/src/effect.rs
@@ -14,12 +14,15 @@
     /// Send the exchange's request to an upstream as `attempt`. For a chat completion whose caller
     /// has received output already, the delivered text is passed on as `resume_text`.
     /// If `send_deadline_ms` has passed on the instance's clock immediately before the first byte
-    /// is written, nothing is sent and the attempt ends as `End::NotSent`.
+    /// is written, nothing is sent and the attempt ends as `End::NotSent`. With `prefill`, that engine
+    /// computes the prompt first and its KV cache is handed to `upstream`, without passing through
+    /// the instance's reducer.
     Dispatch {
         exchange: ExchangeId,
         attempt: u32,
         upstream: Name,
         address: Name,
+        prefill: Option<Prefill>,
         priority: u8,
         send_deadline_ms: u64,
         answer_deadline_ms: u64,
@@ -84,6 +87,15 @@
     Record(Sample),
 }
 
+/// The engine that computes a prompt for another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prefill {
+    /// The engine.
+    pub upstream: Name,
+    /// Its address.
+    pub address: Name,
+}
+
 /// Why a request is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -75,6 +75,8 @@
     /// Number of the current attempt, from 1; 0 before the first.
     pub attempt: u32,
     pub upstream: Name,
+    /// Engine that computes the prompt of the current attempt, if it is another one.
+    pub prefill_upstream: Option<Name>,
     pub excluded: Vec<Name>,
     pub send_deadline_ms: u64,
     pub first_token_ms: Option<u64>,
@@ -140,6 +142,7 @@
             phase: Phase::Queued,
             attempt: 0,
             upstream: Name::default(),
+            prefill_upstream: None,
             excluded: Vec::new(),
             send_deadline_ms: u64::MAX,
             first_token_ms: None,
@@ -151,6 +154,15 @@
         })
     }
 
+    /// Keeps later attempts away from the upstreams of the current one. Which of two engines failed
+    /// before the first token is not known.
+    pub fn exclude_current(&mut self) {
+        self.excluded.push(self.upstream.clone());
+        let prefill_upstream = self.prefill_upstream.take();
+        self.excluded
+            .extend(prefill_upstream.filter(|_| self.first_token_ms.is_none()));
+    }
+
     /// Returns the model, empty for a plain service.
     pub fn model(&self) -> Name {
         match &self.kind {
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod state;
 mod watch;
 
-pub use effect::{Effect, Level, Part, Refusal, Sample};
+pub use effect::{Effect, Level, Part, Prefill, Refusal, Sample};
 pub use event::{
     AdminReply, AdminRequest, Arrival, CacheEvent, End, Event, ExchangeId, Listed, LoadReport, Work,
 };
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -6,7 +6,7 @@
 use ledger::{Answer, AttemptId, BeginReply, Finish, Outcome};
 use route::{Cost, Failure, Presence, Work as RouteWork};
 
-use crate::effect::{Effect, Level, Part, Refusal, Sample};
+use crate::effect::{Effect, Level, Part, Prefill, Refusal, Sample};
 use crate::event::{Arrival, CacheEvent, End, ExchangeId, LoadReport};
 use crate::exchange::{DEFAULT_OUTPUT_TOKENS, Exchange, Kind, MAX_ATTEMPTS, Phase};
 use crate::proposer::Purpose;
@@ -25,6 +25,9 @@
 /// Time taken by an answer of a plain service when nothing better is known, in milliseconds.
 const PLAIN_ANSWER_MS: u64 = 20;
 
+/// Bit of an attempt's number that marks its prompt stage on another engine.
+const PREFILL_STAGE: u32 = 1 << 31;
+
 /// Speed of a service's fastest engine with a full batch.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
@@ -169,6 +172,7 @@
     open.was_sent = true;
     open.output_tokens = open.output_tokens.max(output_tokens);
     note_first(open, now_ms, effects);
+    end_prefill(state, exchange, attempt);
     state
         .table
         .on_progress(route_id(exchange, attempt), output_tokens);
@@ -356,6 +360,30 @@
     }
 }
 
+// The prompt stage of an attempt is accounted for at its engine under an id of its own.
+fn prefill_id(exchange: ExchangeId, attempt: u32) -> route::ExchangeId {
+    route_id(exchange, attempt | PREFILL_STAGE)
+}
+
+fn split(whole: Cost) -> (Cost, Cost) {
+    let prefill = Cost {
+        output_tokens: 0,
+        ..whole.clone()
+    };
+    let decode = Cost {
+        prompt_tokens: 0,
+        ..whole
+    };
+    (prefill, decode)
+}
+
+fn end_prefill(state: &mut State, exchange: ExchangeId, attempt: u32) {
+    let id = prefill_id(exchange, attempt);
+    state
+        .table
+        .on_finish(state.now_ms, id, route::End::Cancelled);
+}
+
 fn expected_output(table: &route::Table, exchange: &Exchange) -> u32 {
     let model = exchange.model();
     let expected = table.expected_output(&exchange.tenant, &model, exchange.output_tokens);
@@ -425,8 +453,16 @@
     let expected_tokens = expected_output(&state.table, open);
     open.attempt += 1;
     open.upstream = choice.upstream.clone();
-    open.send_deadline_ms = now_ms + state.settings.timing.begin_timeout_ms;
-    let cost = Cost {
+    open.send_deadline_ms = match open.once() {
+        Some(_) => now_ms + state.settings.timing.begin_timeout_ms,
+        None => open.answer_deadline_ms(now_ms),
+    };
+    // Only whole chunks are handed over, so a shorter prompt is computed where it is answered.
+    open.prefill_upstream = choice
+        .prefill_upstream
+        .clone()
+        .filter(|_| !open.chunks().is_empty());
+    let whole = Cost {
         tenant: open.tenant.clone(),
         model: open.model(),
         prompt_tokens: open.prompt_tokens().saturating_sub(choice.cached_tokens),
@@ -435,14 +471,27 @@
         total_ms: choice.total_ms,
     };
     let attempt = open.attempt;
-    if attempt == 1 && !cost.model.is_empty() {
+    if attempt == 1 && !whole.model.is_empty() {
         let demand = state.demand.entry(open.service.clone()).or_default();
-        demand.0 += u64::from(cost.prompt_tokens);
-        demand.1 += u64::from(cost.output_tokens);
+        demand.0 += u64::from(whole.prompt_tokens);
+        demand.1 += u64::from(whole.output_tokens);
+    }
+    let id = route_id(exchange, attempt);
+    match &open.prefill_upstream {
+        None => state
+            .table
+            .on_dispatch(now_ms, id, &choice.upstream, &whole),
+        Some(prefill_upstream) => {
+            let (prefill, decode) = split(whole);
+            let prefill_id = prefill_id(exchange, attempt);
+            state
+                .table
+                .on_dispatch(now_ms, prefill_id, prefill_upstream, &prefill);
+            state
+                .table
+                .on_dispatch(now_ms, id, &choice.upstream, &decode);
+        }
     }
-    state
-        .table
-        .on_dispatch(now_ms, route_id(exchange, attempt), &choice.upstream, &cost);
     if attempt == 1 {
         let elapsed_ms = now_ms - open.arrived_ms;
         let (tenant, rank) = (open.tenant.clone(), open.rank_name.clone());
@@ -495,11 +544,16 @@
     };
     open.phase = Phase::Running;
     let address = state.watch.address_of(&open.upstream).cloned();
+    let prefill = open.prefill_upstream.clone().and_then(|upstream| {
+        let address = state.watch.address_of(&upstream).cloned()?;
+        Some(Prefill { upstream, address })
+    });
     effects.push(Effect::Dispatch {
         exchange,
         attempt: open.attempt,
         upstream: open.upstream.clone(),
         address: address.unwrap_or_default(),
+        prefill,
         priority: open.rank,
         send_deadline_ms: open.send_deadline_ms,
         answer_deadline_ms: open.answer_deadline_ms(now_ms),
@@ -510,6 +564,7 @@
 fn release_place(state: &mut State, exchange: ExchangeId, attempt: u32, end: &End) {
     let now_ms = state.now_ms;
     let id = route_id(exchange, attempt);
+    end_prefill(state, exchange, attempt);
     let open = state.exchanges.get(&exchange);
     let output_tokens = open.map_or(0, |open| open.output_tokens);
     match end {
@@ -572,7 +627,7 @@
     let Some(open) = state.exchanges.get_mut(&exchange) else {
         return;
     };
-    open.excluded.push(open.upstream.clone());
+    open.exclude_current();
     if open.once().is_some() {
         open.phase = Phase::Closing;
         record_outcome(state, exchange, Outcome::NotRun);
@@ -588,7 +643,7 @@
     };
     open.was_sent = true;
     let (upstream, tenant) = (open.upstream.clone(), open.tenant.clone());
-    open.excluded.push(upstream.clone());
+    open.exclude_current();
     if open.once().is_some() {
         record_outcome(state, exchange, Outcome::Unknown);
         return end(state, exchange, Refusal::UpstreamFailed, effects);
