--- /dev/null
+++ b/crates/fleet/tests/follower.rs
@@ -0,0 +1,117 @@
+//! An instance's side of membership against late, lost and repeated messages.
+
+use conf::settings::{Instance, Settings, Voter};
+use fleet::follower::Outgoing;
+use fleet::{ConfigRevision, Follower, LeaderReply, PeerMessage};
+
+fn settings() -> Settings {
+    Settings {
+        instance: Instance {
+            id: "entry-1".into(),
+            availability_zone: "az-a".into(),
+            peer_address: "127.0.0.1:7000".into(),
+            ..Instance::default()
+        },
+        voters: vec![Voter {
+            id: "voter-1".into(),
+            availability_zone: "az-a".into(),
+            peer_address: "127.0.0.1:7001".into(),
+        }],
+        ..Settings::default()
+    }
+}
+
+fn config(revision: u64) -> Option<ConfigRevision> {
+    Some(ConfigRevision {
+        revision,
+        ..ConfigRevision::default()
+    })
+}
+
+fn reply(sequence: u64, term: u64, revision: u64) -> LeaderReply {
+    LeaderReply {
+        sequence,
+        is_leader: true,
+        term,
+        revision,
+        config: config(revision),
+        ..LeaderReply::default()
+    }
+}
+
+/// Sends the report that is due and returns its sequence.
+fn report(follower: &mut Follower, now_ms: u64) -> u64 {
+    let out = follower.tick(now_ms, false, Vec::new);
+    let sequence = |outgoing: &Outgoing| match &outgoing.message {
+        PeerMessage::Report(report) => Some(report.sequence),
+        _ => None,
+    };
+    out.iter().find_map(sequence).expect("a report is due")
+}
+
+/// Guards against a revision that goes back when an older answer or message arrives late.
+#[test]
+fn an_older_revision_changes_nothing() {
+    let mut follower = Follower::new(&settings(), 1, 0);
+    let first = report(&mut follower, 0);
+    assert!(
+        follower
+            .on_reply(10, &"voter-1".into(), &reply(first, 1, 5))
+            .config
+    );
+    let second = report(&mut follower, 600);
+    assert!(
+        !follower
+            .on_reply(610, &"voter-1".into(), &reply(second, 1, 4))
+            .config
+    );
+    assert!(!follower.on_revision(620, &config(3).expect("a revision")));
+    assert_eq!(follower.revision(), 5);
+}
+
+/// Guards against leases from a leader that has been deposed.
+#[test]
+fn an_answer_of_an_older_term_renews_no_lease() {
+    let mut follower = Follower::new(&settings(), 1, 0);
+    let first = report(&mut follower, 0);
+    follower.on_reply(10, &"voter-1".into(), &reply(first, 2, 1));
+    let second = report(&mut follower, 2_900);
+    follower.on_reply(2_910, &"voter-1".into(), &reply(second, 1, 1));
+    assert!(!follower.holds_gate_lease(3_100));
+    assert!(!follower.is_config_current(3_100));
+}
+
+/// Guards against a lease that is counted from a late answer and so outlasts the leader's promise.
+#[test]
+fn leases_run_from_the_time_of_the_report() {
+    let mut follower = Follower::new(&settings(), 1, 0);
+    let sequence = report(&mut follower, 0);
+    follower.on_reply(2_000, &"voter-1".into(), &reply(sequence, 1, 1));
+    assert!(follower.holds_gate_lease(2_999));
+    assert!(!follower.holds_gate_lease(3_000));
+}
+
+/// Guards against one answer that renews a lease twice.
+#[test]
+fn a_repeated_answer_changes_nothing() {
+    let mut follower = Follower::new(&settings(), 1, 0);
+    let sequence = report(&mut follower, 0);
+    follower.on_reply(10, &"voter-1".into(), &reply(sequence, 1, 1));
+    let repeated = follower.on_reply(20, &"voter-1".into(), &reply(sequence, 1, 2));
+    assert!(!repeated.config);
+    assert_eq!(follower.revision(), 1);
+}
+
+/// Guards against an instance that claims to be current before it has heard of the configuration.
+#[test]
+fn an_instance_that_lacks_the_revision_is_not_current() {
+    let mut follower = Follower::new(&settings(), 1, 0);
+    let sequence = report(&mut follower, 0);
+    let without = LeaderReply {
+        config: None,
+        ..reply(sequence, 1, 3)
+    };
+    follower.on_reply(10, &"voter-1".into(), &without);
+    assert!(!follower.is_config_current(20));
+    assert!(!follower.is_settled());
+}
--- /dev/null
+++ b/crates/fleet/tests/order_gate.rs
@@ -0,0 +1,151 @@
+//! The holder of a gate against engines that restart, change slowly or belong to another holder.
+
+use conf::{Name, Role};
+use fleet::{
+    ClusterView, Command, EngineState, Gate, GateAction, GateHolder, Order, OrderAnswer,
+    OrderChange, OrderGate, OrderOutcome,
+};
+
+fn holder() -> GateHolder {
+    GateHolder {
+        instance: "entry-1".into(),
+        incarnation: 7,
+    }
+}
+
+fn order(sequence: u64, role: Role) -> Order {
+    Order {
+        upstream: "engine".into(),
+        sequence,
+        change: OrderChange {
+            role: Some(role),
+            ..OrderChange::default()
+        },
+    }
+}
+
+fn view(epoch: u64, order: Option<Order>) -> ClusterView {
+    ClusterView {
+        gates: vec![Gate {
+            upstream: "engine".into(),
+            holder: Some(holder()),
+            epoch,
+            order,
+        }],
+        ..ClusterView::default()
+    }
+}
+
+fn engine(epoch: u64, sequence: u64, changing: bool) -> EngineState {
+    EngineState {
+        epoch,
+        sequence,
+        changing,
+        ..EngineState::default()
+    }
+}
+
+fn gate_with(order_to_send: Order) -> OrderGate {
+    let mut gate = OrderGate::new(holder());
+    gate.on_view(&view(2, Some(order_to_send)));
+    gate
+}
+
+fn upstream() -> Name {
+    "engine".into()
+}
+
+/// Guards against an order that is written to an engine whose state is unknown.
+#[test]
+fn an_engine_is_read_before_it_is_written() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    let read = GateAction::Read {
+        upstream: upstream(),
+    };
+    assert_eq!(gate.tick(0, true, false), [read.clone()]);
+    // While the read is under way, nothing is written.
+    assert!(gate.tick(20, true, false).is_empty());
+    // The previous order is still taking effect: it is read again, not written.
+    gate.on_read(40, &upstream(), Some(&engine(1, 0, true)));
+    assert!(gate.tick(60, true, false).is_empty());
+    assert_eq!(gate.tick(300, true, false), [read]);
+    gate.on_read(320, &upstream(), Some(&engine(1, 0, false)));
+    let send = GateAction::Send {
+        upstream: upstream(),
+        epoch: 2,
+        order: order(1, Role::Decode),
+    };
+    assert_eq!(gate.tick(340, true, false), [send]);
+}
+
+/// Guards against orders from a process whose lease has run out.
+#[test]
+fn nothing_is_written_without_a_lease() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    gate.tick(0, true, false);
+    gate.on_read(20, &upstream(), Some(&engine(1, 0, false)));
+    assert!(gate.tick(40, false, false).is_empty());
+}
+
+/// Guards against an order by a holder that has been replaced without knowing it.
+#[test]
+fn a_later_epoch_at_the_engine_silences_the_gate() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    gate.tick(0, true, false);
+    gate.on_read(20, &upstream(), Some(&engine(3, 0, false)));
+    assert!(gate.tick(40, true, false).is_empty());
+    assert!(gate.tick(20_000, true, false).is_empty());
+}
+
+/// Guards against two orders under way at one engine.
+#[test]
+fn a_newer_order_waits_for_the_answer_to_the_one_under_way() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    gate.tick(0, true, false);
+    gate.on_read(20, &upstream(), Some(&engine(1, 0, false)));
+    assert!(matches!(
+        gate.tick(40, true, false)[..],
+        [GateAction::Send { .. }]
+    ));
+    gate.on_view(&view(2, Some(order(2, Role::Prefill))));
+    assert!(gate.tick(60, true, false).is_empty());
+    gate.on_answer(80, &upstream(), 2, 1, &OrderAnswer::Accepted);
+    assert!(matches!(
+        gate.tick(100, true, false)[..],
+        [GateAction::Read { .. }]
+    ));
+}
+
+/// Guards against an outcome that is reported before the engine has changed, or never.
+#[test]
+fn the_outcome_is_proposed_once_the_engine_shows_it() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    gate.tick(0, true, false);
+    gate.on_read(20, &upstream(), Some(&engine(1, 0, false)));
+    gate.tick(40, true, false);
+    gate.on_answer(60, &upstream(), 2, 1, &OrderAnswer::Lost);
+    gate.tick(80, true, false);
+    gate.on_read(100, &upstream(), Some(&engine(2, 1, false)));
+    let done = GateAction::Propose(Command::OrderDone {
+        upstream: upstream(),
+        epoch: 2,
+        sequence: 1,
+        outcome: OrderOutcome::Done,
+    });
+    assert_eq!(gate.tick(120, true, false), [done]);
+}
+
+/// Guards against a stopping instance that keeps its gates, and against orders after the release.
+#[test]
+fn a_leaving_holder_releases_and_writes_nothing_more() {
+    let mut gate = gate_with(order(1, Role::Decode));
+    let release = GateAction::Propose(Command::ReleaseGate {
+        upstream: upstream(),
+        holder: holder(),
+        epoch: 2,
+    });
+    assert_eq!(gate.tick(0, true, true), [release]);
+    assert!(gate.tick(20, true, true).is_empty());
+    gate.on_read(40, &upstream(), Some(&engine(1, 0, false)));
+    assert!(gate.tick(60, true, false).is_empty());
+}
