Resume answers from engines that are frozen or cut off

Cause: a frozen engine keeps its connections open, so an answer from it waited until its deadline, minutes later. Ruled out: a limit on the time between tokens alone; engines that queue or preempt work are silent for long and still report their load. Change: an answer without progress for 3 s from an engine that reports no load is cancelled and resumed on another engine. Before: an_answer_moves_away_from_a_frozen_engine fails (the answers never come). After: passes.

--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -80,6 +80,8 @@
     pub excluded: Vec<Name>,
     pub send_deadline_ms: u64,
     pub first_token_ms: Option<u64>,
+    /// Time of the dispatch or of the latest progress of the current attempt.
+    pub last_progress_ms: u64,
     pub output_tokens: u32,
     /// Whether bytes of any attempt may have reached an upstream.
     pub was_sent: bool,
@@ -146,6 +148,7 @@
             excluded: Vec::new(),
             send_deadline_ms: u64::MAX,
             first_token_ms: None,
+            last_progress_ms: now_ms,
             output_tokens: 0,
             was_sent: false,
             ledger_attempt: 0,
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -19,6 +19,10 @@
 /// Time after which a caller may try again when nothing better is known, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time without progress after which an answer from an engine that reports no load is resumed
+/// elsewhere, in milliseconds. A live engine reports its load even while it generates nothing.
+const STALL_MS: u64 = 3_000;
+
 /// Interval at which running requests are considered for preemption, in milliseconds.
 const PREEMPT_INTERVAL_MS: u64 = 50;
 
@@ -137,6 +141,7 @@
             Read::PlatformList => Effect::ReadPlatformList,
         });
     }
+    resume_stalled(state, effects);
     preempt(state, effects);
 }
 
@@ -171,6 +176,7 @@
     };
     open.was_sent = true;
     open.output_tokens = open.output_tokens.max(output_tokens);
+    open.last_progress_ms = now_ms;
     note_first(open, now_ms, effects);
     end_prefill(state, exchange, attempt);
     state
@@ -543,6 +549,7 @@
         return;
     };
     open.phase = Phase::Running;
+    open.last_progress_ms = now_ms;
     let address = state.watch.address_of(&open.upstream).cloned();
     let prefill = open.prefill_upstream.clone().and_then(|upstream| {
         let address = state.watch.address_of(&upstream).cloned()?;
@@ -752,6 +759,25 @@
         .propose(now_ms, Command::Finish(finish), purpose, FINISH_TIMEOUT_MS);
 }
 
+// A frozen or cut-off engine keeps its connections open. It is recognised by its load reports.
+fn resume_stalled(state: &mut State, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
+    let loads = &state.loads;
+    let stalled: Vec<(ExchangeId, u32)> = state
+        .exchanges
+        .values()
+        .filter(|open| open.phase == Phase::Running && open.model() != "")
+        .filter(|open| now_ms >= open.last_progress_ms + STALL_MS)
+        .filter(|open| !loads.contains_key(&open.upstream))
+        .map(|open| (open.id, open.attempt))
+        .collect();
+    for (exchange, attempt) in stalled {
+        effects.push(Effect::Cancel { exchange, attempt });
+        release_place(state, exchange, attempt, &End::Broken);
+        resume(state, exchange, effects);
+    }
+}
+
 fn preempt(state: &mut State, effects: &mut Vec<Effect>) {
     if state.now_ms < state.next_preempt_ms || state.queues.is_empty() {
         return;
--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -259,6 +259,19 @@
     assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
 }
 
+/// Guards against an answer that waits for ever on an engine that is frozen.
+#[test]
+fn an_answer_moves_away_from_a_frozen_engine() {
+    let mut cluster = start(13, 1);
+    cluster.engines.get_mut("lax").expect("engine").is_frozen = true;
+    let chats: Vec<_> = (0..6).map(|_| cluster.chat(&"v0".into())).collect();
+    cluster.run(10_000);
+    for chat in &chats {
+        assert!(cluster.answered.contains(chat), "{chat:?}");
+        assert_eq!(cluster.outcomes.get(chat), None);
+    }
+}
+
 fn holder_of(cluster: &Cluster, upstream: &str) -> Name {
     let leader = cluster.leader().expect("a leader");
     let control = cluster.nodes[&leader]
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -104,6 +104,8 @@
     /// Requests by instance and exchange.
     pub requests: BTreeMap<(Name, u64), Name>,
     pub outcomes: BTreeMap<(Name, u64), Outcome>,
+    /// Whole answers of models.
+    pub answered: BTreeSet<(Name, u64)>,
     pub admin_replies: BTreeMap<u64, AdminReply>,
     /// Content ids by revision, from replies to operators.
     pub accepted: BTreeMap<u64, Name>,
@@ -128,6 +130,7 @@
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             outcomes: BTreeMap::new(),
+            answered: BTreeSet::new(),
             admin_replies: BTreeMap::new(),
             accepted: BTreeMap::new(),
             violations: Vec::new(),
@@ -531,6 +534,13 @@
             return;
         };
         let (exchange, attempt) = (*exchange, *attempt);
+        if self
+            .engines
+            .get(upstream)
+            .is_some_and(|engine| engine.is_frozen)
+        {
+            return;
+        }
         let end = if self.now_ms > *send_deadline_ms {
             End::NotSent
         } else if let Some(service) = self.services.get_mut(upstream) {
@@ -547,6 +557,7 @@
                 output_tokens: 20,
             };
             self.schedule_own(id, 10, Action::Event(progress));
+            self.answered.insert((id.clone(), exchange));
             End::Complete { answer: None }
         } else {
             End::NotSent
--- a/crates/reducer/tests/support/upstream.rs
+++ b/crates/reducer/tests/support/upstream.rs
@@ -55,6 +55,8 @@
     pub epoch: u64,
     pub sequence: u64,
     pub is_down: bool,
+    /// Whether it answers nothing and keeps its connections open.
+    pub is_frozen: bool,
     pub taken: Vec<TakenOrder>,
 }
 
@@ -66,6 +68,7 @@
             epoch: 0,
             sequence: 0,
             is_down: false,
+            is_frozen: false,
             taken: Vec::new(),
         }
     }
@@ -106,7 +109,7 @@
     }
 
     pub fn load(&self) -> Option<LoadReport> {
-        (!self.is_down).then(|| LoadReport {
+        (!self.is_down && !self.is_frozen).then(|| LoadReport {
             role: Some(self.role),
             models: vec!["lang".into()],
             kv_chunks_total: 64,
