--- a/crates/conf/src/admin.rs
+++ b/crates/conf/src/admin.rs
@@ -105,6 +105,15 @@
     pub instance: Name,
 }
 
+/// Body of `POST /admin/voters`: lets one instance run a voter in place of another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplaceVoterRequest {
+    /// Instance that runs a voter now.
+    pub old: Name,
+    /// Instance that takes its place. It needs a data folder and settings that list it as a voter.
+    pub new: Name,
+}
+
 /// Outcome of drain, order and confirm-dead requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -61,6 +61,8 @@
     Drain { target: DrainTarget, draining: bool },
     /// Vouches that the process of an instance has ended.
     ConfirmDead { instance: Name, incarnation: u64 },
+    /// Lets `new` run a voter in place of `old`. The leader's replica carries it out when the command is applied.
+    ReplaceVoter { old: Name, new: Name },
     /// Moves the cluster clock, so that deadlines pass without other commands.
     Advance,
 }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -106,7 +106,7 @@
                 instance,
                 incarnation,
             } => self.confirm_dead(instance, *incarnation),
-            Command::Advance => CommandReply::Applied,
+            Command::ReplaceVoter { .. } | Command::Advance => CommandReply::Applied,
         }
     }
 
--- a/crates/fleet/tests/order_gate.rs
+++ b/crates/fleet/tests/order_gate.rs
@@ -62,7 +62,7 @@
     let read = GateAction::Read {
         upstream: upstream(),
     };
-    assert_eq!(gate.tick(0, true, false), [read.clone()]);
+    assert_eq!(gate.tick(0, true, false), std::slice::from_ref(&read));
     // While the read is under way, nothing is written.
     assert!(gate.tick(20, true, false).is_empty());
     // The previous order is still taking effect: it is read again, not written.
--- a/crates/mustardstack/src/apply.rs
+++ b/crates/mustardstack/src/apply.rs
@@ -45,7 +45,7 @@
 /// Applies the files of an earlier revision.
 pub async fn return_to(options: &ReturnTo) -> Result<(), Error> {
     let client = Client::new(options.admin, &options.token_file)?;
-    let path = format!("/admin/config?revision={}", options.revision);
+    let path = format!("/admin/history/{}", options.revision);
     let earlier: RevisionInfo = client.get(&path).await?;
     if earlier.revision != options.revision {
         let message = format!("revision {} is not kept", options.revision);
--- a/crates/mustardstack/src/change.rs
+++ b/crates/mustardstack/src/change.rs
@@ -1,10 +1,12 @@
-//! `drain`, `undrain`, `order` and `confirm-dead`: changes outside the configuration.
+//! `drain`, `undrain`, `order`, `replace-voter` and `confirm-dead`: changes outside the configuration.
 
 use conf::Name;
-use conf::admin::{ChangeReply, ConfirmDeadRequest, DrainTarget, OrderRequest};
+use conf::admin::{
+    ChangeReply, ConfirmDeadRequest, DrainTarget, OrderRequest, ReplaceVoterRequest,
+};
 use serde::Serialize;
 
-use crate::cli::{ConfirmDead, Drain, Order, Undrain};
+use crate::cli::{ConfirmDead, Drain, Order, ReplaceVoter, Undrain};
 use crate::client::Client;
 use crate::error::Error;
 use crate::terminal::{confirm, print};
@@ -57,6 +59,20 @@
     Ok(())
 }
 
+/// Lets one instance run a voter in place of another.
+pub async fn replace_voter(options: &ReplaceVoter) -> Result<(), Error> {
+    let client = Client::new(options.admin, &options.token_file)?;
+    let (old, new) = (Name::new(&options.old), Name::new(&options.new));
+    let consequence = format!(
+        "{new} joins as a learner and becomes a voter once it has caught up; {old} is removed then."
+    );
+    confirm(&consequence, options.yes)?;
+    let body = ReplaceVoterRequest { old, new };
+    request(&client, "/admin/voters", &body).await?;
+    print(format!("{} will take the place of {}", body.new, body.old));
+    Ok(())
+}
+
 /// Vouches that the process of an instance has ended.
 pub async fn confirm_dead(options: &ConfirmDead) -> Result<(), Error> {
     let client = Client::new(options.admin, &options.token_file)?;
--- a/crates/mustardstack/src/cli.rs
+++ b/crates/mustardstack/src/cli.rs
@@ -33,6 +33,7 @@
     Undrain(Undrain),
     Order(Order),
     ConfirmDead(ConfirmDead),
+    ReplaceVoter(ReplaceVoter),
     Demo(Demo),
     Load(Load),
     Standin(Standin),
@@ -209,6 +210,27 @@
     pub yes: bool,
 }
 
+/// Let one instance run a voter in place of another.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replace-voter")]
+pub struct ReplaceVoter {
+    /// id of the instance that runs a voter now
+    #[argh(positional)]
+    pub old: String,
+    /// id of the instance that takes its place
+    #[argh(positional)]
+    pub new: String,
+    /// IP address and port of an instance's administration listener
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// file that holds the administration token
+    #[argh(option)]
+    pub token_file: PathBuf,
+    /// do not ask
+    #[argh(switch)]
+    pub yes: bool,
+}
+
 /// Vouch that the process of an instance has ended, so that its order gates may move.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "confirm-dead")]
--- a/crates/mustardstack/src/main.rs
+++ b/crates/mustardstack/src/main.rs
@@ -45,6 +45,7 @@
         Command::Undrain(undrain) => block_on(change::undrain(undrain)),
         Command::Order(order) => block_on(change::order(order)),
         Command::ConfirmDead(confirm) => block_on(change::confirm_dead(confirm)),
+        Command::ReplaceVoter(replace) => block_on(change::replace_voter(replace)),
         Command::Demo(_) => demo::run(),
         Command::Load(load) => load::run(load),
         Command::Standin(standin) => standin::run(standin),
--- a/crates/mustardstack/tests/support/condition.rs
+++ b/crates/mustardstack/tests/support/condition.rs
@@ -16,6 +16,7 @@
             "voters" => self.for_each(names, Self::wait_voters),
             "changed" => self.for_each(names, Self::wait_changed),
             "drained" => self.for_each(names, Self::wait_drained),
+            "undrained" => self.for_each(names, |runner, name| runner.wait_mark(name, false)),
             "idle" => self.for_each(names, Self::wait_idle),
             "exit" => self.wait_exit(names),
             other => Err(format!("no condition {other}").into()),
@@ -79,18 +80,26 @@
     }
 
     pub(super) fn wait_drained(&mut self, upstream: &str) -> Result<()> {
+        self.wait_mark(upstream, true)?;
         wait::until("the upstream to be drained", || {
+            let load = self.debug(upstream, "/load")?;
+            Ok((load["running"] == 0 && load["waiting"] == 0).then_some(()))
+        })
+    }
+
+    /// Waits until every instance shows the upstream with or without a drain mark.
+    fn wait_mark(&mut self, upstream: &str, draining: bool) -> Result<()> {
+        wait::until("the drain mark of the upstream", || {
             for instance in self.running_instances()? {
                 let status = self.status(&instance)?;
                 let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
-                let is_draining =
-                    |entry: &Value| entry["name"] == upstream && entry["draining"] == true;
-                if !upstreams.iter().any(is_draining) {
+                let is_marked =
+                    |entry: &Value| entry["name"] == upstream && entry["draining"] == draining;
+                if !upstreams.iter().any(is_marked) {
                     return Ok(None);
                 }
             }
-            let load = self.debug(upstream, "/load")?;
-            Ok((load["running"] == 0 && load["waiting"] == 0).then_some(()))
+            Ok(Some(()))
         })
     }
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -7,6 +7,7 @@
 use conf::Map;
 use conf::admin::{
     ApplyReply, ApplyRequest, ChangeReply, ConfirmDeadRequest, DrainTarget, OrderRequest,
+    ReplaceVoterRequest,
 };
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use reducer::{AdminReply, AdminRequest, Event};
@@ -133,6 +134,9 @@
         "/admin/drain" if is_post => drain(body, true),
         "/admin/undrain" if is_post => drain(body, false),
         "/admin/order" if is_post => Ok(AdminRequest::Order(json::<OrderRequest>(body)?)),
+        "/admin/voters" if is_post => Ok(AdminRequest::ReplaceVoter(json::<ReplaceVoterRequest>(
+            body,
+        )?)),
         "/admin/confirm-dead" if is_post => {
             Ok(AdminRequest::ConfirmDead(json::<ConfirmDeadRequest>(body)?))
         }
--- a/crates/reducer/src/admin.rs
+++ b/crates/reducer/src/admin.rs
@@ -43,6 +43,13 @@
             };
             return change(state, token, command);
         }
+        AdminRequest::ReplaceVoter(request) => {
+            let command = Command::ReplaceVoter {
+                old: request.old,
+                new: request.new,
+            };
+            return change(state, token, command);
+        }
         AdminRequest::ConfirmDead(request) => {
             return confirm_dead(state, token, request.instance, effects);
         }
--- a/crates/reducer/src/event.rs
+++ b/crates/reducer/src/event.rs
@@ -2,7 +2,7 @@
 
 use conf::admin::{
     ApplyReply, ApplyRequest, ChangeReply, ConfirmDeadRequest, DrainTarget, OrderRequest,
-    RevisionInfo, StatusReply,
+    ReplaceVoterRequest, RevisionInfo, StatusReply,
 };
 use conf::{Name, Role};
 use fleet::{EngineState, ListedState, OrderAnswer, PeerMessage};
@@ -196,6 +196,8 @@
     Drain { target: DrainTarget, draining: bool },
     /// `POST /admin/order`.
     Order(OrderRequest),
+    /// `POST /admin/voters`.
+    ReplaceVoter(ReplaceVoterRequest),
     /// `POST /admin/confirm-dead`.
     ConfirmDead(ConfirmDeadRequest),
 }
--- a/crates/reducer/src/replication.rs
+++ b/crates/reducer/src/replication.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use conf::{Map, Name};
-use fleet::{CommandReply, ControlState, Proposal, ProposalId};
+use fleet::{Command, CommandReply, ControlState, Proposal, ProposalId};
 use quorum::{EntryBody, Input, Output, Replica, ReplicaId, Status};
 
 /// Time for which the origin of a forwarded proposal is remembered, in milliseconds.
@@ -153,7 +153,7 @@
             Output::Apply(entry) => {
                 self.applied_term = self.applied_term.max(entry.term);
                 if let EntryBody::Command(command) = &entry.body {
-                    requests.push(self.apply(entry.index, command));
+                    return self.apply(entry.index, command, requests);
                 }
             }
             Output::Restore(snapshot) => {
@@ -180,20 +180,39 @@
         None
     }
 
-    fn apply(&mut self, index: u64, command: &Bytes) -> Request {
+    fn apply(&mut self, index: u64, command: &Bytes, requests: &mut Vec<Request>) -> Option<Input> {
         let Ok(proposal) = wire::decode_proposal(command) else {
-            return Request::Undecodable { index };
+            requests.push(Request::Undecodable { index });
+            return None;
         };
+        let change = self.voter_change(&proposal.command);
         let reply = self.control.apply(&proposal);
         let origin = self
             .origins
             .remove(&proposal.id)
             .map(|origin| origin.instance);
-        Request::Applied {
+        requests.push(Request::Applied {
             proposal,
             reply,
             origin,
+        });
+        change
+    }
+
+    // Only the leader's replica may change the member set; the others apply the command without effect.
+    fn voter_change(&mut self, command: &Command) -> Option<Input> {
+        let Command::ReplaceVoter { old, new } = command else {
+            return None;
+        };
+        if !self.replica.status().is_leader {
+            return None;
         }
+        self.next_token += 1;
+        Some(Input::ReplaceVoter {
+            token: self.next_token,
+            old: old.clone(),
+            new: new.clone(),
+        })
     }
 
     fn forget_origins(&mut self, now_ms: u64) {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -171,6 +171,10 @@
       incarnation @19 :UInt64;
     }
     advance @20 :Void;
+    replaceVoter :group {
+      old @21 :Text;
+      new @22 :Text;
+    }
   }
 }
 
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -163,6 +163,11 @@
             builder.set_instance(instance.as_str());
             builder.set_incarnation(*incarnation);
         }
+        Command::ReplaceVoter { old, new } => {
+            let mut builder = root.init_replace_voter();
+            builder.set_old(old.as_str());
+            builder.set_new(new.as_str());
+        }
         Command::Advance => root.set_advance(()),
     }
 }
@@ -202,6 +207,10 @@
             instance: read_name(dead.get_instance())?,
             incarnation: dead.get_incarnation(),
         },
+        c::ReplaceVoter(change) => Command::ReplaceVoter {
+            old: read_name(change.get_old())?,
+            new: read_name(change.get_new())?,
+        },
         c::Advance(()) => Command::Advance,
     })
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -11250,7 +11250,7 @@
 pub mod command {
     pub use self::Which::{
         Advance, Begin, Configure, ConfirmDead, Drain, Finish, GrantGate, Order, OrderDone,
-        ReleaseGate,
+        ReleaseGate, ReplaceVoter,
     };
 
     #[derive(Copy, Clone)]
@@ -11404,6 +11404,7 @@
                 7 => ::core::result::Result::Ok(Drain(self.reader.into())),
                 8 => ::core::result::Result::Ok(ConfirmDead(self.reader.into())),
                 9 => ::core::result::Result::Ok(Advance(())),
+                10 => ::core::result::Result::Ok(ReplaceVoter(self.reader.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -11626,6 +11627,15 @@
             self.builder.set_data_field::<u16>(0, 9);
         }
         #[inline]
+        pub fn init_replace_voter(
+            mut self,
+        ) -> crate::peer_capnp::command::replace_voter::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 10);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.reborrow().get_pointer_field(1).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Configure(
@@ -11653,6 +11663,7 @@
                 7 => ::core::result::Result::Ok(Drain(self.builder.into())),
                 8 => ::core::result::Result::Ok(ConfirmDead(self.builder.into())),
                 9 => ::core::result::Result::Ok(Advance(())),
+                10 => ::core::result::Result::Ok(ReplaceVoter(self.builder.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -11670,94 +11681,101 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 130] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(53, 108, 136, 161, 143, 164, 201, 129),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 111, 109, 109, 97),
             ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(138, 167, 182, 233, 98, 248, 20, 192),
-            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(74, 176, 225, 71, 153, 88, 80, 254),
-            ::capnp::word(5, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(23, 169, 111, 109, 241, 192, 110, 146),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(218, 11, 213, 13, 214, 181, 76, 150),
-            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(23, 75, 22, 181, 78, 216, 247, 200),
-            ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(93, 225, 250, 61, 36, 113, 122, 164),
-            ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 154, 56, 82, 154, 35, 131, 185),
+            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -11801,6 +11819,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 97, 99, 101, 86),
+            ::capnp::word(111, 116, 101, 114, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11814,6 +11834,7 @@
                 7 => <crate::peer_capnp::command::drain::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::peer_capnp::command::confirm_dead::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <() as ::capnp::introspect::Introspect>::introspect(),
+                10 => <crate::peer_capnp::command::replace_voter::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11833,11 +11854,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 1, 0, 8, 7, 2, 3, 5, 6, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 1, 0, 8, 7, 2, 3, 5, 6, 4, 10];
         pub(crate) const TYPE_ID: u64 = 0x81c9_a48f_a188_6c35;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
         Configure(A0),
         Begin(A1),
         Finish(A2),
@@ -11848,6 +11869,7 @@
         Drain(A7),
         ConfirmDead(A8),
         Advance(()),
+        ReplaceVoter(A9),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::peer_capnp::configure::Reader<'a>>,
@@ -11859,6 +11881,7 @@
         crate::peer_capnp::command::order_done::Reader<'a>,
         crate::peer_capnp::command::drain::Reader<'a>,
         crate::peer_capnp::command::confirm_dead::Reader<'a>,
+        crate::peer_capnp::command::replace_voter::Reader<'a>,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::peer_capnp::configure::Builder<'a>>,
@@ -11870,6 +11893,7 @@
         crate::peer_capnp::command::order_done::Builder<'a>,
         crate::peer_capnp::command::drain::Builder<'a>,
         crate::peer_capnp::command::confirm_dead::Builder<'a>,
+        crate::peer_capnp::command::replace_voter::Builder<'a>,
     >;
 
     pub mod grant_gate {
@@ -14217,6 +14241,377 @@
             pub(crate) const TYPE_ID: u64 = 0xa47a_7124_3dfa_e15d;
         }
     }
+
+    pub mod replace_voter {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_old(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_old(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_new(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_new(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 3,
+                    pointers: 2,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_old(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_old(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_old(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_old(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_new(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_new(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_new(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_new(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(111, 154, 56, 82, 154, 35, 131, 185),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(53, 108, 136, 161, 143, 164, 201, 129),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 109, 109, 97),
+                ::capnp::word(110, 100, 46, 114, 101, 112, 108, 97),
+                ::capnp::word(99, 101, 86, 111, 116, 101, 114, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 108, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xb983_239a_5238_9a6f;
+        }
+    }
 }
 
 pub mod gate_holder {
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -224,7 +224,7 @@
 }
 
 fn command(g: &mut Gen) -> Command {
-    match below(g, 10) {
+    match below(g, 11) {
         0 => Command::Configure(Configure {
             base_revision: number(g),
             content_id: name(g),
@@ -283,6 +283,10 @@
             instance: name(g),
             incarnation: number(g),
         },
+        9 => Command::ReplaceVoter {
+            old: name(g),
+            new: name(g),
+        },
         _ => Command::Advance,
     }
 }
