Use the learned slowdown to compare upstreams only

Change: expected times do not contain the slowdown; it weighs the scores, and it is a mean of ratios now that they do not feed back.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -440,7 +440,7 @@
         }
         let unknown = 1.0 - trust(view.report_age_ms(self.now_ms));
         let weight = 1.0 + UNKNOWN_LOAD_WEIGHT * unknown;
-        candidate.score = (candidate.expected.total_ms + displaced_ms) * weight;
+        candidate.score = (candidate.expected.total_ms + displaced_ms) * weight * view.slowdown;
     }
 
     fn view(&self, slot: u32) -> Option<&View> {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -67,7 +67,8 @@
     /// Prompt tokens waiting at `backlog_at_ms`, worked off at the prefill speed from then on.
     backlog_tokens: f64,
     backlog_at_ms: u64,
-    /// Learned ratio of actual to expected times.
+    /// Learned ratio of actual to expected times. It compares upstreams only: the waits of one rank say little about those of
+    /// another, so it must not decide on deadlines.
     pub(crate) slowdown: f64,
 }
 
@@ -212,7 +213,8 @@
             return;
         }
         let ratio = (actual_ms.max(1) as f64 / expected_ms as f64).clamp(0.1, 10.0);
-        let slowdown = self.slowdown * ratio.powf(SLOWDOWN_SMOOTHING);
+        let kept = self.slowdown.powf(1.0 - SLOWDOWN_SMOOTHING);
+        let slowdown = kept * ratio.powf(SLOWDOWN_SMOOTHING);
         self.slowdown = slowdown.clamp(SLOWDOWN_MIN, SLOWDOWN_MAX);
     }
 
@@ -270,10 +272,10 @@
         let slot_ms = excess * answer_ms / f64::from(self.max_running);
         let prompt_ms =
             (self.backlog_tokens(now_ms) + uncached_tokens) / self.prefill_tokens_per_ms;
-        let first_token_ms = (slot_ms + prompt_ms + between_ms) * self.slowdown;
+        let first_token_ms = slot_ms + prompt_ms + between_ms;
         Expected {
             first_token_ms,
-            total_ms: first_token_ms + answer_ms * self.slowdown,
+            total_ms: first_token_ms + answer_ms,
         }
     }
 
@@ -281,8 +283,7 @@
     pub(crate) fn expect_plain(&self, now_ms: u64, service_ms: f64) -> Expected {
         let excess = (self.in_flight(now_ms) + 1.0 - f64::from(self.max_running)).max(0.0);
         let load = self.in_flight(now_ms) / f64::from(self.max_running);
-        let total_ms =
-            service_ms * (1.0 + load + excess / f64::from(self.max_running)) * self.slowdown;
+        let total_ms = service_ms * (1.0 + load + excess / f64::from(self.max_running));
         Expected {
             first_token_ms: total_ms,
             total_ms,
