Add experiments that compare policies with real processes

Starts instances, stand-in engines and workers of the same binary on loopback, offers generated load and prints one table of ratios to a baseline.

--- /dev/null
+++ b/crates/bench/src/cluster.rs
@@ -0,0 +1,439 @@
+//! All processes of one run.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use conf::{
+    Name, RankPolicy, ServiceConfig,
+    admin::{ApplyRequest, FileText, StatusReply},
+    service::{Idempotency, Model, Route, Service, ServiceKind, Tenant, Upstream},
+    settings::{Instance, Log, Timing, Voter},
+};
+use http::Method;
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use standin::{client::Client, engine, service};
+
+use crate::{Case, Error, Policy, Preset, Result, process::Process, usage::Usage};
+
+const ADMIN_TOKEN: &str = "experiment-admin-token";
+const PEER_SECRET: &str = "experiment-peer-secret";
+
+/// Time within which all instances have the configuration in force and reach all upstreams.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// First port that is tried. All ports lie below those of outgoing connections on Linux.
+const FIRST_PORT: u32 = 10_000;
+const PORT_COUNT: u32 = 22_000;
+/// Distance between the first ports of processes with neighbouring ids.
+const PORT_STRIDE: u32 = 211;
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An instance and its process.
+#[derive(Debug)]
+struct Member {
+    instance: Instance,
+    process: Process,
+}
+
+/// A stand-in and its process, which ends with it.
+#[derive(Debug)]
+struct Standin {
+    upstream: Upstream,
+    _process: Process,
+}
+
+/// The instances, engines and workers of one run.
+pub struct Cluster {
+    client: Client,
+    members: Vec<Member>,
+    engines: Vec<Standin>,
+    workers: Vec<Standin>,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until they serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started or does not become ready in time.
+    pub async fn start(preset: &Preset, case: Case, policy: Policy, folder: &Path) -> Result<Self> {
+        fs::write(folder.join("admin-token"), ADMIN_TOKEN)?;
+        fs::write(folder.join("peer-secret"), PEER_SECRET)?;
+        let cluster = Self {
+            client: Client::new(REQUEST_TIMEOUT, false)?,
+            engines: start_engines(preset, case, folder)?,
+            workers: start_workers(preset, folder)?,
+            members: start_members(preset, policy, folder)?,
+        };
+        cluster.configure(service_config(preset, &cluster)).await?;
+        Ok(cluster)
+    }
+
+    /// Callers' addresses of all instances.
+    pub fn entries(&self) -> Vec<Name> {
+        let members = self.members.iter();
+        members
+            .map(|member| member.instance.caller_address.clone())
+            .collect()
+    }
+
+    /// Use of each instance since its start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process has ended.
+    pub async fn usage(&self) -> Result<Vec<Usage>> {
+        let mut usage = Vec::new();
+        for member in &self.members {
+            let stat = fs::read_to_string(format!("/proc/{}/stat", member.process.id()))?;
+            let metrics = self.admin(Method::GET, member, "/metrics", "").await;
+            usage.push(Usage::read(&stat, &metrics.unwrap_or_default()));
+        }
+        Ok(usage)
+    }
+
+    /// Share of prompt tokens that the engines found in their caches. Crashed engines do not count.
+    pub async fn prefix_hit_share(&self) -> f64 {
+        let (mut prompt_tokens, mut cached_tokens) = (0.0, 0.0);
+        for engine in &self.engines {
+            let url = format!("http://{}/debug/requests", engine.upstream.address);
+            let records = self.client.get_json(&url, &[]).await;
+            let sum = |field: &str| -> f64 {
+                let records = records.as_array().into_iter().flatten();
+                records.filter_map(|record| record[field].as_f64()).sum()
+            };
+            prompt_tokens += sum("prompt_tokens");
+            cached_tokens += sum("cached_tokens");
+        }
+        cached_tokens / f64::max(prompt_tokens, 1.0)
+    }
+
+    /// Drains the first engine.
+    pub async fn drain_engine(&self) {
+        let name = &self.engines[0].upstream.name;
+        let body = format!("{{\"upstream\":\"{name}\"}}");
+        self.admin(Method::POST, &self.members[0], "/admin/drain", &body)
+            .await;
+    }
+
+    /// Makes the last engine crash.
+    pub async fn crash_engine(&self) {
+        if let Some(engine) = self.engines.last() {
+            let url = format!("http://{}/debug/crash", engine.upstream.address);
+            self.client.send(Method::POST, &url, &[], "").await;
+        }
+    }
+
+    async fn configure(&self, config: ServiceConfig) -> Result<()> {
+        let files = vec![FileText {
+            name: Name::from_static_str("experiment.toml"),
+            text: Name::from(toml::to_string(&config)?),
+        }];
+        let loaded = conf::load::service_from_files(files).map_err(conf::load::Error::Invalid)?;
+        let canonical = loaded.value.canonical_text();
+        let request = ApplyRequest {
+            base_revision: 0,
+            content_id: conf::content_id(&canonical),
+            canonical: Name::from(canonical),
+            files: loaded.files,
+            author: Name::from_static_str("experiment"),
+        };
+        let body = serde_json::to_string(&request).unwrap_or_default();
+        let deadline = Instant::now() + READY_TIMEOUT;
+        loop {
+            // A resend of the same content is accepted once.
+            let reply = self
+                .admin(Method::POST, &self.members[0], "/admin/apply", &body)
+                .await;
+            let waits_for = self.not_ready().await;
+            let Some(waits_for) = waits_for else {
+                return Ok(());
+            };
+            if Instant::now() >= deadline {
+                let message = format!("{waits_for}; last answer to apply: {reply:?}");
+                return Err(Error::NotReady(message));
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// The first instance that does not serve yet, if any.
+    async fn not_ready(&self) -> Option<Name> {
+        for member in &self.members {
+            let status = self.admin(Method::GET, member, "/admin/status", "").await;
+            let status: Option<StatusReply> =
+                status.and_then(|text| serde_json::from_str(&text).ok());
+            let is_ready = status.is_some_and(|status| {
+                let upstreams = &status.upstreams;
+                status.ready
+                    && upstreams.len() == self.engines.len() + self.workers.len()
+                    && upstreams.iter().all(|upstream| upstream.reachable)
+            });
+            if !is_ready {
+                return Some(member.instance.id.clone());
+            }
+        }
+        None
+    }
+
+    async fn admin(
+        &self,
+        method: Method,
+        member: &Member,
+        path: &str,
+        body: &str,
+    ) -> Option<String> {
+        let url = format!("http://{}{path}", member.instance.admin_address);
+        let bearer = format!("Bearer {ADMIN_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let exchange = self
+            .client
+            .send(method, &url, &headers, body.to_owned())
+            .await;
+        exchange.status.map(|_| exchange.text)
+    }
+}
+
+fn start_engines(preset: &Preset, case: Case, folder: &Path) -> Result<Vec<Standin>> {
+    let start = |index| {
+        let name = format!("engine-{}", index + 1);
+        let settings = engine::Settings {
+            listen: free_address()?,
+            seed: index as u64 + 1,
+            ..preset.engine(case)
+        };
+        let process = start_standin("engine", &name, &settings, folder)?;
+        let scale = settings.time_scale;
+        let upstream = Upstream {
+            name: Name::from(name),
+            service: Name::from_static_str("assistant"),
+            address: settings.listen.clone(),
+            availability_zone: zone(preset, index),
+            fencing: settings.fencing,
+            role: settings.role,
+            cache_chunks: settings.cache_chunks as u32,
+            prefill_tokens_per_s: settings.prefill_tokens_per_s * scale,
+            decode_tokens_per_s: settings.decode_tokens_per_s * scale,
+            max_running: settings.max_running as u32,
+            ..Upstream::default()
+        };
+        Ok(Standin {
+            upstream,
+            _process: process,
+        })
+    };
+    (0..preset.engines).map(start).collect()
+}
+
+fn start_workers(preset: &Preset, folder: &Path) -> Result<Vec<Standin>> {
+    let start = |index| {
+        let name = format!("worker-{}", index + 1);
+        let settings = service::Settings {
+            listen: free_address()?,
+            name: Name::from(name.clone()),
+            time_scale: preset.load.time_scale,
+            ..service::Settings::default()
+        };
+        let process = start_standin("service", &name, &settings, folder)?;
+        let upstream = Upstream {
+            name: Name::from(name),
+            service: Name::from_static_str("app"),
+            address: settings.listen.clone(),
+            availability_zone: zone(preset, index),
+            ..Upstream::default()
+        };
+        Ok(Standin {
+            upstream,
+            _process: process,
+        })
+    };
+    (0..preset.workers).map(start).collect()
+}
+
+fn start_standin(
+    kind: &str,
+    name: &str,
+    settings: &impl Serialize,
+    folder: &Path,
+) -> Result<Process> {
+    let file = folder.join(format!("{name}.toml"));
+    fs::write(&file, toml::to_string(settings)?)?;
+    let file = file.display().to_string();
+    let log_file = folder.join(format!("{name}.log"));
+    Process::start(&["standin", kind, "--settings", &file], &log_file)
+}
+
+fn start_members(preset: &Preset, policy: Policy, folder: &Path) -> Result<Vec<Member>> {
+    let instances: Vec<Instance> = (0..preset.entries)
+        .map(|index| instance(preset, index, folder))
+        .collect::<Result<_>>()?;
+    let voters: Vec<Voter> = instances.iter().take(preset.voters).map(voter).collect();
+    let start = |instance: Instance| {
+        let settings = instance_settings(preset, policy, &instance, &voters);
+        let process = start_instance(&settings, folder)?;
+        Ok(Member { instance, process })
+    };
+    instances.into_iter().map(start).collect()
+}
+
+fn instance(preset: &Preset, index: usize, folder: &Path) -> Result<Instance> {
+    let id = format!("entry-{}", index + 1);
+    let data_folder = match index < preset.voters {
+        true => path_name(&folder.join(&id).join("data")),
+        false => Name::default(),
+    };
+    Ok(Instance {
+        id: Name::from(id),
+        availability_zone: zone(preset, index),
+        caller_address: free_address()?,
+        admin_address: free_address()?,
+        peer_address: free_address()?,
+        admin_token_file: path_name(&folder.join("admin-token")),
+        peer_secret_file: path_name(&folder.join("peer-secret")),
+        data_folder,
+    })
+}
+
+fn voter(instance: &Instance) -> Voter {
+    Voter {
+        id: instance.id.clone(),
+        availability_zone: instance.availability_zone.clone(),
+        peer_address: instance.peer_address.clone(),
+    }
+}
+
+fn instance_settings(
+    preset: &Preset,
+    policy: Policy,
+    instance: &Instance,
+    voters: &[Voter],
+) -> conf::Settings {
+    let timing = Timing::default();
+    conf::Settings {
+        instance: instance.clone(),
+        voters: voters.to_vec(),
+        log: Log::default(),
+        // Reports are as old in simulated time as without scaling.
+        timing: Timing {
+            load_interval_ms: real_ms(preset, timing.load_interval_ms as f64),
+            ..timing
+        },
+        decisions: policy.decisions(),
+        ..conf::Settings::default()
+    }
+}
+
+fn start_instance(settings: &conf::Settings, folder: &Path) -> Result<Process> {
+    let id = settings.instance.id.as_str();
+    let settings_folder = folder.join(id).join("settings");
+    fs::create_dir_all(&settings_folder)?;
+    let text = toml::to_string(settings)?;
+    fs::write(settings_folder.join("instance.toml"), text)?;
+    let log_file = folder.join(format!("{id}.log"));
+    let settings_folder = settings_folder.display().to_string();
+    Process::start(&["serve", &settings_folder], &log_file)
+}
+
+fn service_config(preset: &Preset, cluster: &Cluster) -> ServiceConfig {
+    let standins = cluster.engines.iter().chain(&cluster.workers);
+    let load = &preset.load;
+    ServiceConfig {
+        ranks: ranks(preset),
+        tenants: tenants(preset),
+        models: vec![Model {
+            name: load.model.clone(),
+            version: Name::from_static_str("1"),
+            weights_bytes: 1 << 20,
+            ..Model::default()
+        }],
+        services: vec![
+            Service {
+                name: Name::from_static_str("assistant"),
+                kind: ServiceKind::Model,
+                models: vec![load.model.clone()],
+            },
+            Service {
+                name: Name::from_static_str("app"),
+                kind: ServiceKind::Plain,
+                ..Service::default()
+            },
+        ],
+        routes: vec![Route {
+            name: Name::from_static_str("app"),
+            path_prefix: Name::from_static_str("/app/"),
+            service: Name::from_static_str("app"),
+            idempotency: Idempotency::NonIdempotent,
+            ..Route::default()
+        }],
+        upstreams: standins.map(|standin| standin.upstream.clone()).collect(),
+    }
+}
+
+/// Instances know no time scale, so their targets are in real time.
+fn ranks(preset: &Preset) -> Vec<RankPolicy> {
+    let ranks = preset.load.ranks.iter().zip(&preset.floors);
+    ranks
+        .map(|(rank, floor)| RankPolicy {
+            name: rank.name.clone(),
+            target_first_token_ms: real_ms(preset, rank.target_first_token_ms),
+            target_between_tokens_ms: real_ms(preset, rank.target_between_tokens_ms),
+            target_total_ms: real_ms(preset, rank.target_total_ms),
+            worth: rank.worth,
+            floor: *floor,
+            queue_limit: preset.queue_limit,
+        })
+        .collect()
+}
+
+fn tenants(preset: &Preset) -> Vec<Tenant> {
+    let ranks: Vec<Name> = preset.load.ranks.iter().map(|r| r.name.clone()).collect();
+    let tenants = preset.load.tenants.iter().enumerate();
+    tenants
+        .map(|(index, tenant)| Tenant {
+            name: Name::from(format!("tenant-{}", index + 1)),
+            key_sha256: Name::from(hex(&Sha256::digest(tenant.key.as_bytes()))),
+            ranks: ranks.clone(),
+            // Floods are to meet the ranks' queues, not the tenants' limits.
+            requests_per_s: 100_000.0,
+            burst: 100_000.0,
+            ..Tenant::default()
+        })
+        .collect()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn real_ms(preset: &Preset, simulated_ms: f64) -> u64 {
+    ((simulated_ms / preset.load.time_scale) as u64).max(1)
+}
+
+fn zone(preset: &Preset, index: usize) -> Name {
+    let zones = &preset.availability_zones;
+    zones[index % zones.len()].clone()
+}
+
+fn path_name(path: &Path) -> Name {
+    Name::from(PathBuf::from(path).display().to_string())
+}
+
+fn free_address() -> Result<Name> {
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    for _ in 0..PORT_COUNT {
+        let offset = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, (FIRST_PORT + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(Name::from(address.to_string()));
+        }
+    }
+    Err(Error::Invalid("no free port".to_owned()))
+}
--- /dev/null
+++ b/crates/bench/src/run.rs
@@ -0,0 +1,103 @@
+//! Runs of an experiment.
+
+use std::{fs, path::Path, time::Duration};
+
+use standin::load::{self, LoadReport, LoadSettings};
+
+use crate::{Case, Policy, Preset, Result, Settings, cluster::Cluster, usage::Usage};
+
+/// Shares of the duration after which an engine is drained and another one crashes.
+const DRAIN_AT: f64 = 0.3;
+const CRASH_AT: f64 = 0.6;
+
+/// Result of one policy with one seed.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// What was offered.
+    pub case: Case,
+    /// How decisions were taken.
+    pub policy: Policy,
+    /// Measures of the load.
+    pub report: LoadReport,
+    /// Use of each instance during the load.
+    pub usage: Vec<Usage>,
+    /// Share of prompt tokens found in the engines' caches.
+    pub prefix_hit_share: f64,
+}
+
+/// Runs every policy in every case with every seed, one after the other. `done` is called after
+/// each run.
+///
+/// # Errors
+///
+/// Returns an error if the processes cannot be started or end early.
+pub async fn run(settings: &Settings, mut done: impl FnMut(&Run)) -> Result<Vec<Run>> {
+    let preset = settings.preset()?;
+    let mut runs = Vec::new();
+    for case in &settings.cases {
+        for seed in &settings.seeds {
+            for policy in &settings.policies {
+                let run = run_in_folder(settings, &preset, *case, *policy, *seed).await?;
+                done(&run);
+                runs.push(run);
+            }
+        }
+    }
+    Ok(runs)
+}
+
+async fn run_in_folder(
+    settings: &Settings,
+    preset: &Preset,
+    case: Case,
+    policy: Policy,
+    seed: u64,
+) -> Result<Run> {
+    if settings.work_folder.as_os_str().is_empty() {
+        let folder = tempfile::tempdir()?;
+        return run_once(preset, case, policy, seed, folder.path()).await;
+    }
+    let name = format!("{}-{}-{seed}", case.name(), policy.name());
+    let folder = settings.work_folder.join(name);
+    // Data of an earlier run would be taken for that of a restarted instance.
+    if folder.exists() {
+        fs::remove_dir_all(&folder)?;
+    }
+    fs::create_dir_all(&folder)?;
+    run_once(preset, case, policy, seed, &folder).await
+}
+
+async fn run_once(
+    preset: &Preset,
+    case: Case,
+    policy: Policy,
+    seed: u64,
+    folder: &Path,
+) -> Result<Run> {
+    let cluster = Cluster::start(preset, case, policy, folder).await?;
+    let load = preset.load(case, seed, cluster.entries());
+    let before = cluster.usage().await?;
+    let faults = disturb(&cluster, case, &load);
+    let (report, ()) = tokio::join!(load::run(load.clone()), faults);
+    let after = cluster.usage().await?;
+    let usage = after.into_iter().zip(before);
+    Ok(Run {
+        case,
+        policy,
+        report: report?,
+        usage: usage.map(|(after, before)| after.since(before)).collect(),
+        prefix_hit_share: cluster.prefix_hit_share().await,
+    })
+}
+
+async fn disturb(cluster: &Cluster, case: Case, load: &LoadSettings) {
+    if case != Case::EngineLoss {
+        return;
+    }
+    let after =
+        |share: f64| Duration::from_secs_f64(share * load.duration_ms / 1_000.0 / load.time_scale);
+    tokio::time::sleep(after(DRAIN_AT)).await;
+    cluster.drain_engine().await;
+    tokio::time::sleep(after(CRASH_AT - DRAIN_AT)).await;
+    cluster.crash_engine().await;
+}
--- a/crates/mustardstack/src/cli.rs
+++ b/crates/mustardstack/src/cli.rs
@@ -35,6 +35,7 @@
     ConfirmDead(ConfirmDead),
     Demo(Demo),
     Load(Load),
+    Experiment(Experiment),
     Standin(Standin),
 }
 
@@ -241,6 +242,18 @@
     pub settings: PathBuf,
 }
 
+/// Compare policies with processes of this binary on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+pub struct Experiment {
+    /// file of the experiment's settings
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// file for the table, instead of the terminal
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+}
+
 /// Run a stand-in for an outside system.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "standin")]
--- a/crates/mustardstack/src/error.rs
+++ b/crates/mustardstack/src/error.rs
@@ -49,6 +49,9 @@
     /// A stand-in or the load generator could not start or go on.
     #[error(transparent)]
     Standin(#[from] standin::Error),
+    /// An experiment could not run.
+    #[error(transparent)]
+    Experiment(#[from] bench::Error),
 }
 
 impl Error {
@@ -57,7 +60,7 @@
         match self {
             Self::Configuration(_) | Self::Invalid(_) | Self::Usage(_) => USAGE,
             Self::Io(_) | Self::Declined | Self::Refused(_) => FAILURE,
-            Self::Node(_) | Self::Standin(_) => FAILURE,
+            Self::Node(_) | Self::Standin(_) | Self::Experiment(_) => FAILURE,
             Self::Conflict(_) => CONFLICT,
             Self::Unavailable(_) => UNAVAILABLE,
             Self::NotInForce(_) => NOT_IN_FORCE,
--- a/crates/mustardstack/src/main.rs
+++ b/crates/mustardstack/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod demo;
 mod error;
+mod experiment;
 mod load;
 mod serve;
 mod standin;
@@ -47,6 +48,7 @@
         Command::ConfirmDead(confirm) => block_on(change::confirm_dead(confirm)),
         Command::Demo(_) => demo::run(),
         Command::Load(load) => load::run(load),
+        Command::Experiment(experiment) => experiment::run(experiment),
         Command::Standin(standin) => standin::run(standin),
     }
 }
