--- a/crates/mustardstack/src/main.rs
+++ b/crates/mustardstack/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod demo;
 mod error;
+mod experiment;
 mod load;
 mod serve;
 mod standin;
@@ -48,6 +49,7 @@
         Command::ReplaceVoter(replace) => block_on(change::replace_voter(replace)),
         Command::Demo(_) => demo::run(),
         Command::Load(load) => load::run(load),
+        Command::Experiment(experiment) => experiment::run(experiment),
         Command::Standin(standin) => standin::run(standin),
     }
 }
