Give back the right to run when the caller has left, and bound the history by size

A payment whose caller left while the ledger was asked was dispatched all the same and retried as not sent. The right is given back now, so that a repeat runs at once. 256 whole revisions would be more than 1 GB at 11,000 tenants. The texts of older revisions are dropped beyond 32 MB; their ids stay, so that a resend is recognised.

--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -101,6 +101,14 @@
     pub at_ms: u64,
 }
 
+impl ConfigRevision {
+    /// Returns the size of the canonical text and the files, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let files = self.files.iter().map(|file| file.text.len());
+        self.canonical.len() + files.sum::<usize>()
+    }
+}
+
 /// What an order asks of an engine. Only the fields that are set change.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OrderChange {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -13,8 +13,9 @@
 };
 use crate::message::Gate;
 
-/// Revisions whose files are kept for `history` and `return-to`. Older ones keep only their ids.
-const FULL_REVISIONS: usize = 256;
+/// Total size of the texts that are kept for `return-to`, in bytes. Older revisions keep only their
+/// ids. At 11,000 tenants one revision has several megabytes, and a node may use 128 MB in all.
+const HISTORY_BYTES: usize = 32 * 1024 * 1024;
 
 /// Ids of order proposals that are remembered to recognise one that was proposed again.
 const REMEMBERED_ORDERS: usize = 1_024;
@@ -227,13 +228,21 @@
             .map(|earlier| earlier.revision)
     }
 
+    // The current revision is always kept whole.
     fn trim_history(&mut self) {
-        let Some(old) = self.revisions.len().checked_sub(FULL_REVISIONS + 1) else {
-            return;
-        };
-        let revision = &mut self.revisions[old];
-        revision.files = Vec::new();
-        revision.canonical = Name::default();
+        let mut kept_bytes = 0;
+        for revision in self.revisions.iter_mut().rev() {
+            let is_first = kept_bytes == 0;
+            kept_bytes += revision.text_bytes();
+            if kept_bytes <= HISTORY_BYTES || is_first {
+                continue;
+            }
+            if revision.canonical.is_empty() && revision.files.is_empty() {
+                break;
+            }
+            revision.files = Vec::new();
+            revision.canonical = Name::default();
+        }
     }
 
     // A replica of an older version may be unable to parse a newer configuration. It then keeps
--- a/crates/reducer/examples/event_time.rs
+++ b/crates/reducer/examples/event_time.rs
@@ -172,7 +172,7 @@
         );
         if exchange % 500 == 0 {
             let reply = entry.reply();
-            let event = entry.from_leader(reply);
+            let event = entry.leader_event(reply);
             timed(&mut entry, &mut times, "entry: report reply", event);
         }
     }
@@ -198,7 +198,7 @@
             view: Some(target::view(size, version)),
             ..entry.reply()
         };
-        let event = entry.from_leader(reply);
+        let event = entry.leader_event(reply);
         timed(entry, times, "entry: reply with view", event);
     }
 }
@@ -213,7 +213,7 @@
             config: Some(target::revision(&config, revision)),
             ..entry.reply()
         };
-        let event = entry.from_leader(reply);
+        let event = entry.leader_event(reply);
         timed(entry, times, "entry: reply with config", event);
     }
 }
--- a/crates/reducer/examples/memory.rs
+++ b/crates/reducer/examples/memory.rs
@@ -134,7 +134,7 @@
         config: Some(revision),
         ..entry.reply()
     };
-    let event = entry.from_leader(reply);
+    let event = entry.leader_event(reply);
     let started = Instant::now();
     entry.step(event);
     millis(started)
--- a/crates/reducer/examples/target/mod.rs
+++ b/crates/reducer/examples/target/mod.rs
@@ -225,7 +225,7 @@
             view: Some(view(size, 1)),
             ..entry.reply()
         };
-        entry.step(entry.from_leader(reply));
+        entry.step(entry.leader_event(reply));
         assert_eq!(entry.state.revision(), 1, "the configuration is in force");
         entry.report_loads(size);
         entry
@@ -267,7 +267,7 @@
         }
     }
 
-    pub fn from_leader(&self, reply: LeaderReply) -> Event {
+    pub fn leader_event(&self, reply: LeaderReply) -> Event {
         Event::Peer {
             from: instance_info(0).id,
             message: PeerMessage::ReportReply(reply),
@@ -387,6 +387,7 @@
                 revision,
                 stopping: false,
                 view_version,
+                demand: Vec::new(),
             }),
         }
     }
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -307,6 +307,7 @@
         _ => return on_ledger_lost(state, exchange, attempt, effects),
     };
     match reply {
+        BeginReply::Granted if open.is_caller_gone => give_up(state, exchange, attempt),
         BeginReply::Granted => dispatch(state, exchange, effects),
         BeginReply::Answered(answer) => {
             release_place(state, exchange, attempt, &End::Cancelled);
@@ -634,6 +635,10 @@
     let Some(open) = state.exchanges.get_mut(&exchange) else {
         return;
     };
+    if open.is_caller_gone {
+        let attempt = open.attempt;
+        return give_up(state, exchange, attempt);
+    }
     open.exclude_current();
     if open.once().is_some() {
         open.phase = Phase::Closing;
@@ -643,6 +648,13 @@
     requeue(state, exchange, effects);
 }
 
+// Nobody waits for an answer and nothing was sent, so the right to run is given back.
+fn give_up(state: &mut State, exchange: ExchangeId, attempt: u32) {
+    record_outcome(state, exchange, Outcome::NotRun);
+    release_place(state, exchange, attempt, &End::Cancelled);
+    state.exchanges.remove(&exchange);
+}
+
 // The connection broke after bytes were sent: an idempotent request goes on elsewhere.
 fn resume(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
     let Some(open) = state.exchanges.get_mut(&exchange) else {
--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -259,6 +259,20 @@
     assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
 }
 
+/// Guards against a payment that is sent, or a key that stays blocked, after its caller has left.
+#[test]
+fn a_caller_that_leaves_before_the_right_to_run_gives_it_back() {
+    let mut cluster = start(14, 1);
+    let exchange = cluster.pay(&"e0".into(), "p");
+    cluster.run(1);
+    cluster.leave(&exchange);
+    cluster.run(2_000);
+    assert_eq!(cluster.runs("p"), 0);
+    let repeat = cluster.pay(&"v0".into(), "p");
+    assert_eq!(settle(&mut cluster, &repeat), Outcome::Answered);
+    assert_eq!(cluster.runs("p"), 1);
+}
+
 /// Guards against an answer that waits for ever on an engine that is frozen.
 #[test]
 fn an_answer_moves_away_from_a_frozen_engine() {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -368,6 +368,14 @@
         (id.clone(), exchange)
     }
 
+    /// Closes the caller's connection.
+    pub fn leave(&mut self, exchange: &(Name, u64)) {
+        let event = Event::CallerGone {
+            exchange: exchange.1,
+        };
+        self.schedule_own(&exchange.0, 0, Action::Event(event));
+    }
+
     pub fn stop(&mut self, id: &Name) {
         self.schedule_own(id, 0, Action::Event(Event::Stop));
     }
--- a/crates/wire/examples/encoded_bytes.rs
+++ b/crates/wire/examples/encoded_bytes.rs
@@ -183,6 +183,7 @@
         revision: 3,
         stopping: false,
         view_version: 77,
+        demand: Vec::new(),
     }
 }
 
