--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -12,7 +12,6 @@
     let mut runner = ScenarioRunner::new().expect("the scenario's folder and runtime");
     let result = goldenscript::run(&mut runner, format!("tests/scenarios/{name}"));
     if let Err(error) = result {
-        runner.print_logs();
         panic!("scenario {name}: {error}");
     }
 }
@@ -88,3 +87,9 @@
 fn cut_entry() {
     run("cut_entry");
 }
+
+/// Guards against a command line that cannot put a configuration in force.
+#[test]
+fn cli_apply() {
+    run("cli_apply");
+}
--- a/crates/mustardstack/tests/support/administer.rs
+++ b/crates/mustardstack/tests/support/administer.rs
@@ -10,7 +10,10 @@
 use serde_json::{Value, json};
 use standin::client::Exchange;
 
-use super::{Result, instance::ADMIN_TOKEN, runner::ScenarioRunner, template, wait};
+use super::{
+    Result, instance::ADMIN_TOKEN, lifecycle::path_text, process::Process, runner::ScenarioRunner,
+    template, wait,
+};
 
 /// Folder of the configuration templates.
 const TEMPLATE_FOLDER: &str = "tests/scenarios/templates";
@@ -56,7 +59,30 @@
         })
     }
 
-    pub(super) fn fill_template(&self, template: &str) -> Result<PathBuf> {
+    pub(super) fn cli_apply(&mut self, template: &str, through: &str) -> Result<String> {
+        let folder = self.fill_template(template)?;
+        let admin = self.cluster.get(through)?.admin.to_string();
+        let token_file = self.cluster.token_file();
+        let arguments = [
+            "apply",
+            path_text(&folder)?,
+            "--admin",
+            &admin,
+            "--token-file",
+            path_text(&token_file)?,
+            "--author",
+            "scenario",
+            "--yes",
+        ];
+        let name = format!("apply {template}");
+        let log_file = self.folder.path().join(format!("{name}.log"));
+        let mut process = Process::start(&arguments, &log_file)?;
+        let status = process.wait_exit()?;
+        self.processes.insert(name, process);
+        Ok(status.to_string())
+    }
+
+    fn fill_template(&self, template: &str) -> Result<PathBuf> {
         let addresses = self
             .standins
             .iter()
--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -58,6 +58,13 @@
         base: Option<u64>,
     },
 
+    /// Applies a configuration template with the `apply` subcommand and prints how it exits.
+    CliApply {
+        template: String,
+        #[arg(key)]
+        through: String,
+    },
+
     /// Waits until a condition holds for each name: `ready`, `not_ready`, `in_force` (the newest
     /// revision that any named instance knows), `exit`, `idle` (no open exchanges), `voters` (all
     /// voters, no learner and no lost replica), `changed` (an engine has carried out an order),
--- a/crates/mustardstack/tests/support/lifecycle.rs
+++ b/crates/mustardstack/tests/support/lifecycle.rs
@@ -155,6 +155,11 @@
     )
 }
 
-fn path_text(path: &Path) -> Result<&str> {
+/// The path as text.
+///
+/// # Errors
+///
+/// Returns an error if it is not UTF-8.
+pub fn path_text(path: &Path) -> Result<&str> {
     Ok(path.to_str().ok_or("path is not UTF-8")?)
 }
--- a/crates/mustardstack/tests/support/runner.rs
+++ b/crates/mustardstack/tests/support/runner.rs
@@ -93,7 +93,7 @@
     }
 
     /// Prints the end of every process's output.
-    pub fn print_logs(&self) {
+    fn print_logs(&self) {
         for (name, process) in &self.processes {
             eprintln!("--- {name}\n{}", process.log_tail());
         }
@@ -129,6 +129,7 @@
                 through,
                 base,
             } => self.apply(template, through, *base),
+            Command::CliApply { template, through } => self.cli_apply(template, through),
             Command::Wait { condition, names } => self.wait(condition, names),
             Command::Chat { .. } => self.chat(command),
             Command::Call { .. } => self.call(command),
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -163,7 +163,7 @@
     pub fn new(settings: &LoadSettings, outcomes: &[Outcome]) -> Self {
         let all: Vec<&Outcome> = outcomes.iter().collect();
         let tokens = window_tokens(settings, &all);
-        let mut total = measure(settings, "all", &all, tokens);
+        let total = measure(settings, "all", &all, tokens);
         let ranks: Vec<RankReport> = settings
             .ranks
             .iter()
@@ -173,7 +173,6 @@
                 measure(settings, &rank.name, &of_rank, tokens)
             })
             .collect();
-        total.worth_per_s = ranks.iter().map(|rank| rank.worth_per_s).sum();
         Self {
             workload: Name::from_static_str(settings.workload.name()),
             seed: settings.seed,
@@ -187,7 +186,12 @@
 fn measure(settings: &LoadSettings, name: &str, outcomes: &[&Outcome], tokens: u64) -> RankReport {
     let in_target = |outcome: &&&Outcome| outcome.is_in_target(&settings.ranks[outcome.rank]);
     let good: Vec<&&Outcome> = outcomes.iter().filter(in_target).collect();
-    let worth: f64 = good.iter().map(|o| settings.ranks[o.rank].worth).sum();
+    // An empty sum of floats is negative zero.
+    let worth = 0.0
+        + good
+            .iter()
+            .map(|o| settings.ranks[o.rank].worth)
+            .sum::<f64>();
     let duration_s = settings.duration_ms / 1_000.0;
     let mut failures = BTreeMap::new();
     for failure in outcomes.iter().filter_map(|o| o.failure.clone()) {
