--- a/crates/mustardstack/src/cli.rs
+++ b/crates/mustardstack/src/cli.rs
@@ -33,8 +33,10 @@
     Undrain(Undrain),
     Order(Order),
     ConfirmDead(ConfirmDead),
+    ReplaceVoter(ReplaceVoter),
     Demo(Demo),
     Load(Load),
+    Experiment(Experiment),
     Standin(Standin),
 }
 
@@ -209,6 +211,27 @@
     pub yes: bool,
 }
 
+/// Let one instance run a voter in place of another.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replace-voter")]
+pub struct ReplaceVoter {
+    /// id of the instance that runs a voter now
+    #[argh(positional)]
+    pub old: String,
+    /// id of the instance that takes its place
+    #[argh(positional)]
+    pub new: String,
+    /// IP address and port of an instance's administration listener
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// file that holds the administration token
+    #[argh(option)]
+    pub token_file: PathBuf,
+    /// do not ask
+    #[argh(switch)]
+    pub yes: bool,
+}
+
 /// Vouch that the process of an instance has ended, so that its order gates may move.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "confirm-dead")]
@@ -241,6 +264,18 @@
     pub settings: PathBuf,
 }
 
+/// Compare policies with processes of this binary on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+pub struct Experiment {
+    /// file of the experiment's settings
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// file for the table, instead of the terminal
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+}
+
 /// Run a stand-in for an outside system.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "standin")]
--- a/crates/mustardstack/src/main.rs
+++ b/crates/mustardstack/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod demo;
 mod error;
+mod experiment;
 mod load;
 mod serve;
 mod standin;
@@ -45,8 +46,10 @@
         Command::Undrain(undrain) => block_on(change::undrain(undrain)),
         Command::Order(order) => block_on(change::order(order)),
         Command::ConfirmDead(confirm) => block_on(change::confirm_dead(confirm)),
+        Command::ReplaceVoter(replace) => block_on(change::replace_voter(replace)),
         Command::Demo(_) => demo::run(),
         Command::Load(load) => load::run(load),
+        Command::Experiment(experiment) => experiment::run(experiment),
         Command::Standin(standin) => standin::run(standin),
     }
 }
