Record a non-idempotent answer before it is delivered

Cause: an entry that was killed right after it had delivered an answer left a record without one, and a repeat was told that the request may have run. Ruled out: recording in the background with a shorter interval; the window stays open whatever the interval. Change: the node holds the answer back until the ledger has it, for 2 s at most, so that a missing majority does not hold back an answer for long.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -56,6 +56,7 @@
         Effect::Dispatch { .. } => "dispatch",
         Effect::Cancel { .. } => "cancel",
         Effect::Refuse { .. } => "refuse",
+        Effect::Deliver { .. } => "deliver",
         Effect::Replay { .. } => "replay",
         Effect::Send { .. } => "send",
         Effect::Persist { .. } => "persist",
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -78,6 +78,7 @@
             Effect::Refuse { exchange, refusal } => {
                 self.control(exchange, Control::Refuse(refusal));
             }
+            Effect::Deliver { exchange } => self.control(exchange, Control::Deliver),
             Effect::Replay { exchange, answer } => self.control(exchange, Control::Replay(answer)),
             Effect::Send {
                 to,
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -42,6 +42,8 @@
     Cancel { attempt: u32 },
     /// Refuse the request, or end its stream with an error.
     Refuse(Refusal),
+    /// Deliver the answer that is held back.
+    Deliver,
     /// Answer from the ledger.
     Replay(Answer),
 }
@@ -134,6 +136,7 @@
             controls,
             reply,
             running: None,
+            held: None,
             caller_gone: false,
         };
         tokio::spawn(exchange.run());
@@ -166,6 +169,8 @@
     controls: mpsc::UnboundedReceiver<Control>,
     reply: Reply,
     running: Option<Running>,
+    /// Answer that is delivered once the ledger has it.
+    held: Option<PlainAnswer>,
     caller_gone: bool,
 }
 
@@ -239,6 +244,7 @@
             Control::Dispatch(dispatch) => self.dispatch(dispatch),
             Control::Cancel { attempt } => self.cancel(attempt).await,
             Control::Refuse(refusal) => return self.refuse(&refusal).await,
+            Control::Deliver => return self.deliver(),
             Control::Replay(answer) => {
                 self.reply.send(replayed(answer));
                 return Stage::Done;
@@ -481,11 +487,19 @@
             return self.complete(None).await;
         };
         let record = answer.record();
-        let stage = self.complete(Some(record)).await;
-        if !answer.truncated {
+        self.held = Some(answer);
+        self.complete(Some(record)).await;
+        Stage::Open
+    }
+
+    /// Passes on the answer of a non-idempotent request after it was recorded.
+    fn deliver(&mut self) -> Stage {
+        if let Some(answer) = self.held.take()
+            && !answer.truncated
+        {
             self.reply.send(answer.response());
         }
-        stage
+        Stage::Done
     }
 
     async fn complete(&mut self, answer: Option<Answer>) -> Stage {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -215,8 +215,12 @@
                 attempt,
                 end,
             } => match end {
-                End::Complete { .. } => {
+                End::Complete { answer } => {
                     open -= 1;
+                    if answer.is_some() {
+                        let exchange = *exchange;
+                        effects.push(Effect::Deliver { exchange });
+                    }
                     None
                 }
                 End::Cancelled => None,
--- a/crates/reducer/src/effect.rs
+++ b/crates/reducer/src/effect.rs
@@ -34,6 +34,8 @@
         exchange: ExchangeId,
         refusal: Refusal,
     },
+    /// Deliver the answer of a non-idempotent request, which was held back until the ledger had it.
+    Deliver { exchange: ExchangeId },
     /// Answer the caller from the ledger.
     Replay {
         exchange: ExchangeId,
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -54,6 +54,8 @@
     Running,
     /// The attempt did not run; the ledger is being told before the next one.
     Closing,
+    /// The answer is whole; the ledger is being told before the caller gets it.
+    Recording,
 }
 
 /// A request that is open.
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -19,6 +19,9 @@
 /// Time after which a caller may try again when nothing better is known, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time for which an answer is held back until the ledger has recorded it, in milliseconds.
+const RECORD_WAIT_MS: u64 = 2_000;
+
 /// Time without progress after which an answer from an engine that reports no load is resumed
 /// elsewhere, in milliseconds. A live engine reports its load even while it generates nothing.
 const STALL_MS: u64 = 3_000;
@@ -152,6 +155,7 @@
             Read::PlatformList => Effect::ReadPlatformList,
         });
     }
+    deliver_unrecorded(state, effects);
     resume_stalled(state, effects);
     preempt(state, effects);
 }
@@ -344,15 +348,15 @@
     let Some(open) = current(state, exchange, attempt) else {
         return;
     };
-    if open.phase != Phase::Closing {
-        return;
-    }
-    if is_recorded {
-        requeue(state, exchange, effects);
-    } else {
-        let retry_after_ms = RETRY_AFTER_MS;
-        let refusal = Refusal::LedgerUnavailable { retry_after_ms };
-        end_attempt(state, exchange, attempt, refusal, effects);
+    match open.phase {
+        Phase::Recording => deliver(state, exchange, effects),
+        Phase::Closing if is_recorded => requeue(state, exchange, effects),
+        Phase::Closing => {
+            let retry_after_ms = RETRY_AFTER_MS;
+            let refusal = Refusal::LedgerUnavailable { retry_after_ms };
+            end_attempt(state, exchange, attempt, refusal, effects);
+        }
+        Phase::Queued | Phase::Beginning | Phase::Running => {}
     }
 }
 
@@ -605,15 +609,50 @@
     state.queues.on_finish(now_ms, exchange, tokens);
 }
 
+// A non-idempotent answer is recorded before it is delivered: if this process dies right after the
+// delivery fails, a repeat is answered from the record and not told that the request may have run.
 fn complete(
     state: &mut State,
     exchange: ExchangeId,
     answer: Option<Answer>,
     effects: &mut Vec<Effect>,
 ) {
-    let now_ms = state.now_ms;
     let outcome = Outcome::Answered(answer.unwrap_or_default());
     record_outcome(state, exchange, outcome);
+    let now_ms = state.now_ms;
+    let Some(open) = state.exchanges.get_mut(&exchange) else {
+        return;
+    };
+    if open.once().is_some() {
+        open.phase = Phase::Recording;
+        open.last_progress_ms = now_ms;
+        return;
+    }
+    finish(state, exchange, effects);
+}
+
+// An answer is not held back for longer than a leader's election takes.
+fn deliver_unrecorded(state: &mut State, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
+    let held: Vec<ExchangeId> = state
+        .exchanges
+        .values()
+        .filter(|open| open.phase == Phase::Recording)
+        .filter(|open| now_ms >= open.last_progress_ms + RECORD_WAIT_MS)
+        .map(|open| open.id)
+        .collect();
+    for exchange in held {
+        deliver(state, exchange, effects);
+    }
+}
+
+fn deliver(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
+    effects.push(Effect::Deliver { exchange });
+    finish(state, exchange, effects);
+}
+
+fn finish(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
     let Some(open) = state.exchanges.remove(&exchange) else {
         return;
     };
--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -31,12 +31,11 @@
 }
 
 fn settle(cluster: &mut Cluster, exchange: &(Name, u64)) -> Outcome {
-    let done = |c: &Cluster| c.outcomes.contains_key(exchange);
-    // An answered request has no effect of its own: the node delivers it when the attempt ends.
-    if cluster.run_until(3_000, done) {
-        return cluster.outcomes[exchange].clone();
-    }
-    Outcome::Answered
+    let done = |c: &Cluster| c.outcomes.contains_key(exchange) || c.answered.contains(exchange);
+    assert!(cluster.run_until(3_000, done), "{exchange:?} does not end");
+    // A model's answer has no effect of its own: it is streamed past the reducer.
+    let outcome = cluster.outcomes.get(exchange).cloned();
+    outcome.unwrap_or(Outcome::Answered)
 }
 
 /// Guards against a whole path that does not form, apply or serve.
@@ -284,6 +283,17 @@
     assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
 }
 
+/// Guards against a caller that has an answer whose record is lost with the entry.
+#[test]
+fn an_answer_is_delivered_once_its_record_is_committed() {
+    let mut cluster = start(15, 2);
+    let exchange = cluster.pay(&"e0".into(), "p");
+    assert!(cluster.run_until(3_000, |c| c.outcomes.contains_key(&exchange)));
+    cluster.crash(&"e0".into());
+    let repeat = cluster.pay(&"e1".into(), "p");
+    assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
+}
+
 /// Guards against a payment that is sent, or a key that stays blocked, after its caller has left.
 #[test]
 fn a_caller_that_leaves_before_the_right_to_run_gives_it_back() {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -492,6 +492,7 @@
             Effect::Refuse { exchange, refusal } => {
                 self.end(id, exchange, Outcome::Refused(refusal));
             }
+            Effect::Deliver { exchange } => self.end(id, exchange, Outcome::Answered),
             Effect::Replay { exchange, .. } => self.end(id, exchange, Outcome::Replayed),
             Effect::AdminReply { token, reply } => self.take_admin_reply(token, reply),
             Effect::InForce { revision, .. } => self.note_in_force(id, revision),
