--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -288,7 +288,12 @@
 fn an_answer_is_delivered_once_its_record_is_committed() {
     let mut cluster = start(15, 2);
     let exchange = cluster.pay(&"e0".into(), "p");
-    assert!(cluster.run_until(3_000, |c| c.outcomes.contains_key(&exchange)));
+    assert!(cluster.run_until(3_000, |c| c.runs("p") == 1));
+    cluster.cut_off(&"e0".into());
+    cluster.run(500);
+    assert_eq!(cluster.outcomes.get(&exchange), None);
+    cluster.heal();
+    assert!(cluster.run_until(1_000, |c| c.outcomes.contains_key(&exchange)));
     cluster.crash(&"e0".into());
     let repeat = cluster.pay(&"e1".into(), "p");
     assert_eq!(settle(&mut cluster, &repeat), Outcome::Replayed);
