--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -61,6 +61,8 @@
     Drain { target: DrainTarget, draining: bool },
     /// Vouches that the process of an instance has ended.
     ConfirmDead { instance: Name, incarnation: u64 },
+    /// Lets `new` run a voter in place of `old`. The leader's replica carries it out when the command is applied.
+    ReplaceVoter { old: Name, new: Name },
     /// Moves the cluster clock, so that deadlines pass without other commands.
     Advance,
 }
@@ -99,6 +101,14 @@
     pub at_ms: u64,
 }
 
+impl ConfigRevision {
+    /// Returns the size of the canonical text and the files, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let files = self.files.iter().map(|file| file.text.len());
+        self.canonical.len() + files.sum::<usize>()
+    }
+}
+
 /// What an order asks of an engine. Only the fields that are set change.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OrderChange {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::engine::EngineClient;
 use crate::headers::{self, PRIORITY, REPLAYED, REQUEST_ID};
+use crate::prefill::PrefillStage;
 use crate::queue::EventQueue;
 use crate::refusal::Refused;
 use crate::reply::{self, Flow, Reply};
@@ -41,6 +42,8 @@
     Cancel { attempt: u32 },
     /// Refuse the request, or end its stream with an error.
     Refuse(Refusal),
+    /// Deliver the answer that is held back.
+    Deliver,
     /// Answer from the ledger.
     Replay(Answer),
 }
@@ -52,6 +55,8 @@
     pub attempt: u32,
     /// Priority, 0 most urgent.
     pub priority: u8,
+    /// Address of an engine that computes the prompt first.
+    pub prefill_address: Option<Name>,
     /// Address and deadlines.
     pub target: Target,
 }
@@ -131,6 +136,7 @@
             controls,
             reply,
             running: None,
+            held: None,
             caller_gone: false,
         };
         tokio::spawn(exchange.run());
@@ -163,6 +169,8 @@
     controls: mpsc::UnboundedReceiver<Control>,
     reply: Reply,
     running: Option<Running>,
+    /// Answer that is delivered once the ledger has it.
+    held: Option<PlainAnswer>,
     caller_gone: bool,
 }
 
@@ -236,6 +244,7 @@
             Control::Dispatch(dispatch) => self.dispatch(dispatch),
             Control::Cancel { attempt } => self.cancel(attempt).await,
             Control::Refuse(refusal) => return self.refuse(&refusal).await,
+            Control::Deliver => return self.deliver(),
             Control::Replay(answer) => {
                 self.reply.send(replayed(answer));
                 return Stage::Done;
@@ -258,15 +267,42 @@
         set(&mut head.headers, header::HOST, &address);
         set(&mut head.headers, REQUEST_ID, &request_id);
         set(&mut head.headers, PRIORITY, &dispatch.priority.to_string());
+        let prefill = dispatch
+            .prefill_address
+            .and_then(|address| self.prefill_stage(address, &head, &request_id));
         self.running = Some(Running {
             number: dispatch.attempt,
-            attempt: Attempt::start(self.shared.clock, dispatch.target, head, body),
+            attempt: Attempt::start(self.shared.clock, dispatch.target, prefill, head, body),
             address,
             started: false,
             reported_tokens,
         });
     }
 
+    fn prefill_stage(
+        &self,
+        address: Name,
+        head: &RequestParts,
+        request_id: &str,
+    ) -> Option<PrefillStage> {
+        let Work::Chat(chat) = &self.work else {
+            return None;
+        };
+        let mut head = head.clone();
+        set(&mut head.headers, header::HOST, &address);
+        set(
+            &mut head.headers,
+            REQUEST_ID,
+            &format!("{request_id}-prefill"),
+        );
+        Some(PrefillStage {
+            address,
+            head,
+            body: chat.prefill_body(),
+            chunks: chat.chunk_names(),
+        })
+    }
+
     fn request_id(&self, attempt: u32) -> String {
         format!("{}-{}-{attempt}", self.shared.id_prefix, self.id)
     }
@@ -451,11 +487,19 @@
             return self.complete(None).await;
         };
         let record = answer.record();
-        let stage = self.complete(Some(record)).await;
-        if !answer.truncated {
+        self.held = Some(answer);
+        self.complete(Some(record)).await;
+        Stage::Open
+    }
+
+    /// Passes on the answer of a non-idempotent request after it was recorded.
+    fn deliver(&mut self) -> Stage {
+        if let Some(answer) = self.held.take()
+            && !answer.truncated
+        {
             self.reply.send(answer.response());
         }
-        stage
+        Stage::Done
     }
 
     async fn complete(&mut self, answer: Option<Answer>) -> Stage {
--- a/crates/reducer/examples/target/mod.rs
+++ b/crates/reducer/examples/target/mod.rs
@@ -387,6 +387,7 @@
                 revision,
                 stopping: false,
                 view_version,
+                demand: Vec::new(),
             }),
         }
     }
--- a/crates/reducer/src/admin.rs
+++ b/crates/reducer/src/admin.rs
@@ -43,15 +43,17 @@
             };
             return change(state, token, command);
         }
+        AdminRequest::ReplaceVoter(request) => {
+            let command = Command::ReplaceVoter {
+                old: request.old,
+                new: request.new,
+            };
+            return change(state, token, command);
+        }
         AdminRequest::ConfirmDead(request) => {
             return confirm_dead(state, token, request.instance, effects);
         }
-        AdminRequest::Config => AdminReply::Revision(
-            state
-                .follower
-                .config()
-                .map(|config| Box::new(full_info(config))),
-        ),
+        AdminRequest::Config => AdminReply::Revision(Some(Box::new(current_info(state)))),
         AdminRequest::Revision(revision) => {
             AdminReply::Revision(revision_info(state, revision).map(Box::new))
         }
@@ -193,6 +195,11 @@
     revisions[first..].iter().map(info).collect()
 }
 
+// Revision 0 is empty: the base of the first change.
+fn current_info(state: &State) -> RevisionInfo {
+    state.follower.config().map(full_info).unwrap_or_default()
+}
+
 fn revision_info(state: &State, revision: u64) -> Option<RevisionInfo> {
     let known = state.control().and_then(|control| {
         control
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -54,6 +54,8 @@
     Running,
     /// The attempt did not run; the ledger is being told before the next one.
     Closing,
+    /// The answer is whole; the ledger is being told before the caller gets it.
+    Recording,
 }
 
 /// A request that is open.
@@ -75,9 +77,13 @@
     /// Number of the current attempt, from 1; 0 before the first.
     pub attempt: u32,
     pub upstream: Name,
+    /// Engine that computes the prompt of the current attempt, if it is another one.
+    pub prefill_upstream: Option<Name>,
     pub excluded: Vec<Name>,
     pub send_deadline_ms: u64,
     pub first_token_ms: Option<u64>,
+    /// Time of the dispatch or of the latest progress of the current attempt.
+    pub last_progress_ms: u64,
     pub output_tokens: u32,
     /// Whether bytes of any attempt may have reached an upstream.
     pub was_sent: bool,
@@ -137,9 +143,11 @@
             phase: Phase::Queued,
             attempt: 0,
             upstream: Name::default(),
+            prefill_upstream: None,
             excluded: Vec::new(),
             send_deadline_ms: u64::MAX,
             first_token_ms: None,
+            last_progress_ms: now_ms,
             output_tokens: 0,
             was_sent: false,
             ledger_attempt: 0,
@@ -148,6 +156,15 @@
         })
     }
 
+    /// Keeps later attempts away from the upstreams of the current one. Which of two engines failed
+    /// before the first token is not known.
+    pub fn exclude_current(&mut self) {
+        self.excluded.push(self.upstream.clone());
+        let prefill_upstream = self.prefill_upstream.take();
+        self.excluded
+            .extend(prefill_upstream.filter(|_| self.first_token_ms.is_none()));
+    }
+
     /// Returns the model, empty for a plain service.
     pub fn model(&self) -> Name {
         match &self.kind {
--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -1,11 +1,15 @@
 //! Duties of the leader: the roster of instances, gates and the cluster clock.
 
-use conf::Name;
+use conf::settings::Planning;
+use conf::{Map, Name};
 use fleet::grant::{GrantSettings, due_grants};
 use fleet::{
     ClusterView, Command, ControlState, InForce, InstanceReport, LeaderReply, PlatformList, Roster,
 };
 
+use crate::event::LoadReport;
+use crate::planning::RolePlanning;
+
 /// Interval of the leader's duties, in milliseconds.
 const DUTY_INTERVAL_MS: u64 = 200;
 
@@ -15,6 +19,7 @@
     term: u64,
     roster: Roster,
     summary: Option<Summary>,
+    planning: RolePlanning,
     next_duty_ms: u64,
 }
 
@@ -29,11 +34,12 @@
 }
 
 impl Leadership {
-    pub fn new(now_ms: u64, term: u64, lease_ms: u64) -> Self {
+    pub fn new(now_ms: u64, term: u64, lease_ms: u64, planning: Planning) -> Self {
         Self {
             term,
             roster: Roster::new(now_ms, lease_ms),
             summary: None,
+            planning: RolePlanning::new(now_ms, planning),
             next_duty_ms: now_ms,
         }
     }
@@ -55,6 +61,7 @@
         if self.roster.on_report(now_ms, report) {
             self.summary = None;
         }
+        self.planning.on_report(report);
         let (term, revision) = (self.term, control.revision());
         let summary = self.summary(now_ms, control, control_changes, platform);
         let (view, counts) = (&summary.view, summary.counts);
@@ -98,6 +105,18 @@
         }))
     }
 
+    /// Returns the role changes that pay off, with the services that they are made for.
+    pub fn role_changes(
+        &mut self,
+        now_ms: u64,
+        control: &ControlState,
+        loads: &Map<Name, LoadReport>,
+    ) -> Vec<(Name, Command)> {
+        let draining: Vec<Name> = control.draining_upstreams().cloned().collect();
+        self.planning
+            .due(now_ms, control.services(), loads, &draining)
+    }
+
     /// Returns the commands that are due.
     pub fn duties(
         &mut self,
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -10,13 +10,14 @@
 pub mod event;
 mod exchange;
 mod leader;
+mod planning;
 mod proposer;
 mod replication;
 mod serve;
 pub mod state;
 mod watch;
 
-pub use effect::{Effect, Level, Part, Refusal, Sample};
+pub use effect::{Effect, Level, Part, Prefill, Refusal, Sample};
 pub use event::{
     AdminReply, AdminRequest, Arrival, CacheEvent, End, Event, ExchangeId, Listed, LoadReport, Work,
 };
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -2,11 +2,11 @@
 
 use admit::{Running, Waiting};
 use conf::{Map, Name, ServiceConfig};
-use fleet::{Command, CommandReply, LoadDigest};
+use fleet::{Command, CommandReply, LoadDigest, ServiceDemand};
 use ledger::{Answer, AttemptId, BeginReply, Finish, Outcome};
 use route::{Cost, Failure, Presence, Work as RouteWork};
 
-use crate::effect::{Effect, Level, Part, Refusal, Sample};
+use crate::effect::{Effect, Level, Part, Prefill, Refusal, Sample};
 use crate::event::{Arrival, CacheEvent, End, ExchangeId, LoadReport};
 use crate::exchange::{DEFAULT_OUTPUT_TOKENS, Exchange, Kind, MAX_ATTEMPTS, Phase};
 use crate::proposer::Purpose;
@@ -19,12 +19,22 @@
 /// Time after which a caller may try again when nothing better is known, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time for which an answer is held back until the ledger has recorded it, in milliseconds.
+const RECORD_WAIT_MS: u64 = 2_000;
+
+/// Time without progress after which an answer from an engine that reports no load is resumed
+/// elsewhere, in milliseconds. A live engine reports its load even while it generates nothing.
+const STALL_MS: u64 = 3_000;
+
 /// Interval at which running requests are considered for preemption, in milliseconds.
 const PREEMPT_INTERVAL_MS: u64 = 50;
 
 /// Time taken by an answer of a plain service when nothing better is known, in milliseconds.
 const PLAIN_ANSWER_MS: u64 = 20;
 
+/// Bit of an attempt's number that marks its prompt stage on another engine.
+const PREFILL_STAGE: u32 = 1 << 31;
+
 /// Speed of a service's fastest engine with a full batch.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
@@ -47,6 +57,18 @@
     speeds
 }
 
+/// Returns the tokens asked of each service, for the report to the leader.
+pub(crate) fn reported_demand(demand: &Map<Name, (u64, u64)>) -> Vec<ServiceDemand> {
+    demand
+        .iter()
+        .map(|(service, (prompt_tokens, output_tokens))| ServiceDemand {
+            service: service.clone(),
+            prompt_tokens: *prompt_tokens,
+            output_tokens: *output_tokens,
+        })
+        .collect()
+}
+
 /// Returns the position of each tenant in the configuration.
 pub(crate) fn tenant_positions(config: &ServiceConfig) -> Map<Name, usize> {
     let tenants = config.tenants.iter().enumerate();
@@ -78,6 +100,7 @@
         }
         Err(refusal) => {
             let refusal = from_admission(refusal);
+            note_refused_demand(state, &exchange);
             record_refusal(&exchange, &refusal, effects);
             effects.push(refuse(exchange_id, refusal));
         }
@@ -132,6 +155,8 @@
             Read::PlatformList => Effect::ReadPlatformList,
         });
     }
+    deliver_unrecorded(state, effects);
+    resume_stalled(state, effects);
     preempt(state, effects);
 }
 
@@ -166,7 +191,9 @@
     };
     open.was_sent = true;
     open.output_tokens = open.output_tokens.max(output_tokens);
+    open.last_progress_ms = now_ms;
     note_first(open, now_ms, effects);
+    end_prefill(state, exchange, attempt);
     state
         .table
         .on_progress(route_id(exchange, attempt), output_tokens);
@@ -295,6 +322,7 @@
         _ => return on_ledger_lost(state, exchange, attempt, effects),
     };
     match reply {
+        BeginReply::Granted if open.is_caller_gone => give_up(state, exchange, attempt),
         BeginReply::Granted => dispatch(state, exchange, effects),
         BeginReply::Answered(answer) => {
             release_place(state, exchange, attempt, &End::Cancelled);
@@ -320,15 +348,15 @@
     let Some(open) = current(state, exchange, attempt) else {
         return;
     };
-    if open.phase != Phase::Closing {
-        return;
-    }
-    if is_recorded {
-        requeue(state, exchange, effects);
-    } else {
-        let retry_after_ms = RETRY_AFTER_MS;
-        let refusal = Refusal::LedgerUnavailable { retry_after_ms };
-        end_attempt(state, exchange, attempt, refusal, effects);
+    match open.phase {
+        Phase::Recording => deliver(state, exchange, effects),
+        Phase::Closing if is_recorded => requeue(state, exchange, effects),
+        Phase::Closing => {
+            let retry_after_ms = RETRY_AFTER_MS;
+            let refusal = Refusal::LedgerUnavailable { retry_after_ms };
+            end_attempt(state, exchange, attempt, refusal, effects);
+        }
+        Phase::Queued | Phase::Beginning | Phase::Running => {}
     }
 }
 
@@ -354,6 +382,30 @@
     }
 }
 
+// The prompt stage of an attempt is accounted for at its engine under an id of its own.
+fn prefill_id(exchange: ExchangeId, attempt: u32) -> route::ExchangeId {
+    route_id(exchange, attempt | PREFILL_STAGE)
+}
+
+fn split(whole: Cost) -> (Cost, Cost) {
+    let prefill = Cost {
+        output_tokens: 0,
+        ..whole.clone()
+    };
+    let decode = Cost {
+        prompt_tokens: 0,
+        ..whole
+    };
+    (prefill, decode)
+}
+
+fn end_prefill(state: &mut State, exchange: ExchangeId, attempt: u32) {
+    let id = prefill_id(exchange, attempt);
+    state
+        .table
+        .on_finish(state.now_ms, id, route::End::Cancelled);
+}
+
 fn expected_output(table: &route::Table, exchange: &Exchange) -> u32 {
     let model = exchange.model();
     let expected = table.expected_output(&exchange.tenant, &model, exchange.output_tokens);
@@ -423,8 +475,16 @@
     let expected_tokens = expected_output(&state.table, open);
     open.attempt += 1;
     open.upstream = choice.upstream.clone();
-    open.send_deadline_ms = now_ms + state.settings.timing.begin_timeout_ms;
-    let cost = Cost {
+    open.send_deadline_ms = match open.once() {
+        Some(_) => now_ms + state.settings.timing.begin_timeout_ms,
+        None => open.answer_deadline_ms(now_ms),
+    };
+    // Only whole chunks are handed over, so a shorter prompt is computed where it is answered.
+    open.prefill_upstream = choice
+        .prefill_upstream
+        .clone()
+        .filter(|_| !open.chunks().is_empty());
+    let whole = Cost {
         tenant: open.tenant.clone(),
         model: open.model(),
         prompt_tokens: open.prompt_tokens().saturating_sub(choice.cached_tokens),
@@ -433,9 +493,27 @@
         total_ms: choice.total_ms,
     };
     let attempt = open.attempt;
-    state
-        .table
-        .on_dispatch(now_ms, route_id(exchange, attempt), &choice.upstream, &cost);
+    if attempt == 1 && !whole.model.is_empty() {
+        let demand = state.demand.entry(open.service.clone()).or_default();
+        demand.0 += u64::from(whole.prompt_tokens);
+        demand.1 += u64::from(whole.output_tokens);
+    }
+    let id = route_id(exchange, attempt);
+    match &open.prefill_upstream {
+        None => state
+            .table
+            .on_dispatch(now_ms, id, &choice.upstream, &whole),
+        Some(prefill_upstream) => {
+            let (prefill, decode) = split(whole);
+            let prefill_id = prefill_id(exchange, attempt);
+            state
+                .table
+                .on_dispatch(now_ms, prefill_id, prefill_upstream, &prefill);
+            state
+                .table
+                .on_dispatch(now_ms, id, &choice.upstream, &decode);
+        }
+    }
     if attempt == 1 {
         let elapsed_ms = now_ms - open.arrived_ms;
         let (tenant, rank) = (open.tenant.clone(), open.rank_name.clone());
@@ -487,12 +565,18 @@
         return;
     };
     open.phase = Phase::Running;
+    open.last_progress_ms = now_ms;
     let address = state.watch.address_of(&open.upstream).cloned();
+    let prefill = open.prefill_upstream.clone().and_then(|upstream| {
+        let address = state.watch.address_of(&upstream).cloned()?;
+        Some(Prefill { upstream, address })
+    });
     effects.push(Effect::Dispatch {
         exchange,
         attempt: open.attempt,
         upstream: open.upstream.clone(),
         address: address.unwrap_or_default(),
+        prefill,
         priority: open.rank,
         send_deadline_ms: open.send_deadline_ms,
         answer_deadline_ms: open.answer_deadline_ms(now_ms),
@@ -503,6 +587,7 @@
 fn release_place(state: &mut State, exchange: ExchangeId, attempt: u32, end: &End) {
     let now_ms = state.now_ms;
     let id = route_id(exchange, attempt);
+    end_prefill(state, exchange, attempt);
     let open = state.exchanges.get(&exchange);
     let output_tokens = open.map_or(0, |open| open.output_tokens);
     match end {
@@ -524,15 +609,50 @@
     state.queues.on_finish(now_ms, exchange, tokens);
 }
 
+// A non-idempotent answer is recorded before it is delivered: if this process dies right after the
+// delivery fails, a repeat is answered from the record and not told that the request may have run.
 fn complete(
     state: &mut State,
     exchange: ExchangeId,
     answer: Option<Answer>,
     effects: &mut Vec<Effect>,
 ) {
-    let now_ms = state.now_ms;
     let outcome = Outcome::Answered(answer.unwrap_or_default());
     record_outcome(state, exchange, outcome);
+    let now_ms = state.now_ms;
+    let Some(open) = state.exchanges.get_mut(&exchange) else {
+        return;
+    };
+    if open.once().is_some() {
+        open.phase = Phase::Recording;
+        open.last_progress_ms = now_ms;
+        return;
+    }
+    finish(state, exchange, effects);
+}
+
+// An answer is not held back for longer than a leader's election takes.
+fn deliver_unrecorded(state: &mut State, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
+    let held: Vec<ExchangeId> = state
+        .exchanges
+        .values()
+        .filter(|open| open.phase == Phase::Recording)
+        .filter(|open| now_ms >= open.last_progress_ms + RECORD_WAIT_MS)
+        .map(|open| open.id)
+        .collect();
+    for exchange in held {
+        deliver(state, exchange, effects);
+    }
+}
+
+fn deliver(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
+    effects.push(Effect::Deliver { exchange });
+    finish(state, exchange, effects);
+}
+
+fn finish(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
     let Some(open) = state.exchanges.remove(&exchange) else {
         return;
     };
@@ -565,7 +685,11 @@
     let Some(open) = state.exchanges.get_mut(&exchange) else {
         return;
     };
-    open.excluded.push(open.upstream.clone());
+    if open.is_caller_gone {
+        let attempt = open.attempt;
+        return give_up(state, exchange, attempt);
+    }
+    open.exclude_current();
     if open.once().is_some() {
         open.phase = Phase::Closing;
         record_outcome(state, exchange, Outcome::NotRun);
@@ -574,6 +698,13 @@
     requeue(state, exchange, effects);
 }
 
+// Nobody waits for an answer and nothing was sent, so the right to run is given back.
+fn give_up(state: &mut State, exchange: ExchangeId, attempt: u32) {
+    record_outcome(state, exchange, Outcome::NotRun);
+    release_place(state, exchange, attempt, &End::Cancelled);
+    state.exchanges.remove(&exchange);
+}
+
 // The connection broke after bytes were sent: an idempotent request goes on elsewhere.
 fn resume(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
     let Some(open) = state.exchanges.get_mut(&exchange) else {
@@ -581,7 +712,7 @@
     };
     open.was_sent = true;
     let (upstream, tenant) = (open.upstream.clone(), open.tenant.clone());
-    open.excluded.push(upstream.clone());
+    open.exclude_current();
     if open.once().is_some() {
         record_outcome(state, exchange, Outcome::Unknown);
         return end(state, exchange, Refusal::UpstreamFailed, effects);
@@ -690,6 +821,25 @@
         .propose(now_ms, Command::Finish(finish), purpose, FINISH_TIMEOUT_MS);
 }
 
+// A frozen or cut-off engine keeps its connections open. It is recognised by its load reports.
+fn resume_stalled(state: &mut State, effects: &mut Vec<Effect>) {
+    let now_ms = state.now_ms;
+    let loads = &state.loads;
+    let stalled: Vec<(ExchangeId, u32)> = state
+        .exchanges
+        .values()
+        .filter(|open| open.phase == Phase::Running && open.model() != "")
+        .filter(|open| now_ms >= open.last_progress_ms + STALL_MS)
+        .filter(|open| !loads.contains_key(&open.upstream))
+        .map(|open| (open.id, open.attempt))
+        .collect();
+    for (exchange, attempt) in stalled {
+        effects.push(Effect::Cancel { exchange, attempt });
+        release_place(state, exchange, attempt, &End::Broken);
+        resume(state, exchange, effects);
+    }
+}
+
 fn preempt(state: &mut State, effects: &mut Vec<Effect>) {
     if state.now_ms < state.next_preempt_ms || state.queues.is_empty() {
         return;
@@ -746,6 +896,16 @@
     }));
 }
 
+// What was refused was asked for all the same, and a change of roles might have served it.
+fn note_refused_demand(state: &mut State, exchange: &Exchange) {
+    if let Kind::Chat { prompt_tokens, .. } = exchange.kind {
+        let output_tokens = exchange.output_to_come(expected_output(&state.table, exchange));
+        let demand = state.demand.entry(exchange.service.clone()).or_default();
+        demand.0 += u64::from(prompt_tokens);
+        demand.1 += u64::from(output_tokens);
+    }
+}
+
 fn record_refusal(exchange: &Exchange, refusal: &Refusal, effects: &mut Vec<Effect>) {
     effects.push(Effect::Record(Sample::Refused {
         tenant: exchange.tenant.clone(),
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -104,6 +104,8 @@
     /// Requests by instance and exchange.
     pub requests: BTreeMap<(Name, u64), Name>,
     pub outcomes: BTreeMap<(Name, u64), Outcome>,
+    /// Whole answers of models.
+    pub answered: BTreeSet<(Name, u64)>,
     pub admin_replies: BTreeMap<u64, AdminReply>,
     /// Content ids by revision, from replies to operators.
     pub accepted: BTreeMap<u64, Name>,
@@ -128,6 +130,7 @@
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             outcomes: BTreeMap::new(),
+            answered: BTreeSet::new(),
             admin_replies: BTreeMap::new(),
             accepted: BTreeMap::new(),
             violations: Vec::new(),
@@ -365,6 +368,14 @@
         (id.clone(), exchange)
     }
 
+    /// Closes the caller's connection.
+    pub fn leave(&mut self, exchange: &(Name, u64)) {
+        let event = Event::CallerGone {
+            exchange: exchange.1,
+        };
+        self.schedule_own(&exchange.0, 0, Action::Event(event));
+    }
+
     pub fn stop(&mut self, id: &Name) {
         self.schedule_own(id, 0, Action::Event(Event::Stop));
     }
@@ -481,6 +492,7 @@
             Effect::Refuse { exchange, refusal } => {
                 self.end(id, exchange, Outcome::Refused(refusal));
             }
+            Effect::Deliver { exchange } => self.end(id, exchange, Outcome::Answered),
             Effect::Replay { exchange, .. } => self.end(id, exchange, Outcome::Replayed),
             Effect::AdminReply { token, reply } => self.take_admin_reply(token, reply),
             Effect::InForce { revision, .. } => self.note_in_force(id, revision),
@@ -531,6 +543,13 @@
             return;
         };
         let (exchange, attempt) = (*exchange, *attempt);
+        if self
+            .engines
+            .get(upstream)
+            .is_some_and(|engine| engine.is_frozen)
+        {
+            return;
+        }
         let end = if self.now_ms > *send_deadline_ms {
             End::NotSent
         } else if let Some(service) = self.services.get_mut(upstream) {
@@ -547,6 +566,7 @@
                 output_tokens: 20,
             };
             self.schedule_own(id, 10, Action::Event(progress));
+            self.answered.insert((id.clone(), exchange));
             End::Complete { answer: None }
         } else {
             End::NotSent
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -171,6 +171,10 @@
       incarnation @19 :UInt64;
     }
     advance @20 :Void;
+    replaceVoter :group {
+      old @21 :Text;
+      new @22 :Text;
+    }
   }
 }
 
@@ -334,12 +338,19 @@
   peerAddress @3 :Text;
 }
 
+struct ServiceDemand {
+  service @0 :Text;
+  promptTokens @1 :UInt64;
+  outputTokens @2 :UInt64;
+}
+
 struct InstanceReport {
   info @0 :InstanceInfo;
   sequence @1 :UInt64;
   revision @2 :UInt64;
   stopping @3 :Bool;
   viewVersion @4 :UInt64;
+  demand @5 :List(ServiceDemand);
 }
 
 struct Gate {
