--- a/crates/reducer/src/watch.rs
+++ b/crates/reducer/src/watch.rs
@@ -22,12 +22,15 @@
     load_interval_ms: u64,
     platform_interval_ms: u64,
     next_platform_ms: Option<u64>,
-    upstreams: Map<Name, Target>,
-    order: Vec<Name>,
+    /// In the order of the configuration. Every tick passes over all of them.
+    targets: Vec<Target>,
+    /// Positions in `targets` by name.
+    positions: Map<Name, usize>,
 }
 
 #[derive(Clone, Debug)]
 struct Target {
+    name: Name,
     address: Name,
     is_engine: bool,
     next_load_ms: u64,
@@ -40,13 +43,17 @@
             load_interval_ms: settings.timing.load_interval_ms,
             platform_interval_ms: settings.timing.platform_interval_ms,
             next_platform_ms: (!settings.platform.list_url.is_empty()).then_some(0),
-            upstreams: Map::default(),
-            order: Vec::new(),
+            targets: Vec::new(),
+            positions: Map::default(),
         }
     }
 
     pub fn apply_config(&mut self, now_ms: u64, config: &ServiceConfig) {
-        let mut upstreams = Map::default();
+        let mut before: Map<Name, Target> = std::mem::take(&mut self.targets)
+            .into_iter()
+            .map(|target| (target.name.clone(), target))
+            .collect();
+        self.positions.clear();
         for (position, upstream) in config.upstreams.iter().enumerate() {
             let is_engine = config
                 .services
@@ -55,23 +62,24 @@
             // First reads are spread over the interval, so that they do not come in one burst.
             let share_ms = self.load_interval_ms * position as u64 / config.upstreams.len() as u64;
             let fresh = Target {
+                name: upstream.name.clone(),
                 address: upstream.address.clone(),
                 is_engine,
                 next_load_ms: now_ms + share_ms,
                 next_events_ms: now_ms + share_ms,
             };
-            let target = match self.upstreams.remove(&upstream.name) {
+            let target = match before.remove(&upstream.name) {
                 Some(target) if target.address == upstream.address => target,
                 _ => fresh,
             };
-            upstreams.insert(upstream.name.clone(), target);
+            self.positions.insert(upstream.name.clone(), position);
+            self.targets.push(target);
         }
-        self.order = config.upstreams.iter().map(|u| u.name.clone()).collect();
-        self.upstreams = upstreams;
     }
 
     pub fn address_of(&self, upstream: &Name) -> Option<&Name> {
-        self.upstreams.get(upstream).map(|target| &target.address)
+        let position = *self.positions.get(upstream)?;
+        Some(&self.targets[position].address)
     }
 
     pub fn due(&mut self, now_ms: u64) -> Vec<Read> {
@@ -83,21 +91,18 @@
             self.next_platform_ms = Some(now_ms + self.platform_interval_ms);
             due.push(Read::PlatformList);
         }
-        for name in &self.order {
-            let Some(target) = self.upstreams.get_mut(name) else {
-                continue;
-            };
+        for target in &mut self.targets {
             if now_ms >= target.next_load_ms {
                 target.next_load_ms = now_ms + READ_TIMEOUT_MS;
                 due.push(Read::Load {
-                    upstream: name.clone(),
+                    upstream: target.name.clone(),
                     address: target.address.clone(),
                 });
             }
             if target.is_engine && now_ms >= target.next_events_ms {
                 target.next_events_ms = now_ms + READ_TIMEOUT_MS;
                 due.push(Read::CacheEvents {
-                    upstream: name.clone(),
+                    upstream: target.name.clone(),
                     address: target.address.clone(),
                 });
             }
@@ -106,14 +111,20 @@
     }
 
     pub fn on_load(&mut self, now_ms: u64, upstream: &Name) {
-        if let Some(target) = self.upstreams.get_mut(upstream) {
-            target.next_load_ms = now_ms + self.load_interval_ms;
+        let next_load_ms = now_ms + self.load_interval_ms;
+        if let Some(target) = self.target_mut(upstream) {
+            target.next_load_ms = next_load_ms;
         }
     }
 
     pub fn on_cache_events(&mut self, now_ms: u64, upstream: &Name) {
-        if let Some(target) = self.upstreams.get_mut(upstream) {
+        if let Some(target) = self.target_mut(upstream) {
             target.next_events_ms = now_ms + CACHE_EVENTS_INTERVAL_MS;
         }
     }
+
+    fn target_mut(&mut self, upstream: &Name) -> Option<&mut Target> {
+        let position = *self.positions.get(upstream)?;
+        self.targets.get_mut(position)
+    }
 }
