--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -93,3 +93,21 @@
 fn cli_apply() {
     run("cli_apply");
 }
+
+/// Guards against two processes that may order one engine, and against a gate that never moves.
+#[test]
+fn frozen_gate() {
+    run("frozen_gate");
+}
+
+/// Guards against an engine that is left half changed after a crash.
+#[test]
+fn crashed_change() {
+    run("crashed_change");
+}
+
+/// Guards against a call that runs again because the entry that sent it has died.
+#[test]
+fn killed_entry() {
+    run("killed_entry");
+}
--- a/crates/mustardstack/tests/support/caller.rs
+++ b/crates/mustardstack/tests/support/caller.rs
@@ -63,6 +63,7 @@
             key,
             tenant,
             retry,
+            background,
         } = command
         else {
             return Err("not a call command".into());
@@ -73,6 +74,10 @@
         let url = self.caller_url(through, path)?;
         let method = Method::try_from(method.as_str())?;
         let body = body.as_deref().unwrap_or_default();
+        if *background {
+            self.send_in_background(method, url, &headers, body);
+            return Ok(String::new());
+        }
         let exchange = wait::until("an answer that is not a refusal", || {
             let exchange = self.send(method.clone(), &url, &headers, body);
             let is_not_run = exchange.run().as_deref() == Some("not_run");
@@ -81,6 +86,28 @@
         Ok(describe_call(&exchange))
     }
 
+    fn send_in_background(
+        &self,
+        method: Method,
+        url: String,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) {
+        let client = self.client.clone();
+        let headers: Vec<(String, String)> = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
+        let body = body.to_owned();
+        self.runtime.spawn(async move {
+            let headers: Vec<(&str, &str)> = headers
+                .iter()
+                .map(|(name, value)| (name.as_str(), value.as_str()))
+                .collect();
+            client.send(method, &url, &headers, body).await
+        });
+    }
+
     pub(super) fn load(
         &mut self,
         through: &[String],
--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -68,6 +68,8 @@
     /// Waits until a condition holds for each name: `ready`, `not_ready`, `in_force` (the newest
     /// revision that any named instance knows), `exit`, `idle` (no open exchanges), `voters` (all
     /// voters, no learner and no lost replica), `changed` (an engine has carried out an order),
+    /// `received` (an engine has accepted an order), `executed` (a plain service has run a call),
+    /// `undrained` (no running instance drains the upstream),
     /// `drained` (every running instance drains the upstream, which has no work left).
     Wait {
         condition: String,
@@ -104,6 +106,9 @@
         /// Whether the call is repeated while it is refused as not run, as `Retry-After` asks.
         #[arg(key, optional)]
         retry: bool,
+        /// Whether the scenario goes on without waiting for the answer, which is not printed.
+        #[arg(key, optional)]
+        background: bool,
     },
 
     /// Starts callers that ask models through the ready ones of the named instances.
--- a/crates/mustardstack/tests/support/condition.rs
+++ b/crates/mustardstack/tests/support/condition.rs
@@ -15,6 +15,8 @@
             "in_force" => self.wait_in_force(names),
             "voters" => self.for_each(names, Self::wait_voters),
             "changed" => self.for_each(names, Self::wait_changed),
+            "received" => self.for_each(names, Self::wait_received),
+            "executed" => self.for_each(names, Self::wait_executed),
             "drained" => self.for_each(names, Self::wait_drained),
             "undrained" => self.for_each(names, |runner, name| runner.wait_mark(name, false)),
             "idle" => self.for_each(names, Self::wait_idle),
@@ -79,6 +81,21 @@
         })
     }
 
+    fn wait_received(&mut self, engine: &str) -> Result<()> {
+        wait::until("the order to be received", || {
+            let state = self.debug(engine, "/order")?;
+            Ok((state["sequence"] != 0).then_some(()))
+        })
+    }
+
+    fn wait_executed(&mut self, service: &str) -> Result<()> {
+        wait::until("a call to be run", || {
+            let counts = self.debug(service, "/debug/executions")?;
+            let has_run = counts.as_object().is_some_and(|counts| !counts.is_empty());
+            Ok(has_run.then_some(()))
+        })
+    }
+
     pub(super) fn wait_drained(&mut self, upstream: &str) -> Result<()> {
         self.wait_mark(upstream, true)?;
         wait::until("the upstream to be drained", || {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -550,6 +550,9 @@
         {
             return;
         }
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.received += 1;
+        }
         let end = if self.now_ms > *send_deadline_ms {
             End::NotSent
         } else if let Some(service) = self.services.get_mut(upstream) {
--- a/crates/reducer/tests/support/upstream.rs
+++ b/crates/reducer/tests/support/upstream.rs
@@ -58,6 +58,8 @@
     /// Whether it answers nothing and keeps its connections open.
     pub is_frozen: bool,
     pub taken: Vec<TakenOrder>,
+    /// Chat requests received.
+    pub received: usize,
 }
 
 impl Engine {
@@ -70,6 +72,7 @@
             is_down: false,
             is_frozen: false,
             taken: Vec::new(),
+            received: 0,
         }
     }
 
