--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use conf::admin::{ApplyReply, ChangeReply};
+use conf::admin::{ApplyReply, ChangeReply, DrainTarget};
 use conf::{Fencing, Name, Role};
 use reducer::{AdminReply, AdminRequest, Refusal};
 use support::config::config;
@@ -313,6 +313,33 @@
     assert_eq!(cluster.runs("p"), 1);
 }
 
+/// Guards against work for an upstream that an operator drains through another instance.
+#[test]
+fn a_drained_upstream_gets_nothing_new_from_any_instance() {
+    let mut cluster = start(16, 2);
+    let drain = |draining| AdminRequest::Drain {
+        target: DrainTarget::Upstream("lax".into()),
+        draining,
+    };
+    cluster.admin(&"v0".into(), drain(true));
+    cluster.run(3_000);
+    let before = cluster.engines["lax"].received;
+    for id in ["v0", "v1", "e0", "e1"] {
+        for _ in 0..5 {
+            let chat = cluster.chat(&id.into());
+            assert_eq!(settle(&mut cluster, &chat), Outcome::Answered);
+        }
+    }
+    assert_eq!(cluster.engines["lax"].received, before);
+    cluster.admin(&"e0".into(), drain(false));
+    cluster.run(3_000);
+    for _ in 0..20 {
+        cluster.chat(&"e1".into());
+    }
+    cluster.run(1_000);
+    assert!(cluster.engines["lax"].received > before);
+}
+
 /// Guards against an answer that waits for ever on an engine that is frozen.
 #[test]
 fn an_answer_moves_away_from_a_frozen_engine() {
