--- a/crates/reducer/src/replication.rs
+++ b/crates/reducer/src/replication.rs
@@ -16,6 +16,8 @@
     id: ReplicaId,
     replica: Replica,
     control: ControlState,
+    /// Changes of the control state outside the ledger.
+    control_changes: u64,
     applied_term: u64,
     origins: BTreeMap<ProposalId, Origin>,
     proposals: Map<u64, ProposalId>,
@@ -66,6 +68,7 @@
             id,
             replica,
             control: ControlState::default(),
+            control_changes: 0,
             applied_term: 0,
             origins: BTreeMap::new(),
             proposals: Map::default(),
@@ -81,6 +84,11 @@
         &self.control
     }
 
+    /// Returns a number that grows with each change of the control state outside the ledger.
+    pub fn control_changes(&self) -> u64 {
+        self.control_changes
+    }
+
     pub fn status(&self) -> Status {
         self.replica.status()
     }
@@ -161,6 +169,7 @@
                 match wire::decode_control(&snapshot.state) {
                     Ok(parts) => {
                         self.control = ControlState::from_parts(parts);
+                        self.control_changes += 1;
                         requests.push(Request::Restored);
                     }
                     Err(_) => requests.push(Request::Undecodable {
@@ -169,8 +178,11 @@
                 }
             }
             Output::TakeSnapshot { index } => {
-                let state = wire::encode_control(&self.control.to_parts()).ok()?;
-                return Some(Input::StateAt { index, state });
+                match wire::encode_control(&self.control.to_parts()) {
+                    Ok(state) => return Some(Input::StateAt { index, state }),
+                    // No snapshot is taken from here on, and the log is not cut any more.
+                    Err(_) => requests.push(Request::Undecodable { index }),
+                }
             }
             Output::LeaderChanged { term, leader } => {
                 requests.push(Request::LeaderChanged { term, leader });
@@ -187,6 +199,9 @@
         };
         let change = self.voter_change(&proposal.command);
         let reply = self.control.apply(&proposal);
+        if !is_ledger_only(&proposal.command) {
+            self.control_changes += 1;
+        }
         let origin = self
             .origins
             .remove(&proposal.id)
@@ -219,3 +234,10 @@
         self.origins.retain(|_, origin| now_ms < origin.deadline_ms);
     }
 }
+
+fn is_ledger_only(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::Begin(_) | Command::Finish(_) | Command::Advance
+    )
+}
