Send requests of the single queue with one priority

The baseline without ranks passed the ranks on as priorities, and the engines served by them. Experiments take queue limits by rank and the offered load, and keep the metrics.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -116,6 +116,20 @@
         cached_tokens / f64::max(prompt_tokens, 1.0)
     }
 
+    /// Writes the metrics of each instance beside its log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file cannot be written.
+    pub async fn write_metrics(&self, folder: &Path) -> Result<()> {
+        for member in &self.members {
+            let metrics = self.admin(Method::GET, member, "/metrics", "").await;
+            let file = folder.join(format!("{}.metrics", member.instance.id));
+            fs::write(file, metrics.unwrap_or_default())?;
+        }
+        Ok(())
+    }
+
     /// Drains the first engine.
     pub async fn drain_engine(&self) {
         let name = &self.engines[0].upstream.name;
@@ -379,16 +393,17 @@
 
 /// Instances know no time scale, so their targets are in real time.
 fn ranks(preset: &Preset) -> Vec<RankPolicy> {
-    let ranks = preset.load.ranks.iter().zip(&preset.floors);
+    let limits = preset.floors.iter().zip(&preset.queue_limits);
+    let ranks = preset.load.ranks.iter().zip(limits);
     ranks
-        .map(|(rank, floor)| RankPolicy {
+        .map(|(rank, (floor, queue_limit))| RankPolicy {
             name: rank.name.clone(),
             target_first_token_ms: real_ms(preset, rank.target_first_token_ms),
             target_between_tokens_ms: real_ms(preset, rank.target_between_tokens_ms),
             target_total_ms: real_ms(preset, rank.target_total_ms),
             worth: rank.worth,
             floor: *floor,
-            queue_limit: preset.queue_limit,
+            queue_limit: *queue_limit,
         })
         .collect()
 }
--- a/crates/bench/src/preset.rs
+++ b/crates/bench/src/preset.rs
@@ -24,8 +24,8 @@
     pub engines: usize,
     /// Number of workers of the plain service.
     pub workers: usize,
-    /// Requests that wait at most in one rank's queue on an instance.
-    pub queue_limit: usize,
+    /// Requests that wait at most in each rank's queue on an instance.
+    pub queue_limits: Vec<usize>,
     /// Floors of the ranks, most urgent first.
     pub floors: Vec<f64>,
     /// Age of load reports in the case of stale ones.
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -80,6 +80,7 @@
     let faults = disturb(&cluster, case, &load);
     let (report, ()) = tokio::join!(load::run(load.clone()), faults);
     let after = cluster.usage().await?;
+    cluster.write_metrics(folder).await?;
     let usage = after.into_iter().zip(before);
     Ok(Run {
         case,
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -28,6 +28,8 @@
     pub duration_ms: f64,
     /// Simulated milliseconds in a real one. 0 keeps that of the preset.
     pub time_scale: f64,
+    /// Offered load outside a flood, as a share of the capacity. 0 keeps that of the preset.
+    pub load: f64,
     /// Folder that keeps settings and logs of every process. Empty for a temporary one.
     pub work_folder: PathBuf,
 }
@@ -42,6 +44,7 @@
             seeds: vec![1],
             duration_ms: 0.0,
             time_scale: 0.0,
+            load: 0.0,
             work_folder: PathBuf::new(),
         }
     }
@@ -86,6 +89,9 @@
         if self.time_scale > 0.0 {
             preset.load.time_scale = self.time_scale;
         }
+        if self.load > 0.0 {
+            preset.load.load = self.load;
+        }
         Ok(preset)
     }
 }
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -214,8 +214,9 @@
         let load = &self.preset.load;
         writeln!(
             f,
-            "preset {preset}, seeds {seeds:?}, {} simulated ms in a real one, {:.0} simulated s a run; \
+            "preset {preset}, seeds {seeds:?}, load {}, {} simulated ms in a real one, {:.0} simulated s a run; \
              mean [least, greatest] over the seeds; times are simulated, p50/p95/p99 in ms",
+            load.load,
             load.time_scale,
             load.duration_ms / 1_000.0
         )?;
--- a/crates/bench/tests/parse.rs
+++ b/crates/bench/tests/parse.rs
@@ -12,6 +12,7 @@
         assert_eq!((preset.entries, preset.voters), (6, 3));
         assert_eq!(preset.availability_zones.len(), 3);
         assert_eq!(preset.floors.len(), preset.load.ranks.len());
+        assert_eq!(preset.queue_limits.len(), preset.load.ranks.len());
         assert!(preset.floors.iter().sum::<f64>() <= 1.0);
     }
 }
--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: admission, dispatch, progress, retries and outcomes.
 
 use admit::{Running, Waiting};
+use conf::settings::Queueing;
 use conf::{Map, Name, ServiceConfig};
 use fleet::{Command, CommandReply, LoadDigest};
 use ledger::{Answer, AttemptId, BeginReply, Finish, Outcome};
@@ -476,13 +477,18 @@
         return;
     };
     open.phase = Phase::Running;
+    // Engines honour priorities, so a baseline without ranks must not pass them on.
+    let priority = match state.settings.decisions.queueing {
+        Queueing::Ranked => open.rank,
+        Queueing::SingleQueue => 0,
+    };
     let address = state.watch.address_of(&open.upstream).cloned();
     effects.push(Effect::Dispatch {
         exchange,
         attempt: open.attempt,
         upstream: open.upstream.clone(),
         address: address.unwrap_or_default(),
-        priority: open.rank,
+        priority,
         send_deadline_ms: open.send_deadline_ms,
         answer_deadline_ms: open.answer_deadline_ms(now_ms),
     });
