--- a/crates/reducer/src/serve.rs
+++ b/crates/reducer/src/serve.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: admission, dispatch, progress, retries and outcomes.
 
 use admit::{Running, Waiting};
+use conf::settings::Queueing;
 use conf::{Map, Name, ServiceConfig};
 use fleet::{Command, CommandReply, LoadDigest, ServiceDemand};
 use ledger::{Answer, AttemptId, BeginReply, Finish, Outcome};
@@ -566,6 +567,11 @@
     };
     open.phase = Phase::Running;
     open.last_progress_ms = now_ms;
+    // Engines honour priorities, so a baseline without ranks must not pass them on.
+    let priority = match state.settings.decisions.queueing {
+        Queueing::Ranked => open.rank,
+        Queueing::SingleQueue => 0,
+    };
     let address = state.watch.address_of(&open.upstream).cloned();
     let prefill = open.prefill_upstream.clone().and_then(|upstream| {
         let address = state.watch.address_of(&upstream).cloned()?;
@@ -577,7 +583,7 @@
         upstream: open.upstream.clone(),
         address: address.unwrap_or_default(),
         prefill,
-        priority: open.rank,
+        priority,
         send_deadline_ms: open.send_deadline_ms,
         answer_deadline_ms: open.answer_deadline_ms(now_ms),
     });
