Choose upstreams for waiting requests only after events that may free a place

Cause: every event, each token report included, asked again for one waiting request of each rank, service and model. Ruled out: a cheaper check for free places; it would repeat the choice's rules.

--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -64,7 +64,7 @@
 }
 
 /// Sends due proposals, takes over a changed configuration and reports readiness and the exit.
-pub(crate) fn settle(state: &mut State, effects: &mut Vec<Effect>) {
+pub(crate) fn settle(state: &mut State, may_dispatch: bool, effects: &mut Vec<Effect>) {
     for proposal in state.proposer.due(state.now_ms) {
         submit(state, proposal, effects);
     }
@@ -72,7 +72,9 @@
         let id = state.id().clone();
         on_message(state, id, message, effects);
     }
-    serve::pump(state, effects);
+    if may_dispatch {
+        serve::pump(state, effects);
+    }
     report_readiness(state, effects);
     exit_if_done(state, effects);
 }
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -175,6 +175,7 @@
     // Authority is judged by the present time before anything is decided on it, also when the
     // process was frozen between two events.
     control::tick_replica(state, effects);
+    let may_dispatch = frees_or_fills_places(&event);
     match event {
         Event::Tick { unix_ms } => {
             state.unix_ms = state.unix_ms.max(unix_ms);
@@ -232,7 +233,21 @@
         let id = state.id().clone();
         control::on_message(state, id, message, effects);
     }
-    control::settle(state, effects);
+    control::settle(state, may_dispatch, effects);
+}
+
+/// Returns whether a waiting request may be dispatched after the event. Others may still free a
+/// place, for example a refusal by the ledger; the next tick takes it up. Asking after each of them
+/// would cost a choice of upstream for every token report while requests wait.
+fn frees_or_fills_places(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Tick { .. }
+            | Event::Arrived(_)
+            | Event::Ended { .. }
+            | Event::CallerGone { .. }
+            | Event::Load { .. }
+    )
 }
 
 pub(crate) fn log(effects: &mut Vec<Effect>, level: Level, part: Part, text: impl Into<String>) {
