--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -18,8 +18,8 @@
 pub(crate) struct Leadership {
     term: u64,
     roster: Roster,
-    summary: Option<Summary>,
     planning: RolePlanning,
+    summary: Option<Summary>,
     next_duty_ms: u64,
 }
 
@@ -38,8 +38,8 @@
         Self {
             term,
             roster: Roster::new(now_ms, lease_ms),
-            summary: None,
             planning: RolePlanning::new(now_ms, planning),
+            summary: None,
             next_duty_ms: now_ms,
         }
     }
@@ -58,10 +58,10 @@
         control_changes: u64,
         platform: &PlatformList,
     ) -> LeaderReply {
+        self.planning.on_report(report);
         if self.roster.on_report(now_ms, report) {
             self.summary = None;
         }
-        self.planning.on_report(report);
         let (term, revision) = (self.term, control.revision());
         let summary = self.summary(now_ms, control, control_changes, platform);
         let (view, counts) = (&summary.view, summary.counts);
@@ -81,6 +81,18 @@
         }
     }
 
+    /// Returns the role changes that pay off, with the services that they are made for.
+    pub fn role_changes(
+        &mut self,
+        now_ms: u64,
+        control: &ControlState,
+        loads: &Map<Name, LoadReport>,
+    ) -> Vec<(Name, Command)> {
+        let draining: Vec<Name> = control.draining_upstreams().cloned().collect();
+        self.planning
+            .due(now_ms, control.services(), loads, &draining)
+    }
+
     /// Notes that the platform's list was read.
     pub fn on_platform_list(&mut self) {
         self.summary = None;
@@ -105,18 +117,6 @@
         }))
     }
 
-    /// Returns the role changes that pay off, with the services that they are made for.
-    pub fn role_changes(
-        &mut self,
-        now_ms: u64,
-        control: &ControlState,
-        loads: &Map<Name, LoadReport>,
-    ) -> Vec<(Name, Command)> {
-        let draining: Vec<Name> = control.draining_upstreams().cloned().collect();
-        self.planning
-            .due(now_ms, control.services(), loads, &draining)
-    }
-
     /// Returns the commands that are due.
     pub fn duties(
         &mut self,
