Split the serving part of the reducer into modules with one job each

Arrivals, dispatch, attempts, outcomes, preemption and load reports have modules of their own. Behaviour is unchanged.

--- /dev/null
+++ b/crates/reducer/src/arrival.rs
@@ -0,0 +1,169 @@
+//! Arrivals of callers' requests: admission and early refusal.
+
+use admit::Waiting;
+use conf::{Map, Name, ServiceConfig};
+use fleet::ServiceDemand;
+
+use crate::effect::{Effect, Refusal, Sample};
+use crate::event::{Arrival, ExchangeId};
+use crate::exchange::{DEFAULT_OUTPUT_TOKENS, Exchange, Kind};
+use crate::state::State;
+
+/// Time after which a caller may try again when nothing better is known, in milliseconds.
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Time taken by an answer of a plain service when nothing better is known, in milliseconds.
+const PLAIN_ANSWER_MS: u64 = 20;
+
+/// Speed of a service's fastest engine with a full batch.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Speed {
+    prefill_tokens_per_s: f64,
+    decode_tokens_per_s: f64,
+}
+
+/// Collects the speeds of all services.
+pub(crate) fn speeds(config: &ServiceConfig) -> Map<Name, Speed> {
+    let mut speeds: Map<Name, Speed> = Map::default();
+    for upstream in &config.upstreams {
+        let speed = speeds.entry(upstream.service.clone()).or_default();
+        let decode_tokens_per_s =
+            upstream.decode_tokens_per_s / f64::from(upstream.max_running.max(1));
+        speed.prefill_tokens_per_s = speed
+            .prefill_tokens_per_s
+            .max(upstream.prefill_tokens_per_s);
+        speed.decode_tokens_per_s = speed.decode_tokens_per_s.max(decode_tokens_per_s);
+    }
+    speeds
+}
+
+/// Returns the position of each tenant in the configuration.
+pub(crate) fn tenant_positions(config: &ServiceConfig) -> Map<Name, usize> {
+    let tenants = config.tenants.iter().enumerate();
+    tenants
+        .map(|(position, tenant)| (tenant.name.clone(), position))
+        .collect()
+}
+
+/// Returns the tokens asked of each service, for the report to the leader.
+pub(crate) fn reported_demand(demand: &Map<Name, (u64, u64)>) -> Vec<ServiceDemand> {
+    demand
+        .iter()
+        .map(|(service, (prompt_tokens, output_tokens))| ServiceDemand {
+            service: service.clone(),
+            prompt_tokens: *prompt_tokens,
+            output_tokens: *output_tokens,
+        })
+        .collect()
+}
+
+/// Admits or refuses a caller's request.
+pub(crate) fn on_arrival(state: &mut State, arrival: Arrival, effects: &mut Vec<Effect>) {
+    let exchange_id = arrival.exchange;
+    if let Some(refusal) = unable(state) {
+        return effects.push(refuse(exchange_id, refusal));
+    }
+    let fallback_key = format!("entry:{}:{}:{exchange_id}", state.id(), state.incarnation);
+    let services = state.services.clone();
+    let position = state.tenants.get(&arrival.tenant);
+    let tenant = position.map(|position| &services.tenants[*position]);
+    let fallback_key = || fallback_key.into();
+    let resolved = Exchange::resolve(state.now_ms, &services, tenant, arrival, fallback_key);
+    let exchange = match resolved {
+        Ok(exchange) => exchange,
+        Err(refusal) => return effects.push(refuse(exchange_id, refusal)),
+    };
+    let waiting = waiting(state, &exchange, false);
+    match state.queues.offer(state.now_ms, waiting) {
+        Ok(()) => {
+            state.exchanges.insert(exchange_id, exchange);
+        }
+        Err(refusal) => {
+            let refusal = from_admission(refusal);
+            note_refused_demand(state, &exchange);
+            record_refusal(&exchange, &refusal, effects);
+            effects.push(refuse(exchange_id, refusal));
+        }
+    }
+}
+
+fn unable(state: &State) -> Option<Refusal> {
+    if state.stopping_since_ms.is_some() {
+        return Some(Refusal::Stopping);
+    }
+    let is_ready = state.follower.is_settled() && state.follower.config().is_some();
+    (!is_ready).then_some(Refusal::NotReady)
+}
+
+pub(crate) fn waiting(state: &State, exchange: &Exchange, readmitted: bool) -> Waiting {
+    let expected_tokens = expected_output(&state.table, exchange);
+    let output_tokens = exchange.output_to_come(expected_tokens);
+    Waiting {
+        id: exchange.id,
+        tenant: exchange.tenant.clone(),
+        service: exchange.service.clone(),
+        model: exchange.model(),
+        rank: exchange.rank,
+        tokens: exchange.prompt_tokens().saturating_add(output_tokens),
+        service_ms: service_ms(state, exchange, output_tokens),
+        deadline_ms: exchange.deadline_ms,
+        first_token_ms: service_ms(state, exchange, 0),
+        first_token_deadline_ms: exchange.first_token_deadline_ms(),
+        readmitted,
+    }
+}
+
+fn service_ms(state: &State, exchange: &Exchange, output_tokens: u32) -> u64 {
+    if matches!(exchange.kind, Kind::Plain { .. }) {
+        return PLAIN_ANSWER_MS;
+    }
+    let Some(speed) = state.speeds.get(&exchange.service) else {
+        return 0;
+    };
+    let prefill_s = f64::from(exchange.prompt_tokens()) / speed.prefill_tokens_per_s.max(1.0);
+    let decode_s = f64::from(output_tokens) / speed.decode_tokens_per_s.max(1.0);
+    ((prefill_s + decode_s) * 1_000.0) as u64
+}
+
+pub(crate) fn expected_output(table: &route::Table, exchange: &Exchange) -> u32 {
+    let model = exchange.model();
+    let expected = table.expected_output(&exchange.tenant, &model, exchange.output_tokens);
+    match expected {
+        0 => DEFAULT_OUTPUT_TOKENS,
+        expected => expected,
+    }
+}
+
+// What was refused was asked for all the same, and a change of roles might have served it.
+fn note_refused_demand(state: &mut State, exchange: &Exchange) {
+    if let Kind::Chat { prompt_tokens, .. } = exchange.kind {
+        let output_tokens = exchange.output_to_come(expected_output(&state.table, exchange));
+        let demand = state.demand.entry(exchange.service.clone()).or_default();
+        demand.0 += u64::from(prompt_tokens);
+        demand.1 += u64::from(output_tokens);
+    }
+}
+
+pub(crate) fn record_refusal(exchange: &Exchange, refusal: &Refusal, effects: &mut Vec<Effect>) {
+    effects.push(Effect::Record(Sample::Refused {
+        tenant: exchange.tenant.clone(),
+        rank: exchange.rank_name.clone(),
+        reason: refusal.reason(),
+    }));
+}
+
+pub(crate) fn refuse(exchange: ExchangeId, refusal: Refusal) -> Effect {
+    Effect::Refuse { exchange, refusal }
+}
+
+pub(crate) fn from_admission(refusal: admit::Refusal) -> Refusal {
+    match refusal {
+        admit::Refusal::RateLimited { retry_after_ms }
+        | admit::Refusal::Displaced { retry_after_ms } => Refusal::OverLimit { retry_after_ms },
+        admit::Refusal::QueueFull { retry_after_ms } => Refusal::NoCapacity { retry_after_ms },
+        admit::Refusal::TooLate { .. } => Refusal::TooLate {
+            retry_after_ms: RETRY_AFTER_MS,
+        },
+        admit::Refusal::Expired => Refusal::TimedOutWaiting,
+    }
+}
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -17,7 +17,7 @@
 use crate::proposer::{Purpose, Settled};
 use crate::replication::Request;
 use crate::state::{State, log};
-use crate::{admin, serve};
+use crate::{admin, arrival, attempt, dispatch, load, outcome};
 
 /// Time after which a duty that was proposed is given up and judged anew, in milliseconds.
 const DUTY_TIMEOUT_MS: u64 = 2_000;
@@ -48,7 +48,7 @@
     let is_stopping = state.stopping_since_ms.is_some();
     let revision = state.follower.revision();
     let demand = &state.demand;
-    let reported = || serve::reported_demand(demand);
+    let reported = || arrival::reported_demand(demand);
     for outgoing in state.follower.tick(now_ms, is_stopping, reported) {
         state.send_to(outgoing.to, outgoing.address, outgoing.message, effects);
     }
@@ -73,7 +73,7 @@
         on_message(state, id, message, effects);
     }
     if may_dispatch {
-        serve::pump(state, effects);
+        dispatch::pump(state, effects);
     }
     report_readiness(state, effects);
     exit_if_done(state, effects);
@@ -96,7 +96,7 @@
         PeerMessage::ProposeReply { id, reply } => on_propose_reply(state, &id, reply, effects),
         PeerMessage::Report(report) => on_report(state, from, &report, effects),
         PeerMessage::ReportReply(reply) => on_report_reply(state, &from, &reply, effects),
-        PeerMessage::Digest(digests) => serve::on_digest(state, &digests),
+        PeerMessage::Digest(digests) => load::on_digest(state, &digests),
         PeerMessage::AskConfig { token, info } => on_ask_config(state, token, info, effects),
         PeerMessage::Config {
             config, instances, ..
@@ -311,10 +311,10 @@
         Purpose::Apply { token } => admin::on_apply_settled(token, settled.reply, effects),
         Purpose::Change { token } => admin::on_change_settled(token, settled.reply, effects),
         Purpose::Begin { exchange, attempt } => {
-            serve::on_begin(state, exchange, attempt, settled.reply, effects);
+            attempt::on_begin(state, exchange, attempt, settled.reply, effects);
         }
         Purpose::Finish { exchange, attempt } => {
-            serve::on_finish_recorded(state, exchange, attempt, settled.reply.is_some(), effects);
+            outcome::on_finish_recorded(state, exchange, attempt, settled.reply.is_some(), effects);
         }
         Purpose::Duty => {}
     }
@@ -389,8 +389,8 @@
     state.table.apply_config(&config);
     state.queues.apply_config(&config);
     state.watch.apply_config(state.now_ms, &config);
-    state.speeds = serve::speeds(&config);
-    state.tenants = serve::tenant_positions(&config);
+    state.speeds = arrival::speeds(&config);
+    state.tenants = arrival::tenant_positions(&config);
     state.services = config.clone();
     apply_drain_marks(state);
     log(
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -5,12 +5,18 @@
 #![forbid(unsafe_code)]
 
 mod admin;
+mod arrival;
+mod attempt;
 mod control;
+mod dispatch;
 pub mod effect;
 pub mod event;
 mod exchange;
 mod leader;
+mod load;
+mod outcome;
 mod planning;
+mod preempt;
 mod proposer;
 mod replication;
 mod serve;
--- /dev/null
+++ b/crates/reducer/src/preempt.rs
@@ -0,0 +1,58 @@
+//! Preemption of less urgent work by cancelling it and resuming it later.
+
+use admit::Running;
+use conf::Name;
+
+use crate::attempt::requeue;
+use crate::dispatch::release_place;
+use crate::effect::{Effect, Level, Part};
+use crate::event::{End, ExchangeId};
+use crate::exchange::{Kind, Phase};
+use crate::state::{State, log};
+
+/// Interval at which running requests are considered for preemption, in milliseconds.
+const PREEMPT_INTERVAL_MS: u64 = 50;
+
+pub(crate) fn preempt(state: &mut State, effects: &mut Vec<Effect>) {
+    if state.now_ms < state.next_preempt_ms || state.queues.is_empty() {
+        return;
+    }
+    state.next_preempt_ms = state.now_ms + PREEMPT_INTERVAL_MS;
+    let services: Vec<Name> = state.speeds.keys().cloned().collect();
+    for service in services {
+        let running: Vec<Running> = state
+            .exchanges
+            .values()
+            .filter(|open| open.service == service && open.phase == Phase::Running)
+            .map(|open| Running {
+                id: open.id,
+                rank: open.rank,
+                preemptible: matches!(open.kind, Kind::Chat { .. }),
+                lost_tokens: open.prompt_tokens(),
+                preemptions: open.preemptions,
+            })
+            .collect();
+        if let Some(preemption) = state.queues.preempt(state.now_ms, &service, &running) {
+            give_up_place(state, preemption.victim, effects);
+        }
+    }
+}
+
+fn give_up_place(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
+    let Some(open) = state.exchanges.get_mut(&exchange) else {
+        return;
+    };
+    let attempt = open.attempt;
+    open.preemptions += 1;
+    // A preemption is not a failure and leaves the number of attempts for failures.
+    open.deadline_ms = open.answer_deadline_ms(state.now_ms);
+    effects.push(Effect::Cancel { exchange, attempt });
+    log(
+        effects,
+        Level::Debug,
+        Part::Admit,
+        format!("request {exchange} gives up its place"),
+    );
+    release_place(state, exchange, attempt, &End::Cancelled);
+    requeue(state, exchange, effects);
+}
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -17,7 +17,7 @@
 use crate::proposer::Proposer;
 use crate::replication::Replication;
 use crate::watch::Watch;
-use crate::{control, serve};
+use crate::{arrival, attempt, control, load, serve};
 
 /// Log entries after which a snapshot is taken.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
@@ -57,7 +57,7 @@
     pub(crate) exchanges: BTreeMap<ExchangeId, Exchange>,
     pub(crate) next_attempt: u64,
     pub(crate) watch: Watch,
-    pub(crate) speeds: Map<Name, serve::Speed>,
+    pub(crate) speeds: Map<Name, arrival::Speed>,
     pub(crate) loads: Map<Name, LoadReport>,
     /// Prompt and output tokens asked of each model service since the start.
     pub(crate) demand: Map<Name, (u64, u64)>,
@@ -182,27 +182,27 @@
             control::tick(state, effects);
             serve::tick(state, effects);
         }
-        Event::Arrived(arrival) => serve::on_arrival(state, *arrival, effects),
+        Event::Arrived(arrival) => arrival::on_arrival(state, *arrival, effects),
         Event::Started { exchange, attempt } => {
-            serve::on_started(state, exchange, attempt, effects)
+            attempt::on_started(state, exchange, attempt, effects)
         }
         Event::Progress {
             exchange,
             attempt,
             output_tokens,
-        } => serve::on_progress(state, exchange, attempt, output_tokens, effects),
+        } => attempt::on_progress(state, exchange, attempt, output_tokens, effects),
         Event::Ended {
             exchange,
             attempt,
             end,
-        } => serve::on_ended(state, exchange, attempt, end, effects),
-        Event::CallerGone { exchange } => serve::on_caller_gone(state, exchange, effects),
-        Event::Load { upstream, report } => serve::on_load(state, &upstream, report, effects),
+        } => attempt::on_ended(state, exchange, attempt, end, effects),
+        Event::CallerGone { exchange } => attempt::on_caller_gone(state, exchange, effects),
+        Event::Load { upstream, report } => load::on_load(state, &upstream, report, effects),
         Event::CacheEvents {
             upstream,
             first,
             events,
-        } => serve::on_cache_events(state, &upstream, first, &events),
+        } => load::on_cache_events(state, &upstream, first, &events),
         Event::PlatformList(list) => control::on_platform_list(state, list),
         Event::Peer { from, message } => control::on_message(state, from, message, effects),
         Event::Persisted { ticket } => {
