--- /dev/null
+++ b/crates/reducer/src/membership.rs
@@ -0,0 +1,134 @@
+//! Membership: reports, the configuration in force, drain marks and the platform's list.
+
+use std::sync::Arc;
+
+use conf::{Name, ServiceConfig};
+use fleet::{ConfigRevision, InstanceInfo, InstanceReport, LeaderReply, ListedState, PeerMessage};
+use route::Presence;
+
+use crate::arrival;
+use crate::effect::{Effect, Level, Part};
+use crate::event::Listed;
+use crate::state::{State, log};
+
+/// Takes over the platform's list.
+pub(crate) fn on_platform_list(state: &mut State, list: Vec<Listed>) {
+    for listed in &list {
+        let presence = match listed.state {
+            ListedState::Live => Presence::Live,
+            ListedState::Leaving => Presence::Leaving,
+            ListedState::Gone => Presence::Gone,
+        };
+        state.table.set_present(&listed.id, presence);
+    }
+    let entries = list.into_iter().map(|listed| (listed.id, listed.state));
+    state.platform.update(state.now_ms, entries);
+    if let Some(leadership) = &mut state.leadership {
+        leadership.on_platform_list();
+    }
+}
+
+pub(crate) fn on_report(
+    state: &mut State,
+    from: Name,
+    report: &InstanceReport,
+    effects: &mut Vec<Effect>,
+) {
+    let leads = state.leads();
+    let (now_ms, id) = (state.now_ms, state.id().clone());
+    let reply = match (&mut state.leadership, &state.replication) {
+        (Some(leadership), Some(replication)) if leads => {
+            let changes = replication.control_changes();
+            let control = replication.control();
+            leadership.on_report(now_ms, &id, report, control, changes, &state.platform)
+        }
+        (_, Some(replication)) => LeaderReply {
+            sequence: report.sequence,
+            leader: replication.status().leader.filter(|leader| *leader != id),
+            ..LeaderReply::default()
+        },
+        _ => return,
+    };
+    if from == id {
+        return state
+            .local_messages
+            .push_back(PeerMessage::ReportReply(reply));
+    }
+    // The report carries the sender's address, which a leader may not know yet.
+    effects.push(Effect::Send {
+        to: from,
+        address: report.info.peer_address.clone(),
+        message: PeerMessage::ReportReply(reply),
+    });
+}
+
+pub(crate) fn on_report_reply(
+    state: &mut State,
+    from: &Name,
+    reply: &LeaderReply,
+    effects: &mut Vec<Effect>,
+) {
+    let change = state.follower.on_reply(state.now_ms, from, reply);
+    if change.view {
+        state.order_gate.on_view(state.follower.view());
+        apply_drain_marks(state);
+    }
+    if change.config {
+        bring_into_force(state, effects);
+    }
+}
+
+pub(crate) fn on_ask_config(
+    state: &mut State,
+    token: u64,
+    info: InstanceInfo,
+    effects: &mut Vec<Effect>,
+) {
+    let message = PeerMessage::Config {
+        token,
+        config: state.follower.config().cloned(),
+        instances: state.follower.known_instances(),
+    };
+    state.send_to(info.id, info.peer_address, message, effects);
+}
+
+pub(crate) fn bring_into_force(state: &mut State, effects: &mut Vec<Effect>) {
+    let Some(ConfigRevision {
+        revision,
+        canonical,
+        ..
+    }) = state.follower.config()
+    else {
+        return;
+    };
+    let revision = *revision;
+    let config = match ServiceConfig::from_canonical_text(canonical) {
+        Ok(config) => Arc::new(config),
+        Err(error) => {
+            let text = format!("revision {revision} cannot be read by this version: {error}");
+            return log(effects, Level::Error, Part::Fleet, text);
+        }
+    };
+    state.table.apply_config(&config);
+    state.queues.apply_config(&config);
+    state.watch.apply_config(state.now_ms, &config);
+    state.speeds = arrival::speeds(&config);
+    state.tenants = arrival::tenant_positions(&config);
+    state.services = config.clone();
+    apply_drain_marks(state);
+    log(
+        effects,
+        Level::Info,
+        Part::Fleet,
+        format!("revision {revision} is in force"),
+    );
+    effects.push(Effect::InForce { revision, config });
+}
+
+fn apply_drain_marks(state: &mut State) {
+    let draining = &state.follower.view().draining_upstreams;
+    for upstream in &state.services.upstreams {
+        let is_draining = draining.contains(&upstream.name);
+        state.table.set_draining(&upstream.name, is_draining);
+    }
+}
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -17,7 +17,7 @@
 use crate::proposer::Proposer;
 use crate::replication::Replication;
 use crate::watch::Watch;
-use crate::{arrival, attempt, control, load, serve};
+use crate::{arrival, attempt, control, load, membership, replica, serve};
 
 /// Log entries after which a snapshot is taken.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
@@ -174,7 +174,7 @@
     state.now_ms = state.now_ms.max(now_ms);
     // Authority is judged by the present time before anything is decided on it, also when the
     // process was frozen between two events.
-    control::tick_replica(state, effects);
+    replica::tick_replica(state, effects);
     let may_dispatch = frees_or_fills_places(&event);
     match event {
         Event::Tick { unix_ms } => {
@@ -203,10 +203,10 @@
             first,
             events,
         } => load::on_cache_events(state, &upstream, first, &events),
-        Event::PlatformList(list) => control::on_platform_list(state, list),
+        Event::PlatformList(list) => membership::on_platform_list(state, list),
         Event::Peer { from, message } => control::on_message(state, from, message, effects),
         Event::Persisted { ticket } => {
-            control::input(state, quorum::Input::Persisted { ticket }, effects);
+            replica::input(state, quorum::Input::Persisted { ticket }, effects);
         }
         Event::OrderAnswered {
             upstream,
