--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -111,3 +111,27 @@
 fn killed_entry() {
     run("killed_entry");
 }
+
+/// Guards against two accepted changes with one base, and a resend that counts twice.
+#[test]
+fn racing_operators() {
+    run("racing_operators");
+}
+
+/// Guards against a change that is lost or accepted twice when the leader dies.
+#[test]
+fn leader_killed_during_apply() {
+    run("leader_killed_during_apply");
+}
+
+/// Guards against revisions that are lost when every process is killed after hundreds of changes.
+#[test]
+fn many_changes() {
+    run("many_changes");
+}
+
+/// Guards against a drained instance that cuts answers or does not come back.
+#[test]
+fn drained_entry() {
+    run("drained_entry");
+}
--- a/crates/mustardstack/tests/support/administer.rs
+++ b/crates/mustardstack/tests/support/administer.rs
@@ -29,6 +29,72 @@
             Some(base) => base,
             None => self.revision(through)?,
         };
+        let body = self.apply_body(template, base_revision)?;
+        self.submit(through, &body)
+    }
+
+    /// Applies two templates against one base at the same time, through two instances.
+    pub(super) fn race(&mut self, templates: [&str; 2], through: [&str; 2]) -> Result<String> {
+        let base_revision = self.revision(through[0])?;
+        let mut outcomes = Vec::new();
+        std::thread::scope(|scope| -> Result<()> {
+            let runner = &*self;
+            let mut racers = Vec::new();
+            for (template, through) in templates.into_iter().zip(through) {
+                let body = runner.apply_body(template, base_revision)?;
+                let submit = move || runner.submit(through, &body).map_err(|e| e.to_string());
+                racers.push(scope.spawn(submit));
+            }
+            for racer in racers {
+                let outcome = racer.join().map_err(|_| "an operator panicked")?;
+                outcomes.push(outcome?);
+            }
+            Ok(())
+        })?;
+        outcomes.sort();
+        Ok(outcomes.join("\n"))
+    }
+
+    /// Applies a template, kills the leader while the change is on its way and starts it again.
+    pub(super) fn apply_and_kill_leader(
+        &mut self,
+        template: &str,
+        through: &str,
+    ) -> Result<String> {
+        let leader = wait::until("a leader", || {
+            let status = self.status(through)?;
+            Ok(status["leader"].as_str().map(str::to_owned))
+        })?;
+        let base_revision = self.revision(through)?;
+        let body = self.apply_body(template, base_revision)?;
+        let url = self.admin_url(through, "/admin/apply")?;
+        let bearer = format!("Bearer {ADMIN_TOKEN}");
+        self.send_in_background(Method::POST, url, &[("authorization", &bearer)], &body);
+        self.process(&leader)?.kill()?;
+        // The first answer may have been lost with the leader; the resend names the same change.
+        let outcome = self.submit(through, &body)?;
+        self.start(&leader)?;
+        Ok(outcome)
+    }
+
+    /// Applies two templates in turn, `count` times in all.
+    pub(super) fn apply_many(
+        &mut self,
+        templates: [&str; 2],
+        through: &str,
+        count: u64,
+    ) -> Result<String> {
+        let first = self.revision(through)?;
+        let mut outcome = String::new();
+        for change in 0..count {
+            let template = templates[(change % 2) as usize];
+            let body = self.apply_body(template, first + change)?;
+            outcome = self.submit(through, &body)?;
+        }
+        Ok(outcome)
+    }
+
+    fn apply_body(&self, template: &str, base_revision: u64) -> Result<String> {
         let folder = self.fill_template(template)?;
         let loaded = conf::load::service(&folder)?;
         let canonical = loaded.value.canonical_text();
@@ -39,11 +105,14 @@
             files: loaded.files,
             author: Name::from_static_str("scenario"),
         };
-        let body = serde_json::to_string(&request)?;
+        Ok(serde_json::to_string(&request)?)
+    }
+
+    fn submit(&self, through: &str, body: &str) -> Result<String> {
         let url = self.admin_url(through, "/admin/apply")?;
         // No majority may be known yet. A resend is safe, because the content id names the change.
         let reply = wait::until("an answer to apply", || {
-            let exchange = self.admin(Method::POST, &url, &body);
+            let exchange = self.admin(Method::POST, &url, body);
             let reply = serde_json::from_str::<ApplyReply>(&exchange.text);
             Ok(reply
                 .ok()
@@ -139,6 +208,16 @@
         self.change(through, &format!("/admin/{action}"), &body)
     }
 
+    pub(super) fn drain_instance(
+        &mut self,
+        through: &str,
+        action: &str,
+        instance: &str,
+    ) -> Result<String> {
+        let body = json!({ "instance": instance });
+        self.change(through, &format!("/admin/{action}"), &body)
+    }
+
     /// Sends a change until a majority has answered, which is safe to resend.
     pub(super) fn change(&self, through: &str, path: &str, body: &Value) -> Result<String> {
         let url = self.admin_url(through, path)?;
--- a/crates/mustardstack/tests/support/caller.rs
+++ b/crates/mustardstack/tests/support/caller.rs
@@ -86,7 +86,7 @@
         Ok(describe_call(&exchange))
     }
 
-    fn send_in_background(
+    pub(super) fn send_in_background(
         &self,
         method: Method,
         url: String,
--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -58,6 +58,39 @@
         base: Option<u64>,
     },
 
+    /// Applies two templates against one base at the same time and prints the sorted outcomes.
+    Race {
+        first: String,
+        second: String,
+        #[arg(key)]
+        through: String,
+        #[arg(key)]
+        other: String,
+    },
+
+    /// Applies a template, kills the leader while the change is on its way and starts it again.
+    ApplyAndKillLeader {
+        template: String,
+        #[arg(key)]
+        through: String,
+    },
+
+    /// Applies two templates in turn, `count` times in all, and prints the last outcome.
+    ApplyMany {
+        first: String,
+        second: String,
+        #[arg(key)]
+        through: String,
+        #[arg(key)]
+        count: u64,
+    },
+
+    /// Sets the drain mark of an instance.
+    DrainInstance { through: String, instance: String },
+
+    /// Removes the drain mark of an instance.
+    UndrainInstance { through: String, instance: String },
+
     /// Applies a configuration template with the `apply` subcommand and prints how it exits.
     CliApply {
         template: String,
--- a/crates/mustardstack/tests/support/runner.rs
+++ b/crates/mustardstack/tests/support/runner.rs
@@ -129,6 +129,27 @@
                 through,
                 base,
             } => self.apply(template, through, *base),
+            Command::Race {
+                first,
+                second,
+                through,
+                other,
+            } => self.race([first, second], [through, other]),
+            Command::ApplyAndKillLeader { template, through } => {
+                self.apply_and_kill_leader(template, through)
+            }
+            Command::ApplyMany {
+                first,
+                second,
+                through,
+                count,
+            } => self.apply_many([first, second], through, *count),
+            Command::DrainInstance { through, instance } => {
+                self.drain_instance(through, "drain", instance)
+            }
+            Command::UndrainInstance { through, instance } => {
+                self.drain_instance(through, "undrain", instance)
+            }
             Command::CliApply { template, through } => self.cli_apply(template, through),
             Command::Wait { condition, names } => self.wait(condition, names),
             Command::Chat { .. } => self.chat(command),
