--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -3,23 +3,13 @@
 mod support;
 
 use conf::admin::{ApplyReply, ChangeReply, DrainTarget};
-use conf::{Fencing, Name, Role};
+use conf::{Name, Role};
 use reducer::{AdminReply, AdminRequest, Refusal};
 use support::config::config;
-use support::upstream::{Engine, PlainService};
 use support::{Cluster, Outcome};
 
 fn start(seed: u64, others: usize) -> Cluster {
-    let mut cluster = Cluster::new(seed, 3, others);
-    cluster
-        .services
-        .insert("rota-1".into(), PlainService::default());
-    cluster
-        .engines
-        .insert("lax".into(), Engine::new(Fencing::Ignored));
-    cluster
-        .engines
-        .insert("strict".into(), Engine::new(Fencing::Enforced));
+    let mut cluster = Cluster::with_upstreams(seed, others);
     assert!(cluster.run_until(10_000, |c| c.leader().is_some()));
     let token = cluster.apply(&"v0".into(), 0, &config(1));
     assert!(cluster.run_until(10_000, |c| c.all_in_force(1)));
--- a/crates/reducer/tests/invariants.rs
+++ b/crates/reducer/tests/invariants.rs
@@ -7,10 +7,9 @@
 use std::collections::BTreeMap;
 
 use conf::admin::ApplyReply;
-use conf::{Fencing, Name, Role};
+use conf::{Name, Role};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use support::config::config;
-use support::upstream::{Engine, PlainService};
 use support::{Cluster, Random};
 
 /// Faults and requests in one run.
@@ -32,16 +31,7 @@
 
 impl Run {
     fn new(seed: u64) -> Self {
-        let mut cluster = Cluster::new(seed, 3, 3);
-        cluster
-            .services
-            .insert("rota-1".into(), PlainService::default());
-        cluster
-            .engines
-            .insert("lax".into(), Engine::new(Fencing::Ignored));
-        cluster
-            .engines
-            .insert("strict".into(), Engine::new(Fencing::Enforced));
+        let mut cluster = Cluster::with_upstreams(seed, 3);
         cluster.run_until(10_000, |c| c.leader().is_some());
         let mut run = Self {
             cluster,
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use conf::admin::{ApplyReply, ApplyRequest, ChangeReply, OrderRequest};
 use conf::settings::{Instance, Timing, Voter};
-use conf::{Name, Role, ServiceConfig, Settings};
+use conf::{Fencing, Name, Role, ServiceConfig, Settings};
 use reducer::{
     AdminReply, AdminRequest, Arrival, Effect, End, Event, OrderAnswer, Refusal, Start, State,
     Work, step,
@@ -89,7 +89,6 @@
     pub frozen_until_ms: u64,
     pub in_force: Vec<u64>,
     pub exited: bool,
-    waiting: Vec<(Option<u64>, Action)>,
     next_exchange: u64,
 }
 
@@ -172,6 +171,20 @@
         cluster
     }
 
+    /// Creates three voters, `others` instances without a disk, and the upstreams of
+    /// [`config::config`].
+    pub fn with_upstreams(seed: u64, others: usize) -> Self {
+        let mut cluster = Self::new(seed, 3, others);
+        cluster
+            .services
+            .insert("rota-1".into(), PlainService::default());
+        let engines = [("lax", Fencing::Ignored), ("strict", Fencing::Enforced)];
+        for (name, fencing) in engines {
+            cluster.engines.insert(name.into(), Engine::new(fencing));
+        }
+        cluster
+    }
+
     pub fn is_voter(&self, id: &Name) -> bool {
         self.nodes[id].settings.voters.iter().any(|v| v.id == *id)
     }
@@ -184,7 +197,6 @@
         let node = self.nodes.get_mut(id).expect("node exists");
         node.incarnation += 1;
         node.frozen_until_ms = 0;
-        node.waiting.clear();
         node.in_force.clear();
         node.exited = false;
         let start = Start {
@@ -657,7 +669,6 @@
             frozen_until_ms: 0,
             in_force: Vec::new(),
             exited: false,
-            waiting: Vec::new(),
             next_exchange: 0,
         }
     }
