Freeze the holder of a gate exactly between its decision and its write

Cause: the test of a thawed gate froze the holder after the write had left, because both happened within one step of the virtual clock. It passed without testing the point that it names. Change: the fake cluster can freeze an instance when it decides to write an order. Both kinds of engine are tested at that point now.

--- a/crates/reducer/tests/control.rs
+++ b/crates/reducer/tests/control.rs
@@ -193,10 +193,10 @@
     cluster.run(3_000);
     let holder = holder_of(&cluster, "strict");
     let operator = other_voter(&holder);
+    cluster.freeze_before_order = Some((holder.clone(), 30_000));
     cluster.order_role(&operator, "strict", Role::Prefill);
-    // The holder has decided to write the order and freezes before it does.
     assert!(cluster.run_until(5_000, |c| has_order(c, &holder, "strict")));
-    cluster.freeze(&holder, 30_000);
+    assert!(cluster.engines["strict"].taken.is_empty());
     let token = cluster.order_role(&operator, "strict", Role::Decode);
     assert!(cluster.run_until(20_000, |c| { c.engines["strict"].role == Role::Decode }));
     assert!(matches!(
@@ -226,6 +226,33 @@
     assert!(engine.taken.iter().all(|taken| taken.from == holder));
 }
 
+/// Guards against conflicting orders at an engine that ignores epochs when its holder freezes between
+/// deciding an order and writing it, and goes on after another leader has decided a newer one.
+#[test]
+fn a_holder_frozen_before_its_write_sends_its_orders_in_sequence() {
+    let mut cluster = start(17, 3);
+    cluster.run(3_000);
+    let holder = holder_of(&cluster, "lax");
+    let operator = other_voter(&holder);
+    cluster.freeze_before_order = Some((holder.clone(), 40_000));
+    cluster.order_role(&operator, "lax", Role::Prefill);
+    assert!(cluster.run_until(5_000, |c| has_order(c, &holder, "lax")));
+    assert!(cluster.engines["lax"].taken.is_empty());
+    cluster.order_role(&operator, "lax", Role::Decode);
+    cluster.run(35_000);
+    assert!(cluster.engines["lax"].taken.is_empty());
+    cluster.run(25_000);
+    let engine = &cluster.engines["lax"];
+    let sequences: Vec<u64> = engine
+        .taken
+        .iter()
+        .map(|taken| taken.order.sequence)
+        .collect();
+    assert_eq!(sequences, [1, 2]);
+    assert!(engine.taken.iter().all(|taken| taken.from == holder));
+    assert_eq!(engine.role, Role::Decode);
+}
+
 /// Guards against an engine that keeps a half-made change after a crash in the middle of it.
 #[test]
 fn an_engine_that_crashes_mid_change_gets_the_order_again() {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -98,6 +98,8 @@
     pub random: Random,
     pub cuts: BTreeSet<(Name, Name)>,
     pub loss_percent: u64,
+    /// Instance that freezes for this time once it has decided to write an order and before it does.
+    pub freeze_before_order: Option<(Name, u64)>,
     pub services: BTreeMap<Name, PlainService>,
     pub engines: BTreeMap<Name, Engine>,
     /// Requests by instance and exchange.
@@ -125,6 +127,7 @@
             random: Random::new(seed),
             cuts: BTreeSet::new(),
             loss_percent: 0,
+            freeze_before_order: None,
             services: BTreeMap::new(),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -489,6 +492,11 @@
                 self.schedule_own(id, 0, Action::WriteRequest { effect });
             }
             Effect::SendOrder { .. } => {
+                if let Some((frozen, duration_ms)) =
+                    self.freeze_before_order.take_if(|f| f.0 == *id)
+                {
+                    self.freeze(&frozen, duration_ms);
+                }
                 self.schedule_own(id, 0, Action::WriteOrder { effect });
             }
             Effect::ReadEngine { upstream, .. } => {
