--- a/crates/reducer/src/arrival.rs
+++ b/crates/reducer/src/arrival.rs
@@ -95,6 +95,7 @@
     (!is_ready).then_some(Refusal::NotReady)
 }
 
+/// Describes an exchange to the rank queues.
 pub(crate) fn waiting(state: &State, exchange: &Exchange, readmitted: bool) -> Waiting {
     let expected_tokens = expected_output(&state.table, exchange);
     let output_tokens = exchange.output_to_come(expected_tokens);
@@ -125,6 +126,7 @@
     ((prefill_s + decode_s) * 1_000.0) as u64
 }
 
+/// Returns the expected length of the whole answer, in tokens.
 pub(crate) fn expected_output(table: &route::Table, exchange: &Exchange) -> u32 {
     let model = exchange.model();
     let expected = table.expected_output(&exchange.tenant, &model, exchange.output_tokens);
@@ -144,6 +146,7 @@
     }
 }
 
+/// Records a refusal for metrics.
 pub(crate) fn record_refusal(exchange: &Exchange, refusal: &Refusal, effects: &mut Vec<Effect>) {
     effects.push(Effect::Record(Sample::Refused {
         tenant: exchange.tenant.clone(),
@@ -152,10 +155,12 @@
     }));
 }
 
+/// Returns the effect that refuses a request.
 pub(crate) fn refuse(exchange: ExchangeId, refusal: Refusal) -> Effect {
     Effect::Refuse { exchange, refusal }
 }
 
+/// Converts a refusal of the rank queues.
 pub(crate) fn from_admission(refusal: admit::Refusal) -> Refusal {
     match refusal {
         admit::Refusal::RateLimited { retry_after_ms }
--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -15,6 +15,7 @@
 /// elsewhere, in milliseconds. A live engine reports its load even while it generates nothing.
 const STALL_MS: u64 = 3_000;
 
+/// Returns an exchange whose current attempt is `attempt`.
 pub(crate) fn current(
     state: &mut State,
     exchange: ExchangeId,
@@ -184,6 +185,7 @@
     requeue(state, exchange, effects);
 }
 
+/// Puts an exchange back into its queue for another attempt.
 pub(crate) fn requeue(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
     let Some(open) = state.exchanges.get_mut(&exchange) else {
         return;
@@ -209,6 +211,7 @@
     }
 }
 
+/// Ends an exchange that leaves the queue without having been dispatched again.
 pub(crate) fn end_queued(
     state: &mut State,
     exchange: ExchangeId,
@@ -226,6 +229,7 @@
     end(state, exchange, refusal, effects);
 }
 
+/// Ends an exchange with a refusal and gives its place up.
 pub(crate) fn end_attempt(
     state: &mut State,
     exchange: ExchangeId,
--- a/crates/reducer/src/dispatch.rs
+++ b/crates/reducer/src/dispatch.rs
@@ -121,6 +121,7 @@
     }
 }
 
+/// Returns the routing table's id of an attempt.
 pub(crate) fn route_id(exchange: ExchangeId, attempt: u32) -> route::ExchangeId {
     route::ExchangeId {
         request: exchange,
@@ -145,6 +146,7 @@
     (prefill, decode)
 }
 
+/// Notes that the prompt stage of an attempt has ended.
 pub(crate) fn end_prefill(state: &mut State, exchange: ExchangeId, attempt: u32) {
     let id = prefill_id(exchange, attempt);
     state
@@ -186,6 +188,7 @@
     }
 }
 
+/// Returns the ledger's id of an attempt of this process.
 pub(crate) fn attempt_id(state: &State, sequence: u64) -> AttemptId {
     AttemptId {
         instance: state.id().clone(),
@@ -194,6 +197,7 @@
     }
 }
 
+/// Sends the current attempt to its upstream.
 pub(crate) fn dispatch(state: &mut State, exchange: ExchangeId, effects: &mut Vec<Effect>) {
     let now_ms = state.now_ms;
     let Some(open) = state.exchanges.get_mut(&exchange) else {
--- a/crates/reducer/src/gates.rs
+++ b/crates/reducer/src/gates.rs
@@ -9,6 +9,7 @@
 /// Time after which a duty that was proposed is given up and judged anew, in milliseconds.
 const DUTY_TIMEOUT_MS: u64 = 2_000;
 
+/// Does the duties of the leader.
 pub(crate) fn lead(state: &mut State, effects: &mut Vec<Effect>) {
     if !state.leads() {
         return;
@@ -44,6 +45,7 @@
     }
 }
 
+/// Writes orders to the engines whose gates this process holds.
 pub(crate) fn work_gates(state: &mut State, effects: &mut Vec<Effect>) {
     let now_ms = state.now_ms;
     let holds_lease = state.follower.holds_gate_lease(now_ms);
--- a/crates/reducer/src/membership.rs
+++ b/crates/reducer/src/membership.rs
@@ -28,6 +28,7 @@
     }
 }
 
+/// Answers an instance's report.
 pub(crate) fn on_report(
     state: &mut State,
     from: Name,
@@ -62,6 +63,7 @@
     });
 }
 
+/// Takes the answer to the own report.
 pub(crate) fn on_report_reply(
     state: &mut State,
     from: &Name,
@@ -78,6 +80,7 @@
     }
 }
 
+/// Answers an instance that looks for the configuration.
 pub(crate) fn on_ask_config(
     state: &mut State,
     token: u64,
@@ -92,6 +95,7 @@
     state.send_to(info.id, info.peer_address, message, effects);
 }
 
+/// Brings the configuration of the follower into force.
 pub(crate) fn bring_into_force(state: &mut State, effects: &mut Vec<Effect>) {
     let Some(ConfigRevision {
         revision,
--- a/crates/reducer/src/outcome.rs
+++ b/crates/reducer/src/outcome.rs
@@ -112,6 +112,7 @@
     }
 }
 
+/// Proposes the outcome of a non-idempotent attempt to the ledger.
 pub(crate) fn record_outcome(state: &mut State, exchange: ExchangeId, outcome: Outcome) {
     let Some(open) = state.exchanges.get(&exchange) else {
         return;
--- a/crates/reducer/src/preempt.rs
+++ b/crates/reducer/src/preempt.rs
@@ -13,6 +13,7 @@
 /// Interval at which running requests are considered for preemption, in milliseconds.
 const PREEMPT_INTERVAL_MS: u64 = 50;
 
+/// Gives the place of a running request to a more urgent one whose deadline that saves.
 pub(crate) fn preempt(state: &mut State, effects: &mut Vec<Effect>) {
     if state.now_ms < state.next_preempt_ms || state.queues.is_empty() {
         return;
--- a/crates/reducer/src/replica.rs
+++ b/crates/reducer/src/replica.rs
@@ -29,6 +29,7 @@
     carry_out(state, requests, effects);
 }
 
+/// Passes a message of the replicated log on if it is meant for the own replica.
 pub(crate) fn on_quorum(
     state: &mut State,
     from: quorum::ReplicaId,
@@ -150,6 +151,7 @@
     state.proposer.hurry(state.now_ms);
 }
 
+/// Sends a proposal to the leader, or to all voters if none is known.
 pub(crate) fn submit(state: &mut State, proposal: Proposal, effects: &mut Vec<Effect>) {
     match state.follower.leader().cloned() {
         Some(leader) if leader == *state.id() => {
@@ -165,6 +167,7 @@
     }
 }
 
+/// Appends another instance's proposal.
 pub(crate) fn on_propose(
     state: &mut State,
     from: Name,
@@ -183,6 +186,7 @@
     carry_out(state, requests, effects);
 }
 
+/// Takes the answer to a proposal.
 pub(crate) fn on_propose_reply(
     state: &mut State,
     id: &ProposalId,
@@ -204,6 +208,7 @@
     }
 }
 
+/// Goes on with what a proposal was made for.
 pub(crate) fn on_settled(state: &mut State, settled: Settled, effects: &mut Vec<Effect>) {
     if settled.reply.is_some() {
         let elapsed_ms = state.now_ms - settled.proposed_at_ms;
