--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -130,6 +130,11 @@
         self.is_settled
     }
 
+    /// Returns whether callers can be served: a configuration is in force that is the highest known.
+    pub fn is_ready(&self) -> bool {
+        self.is_settled && self.config.is_some()
+    }
+
     /// Returns the leader's view of the cluster.
     pub fn view(&self) -> &ClusterView {
         &self.view
--- a/crates/reducer/src/arrival.rs
+++ b/crates/reducer/src/arrival.rs
@@ -91,8 +91,7 @@
     if state.stopping_since_ms.is_some() {
         return Some(Refusal::Stopping);
     }
-    let is_ready = state.follower.is_settled() && state.follower.config().is_some();
-    (!is_ready).then_some(Refusal::NotReady)
+    (!state.follower.is_ready()).then_some(Refusal::NotReady)
 }
 
 /// Describes an exchange to the rank queues.
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -39,10 +39,7 @@
     for proposal in state.proposer.due(state.now_ms) {
         submit(state, proposal, effects);
     }
-    while let Some(message) = state.local_messages.pop_front() {
-        let id = state.id().clone();
-        on_message(state, id, message, effects);
-    }
+    handle_local(state, effects);
     if may_dispatch {
         dispatch::pump(state, effects);
     }
@@ -50,6 +47,14 @@
     exit_if_done(state, effects);
 }
 
+/// Handles the messages that this instance has sent to itself.
+pub(crate) fn handle_local(state: &mut State, effects: &mut Vec<Effect>) {
+    while let Some(message) = state.local_messages.pop_front() {
+        let id = state.id().clone();
+        on_message(state, id, message, effects);
+    }
+}
+
 /// Handles a message from another instance or from this one.
 pub(crate) fn on_message(
     state: &mut State,
@@ -87,8 +92,8 @@
 }
 
 fn report_readiness(state: &mut State, effects: &mut Vec<Effect>) {
-    let is_ready = state.follower.is_settled() && state.follower.config().is_some();
-    let readiness = (is_ready && !state.is_draining(), state.is_draining());
+    let is_draining = state.is_draining();
+    let readiness = (state.follower.is_ready() && !is_draining, is_draining);
     if state.readiness != Some(readiness) {
         state.readiness = Some(readiness);
         effects.push(Effect::Readiness {
--- a/crates/reducer/src/preempt.rs
+++ b/crates/reducer/src/preempt.rs
@@ -45,7 +45,7 @@
     };
     let attempt = open.attempt;
     open.preemptions += 1;
-    // A preemption is not a failure and leaves the number of attempts for failures.
+    // An admitted request is not refused because its target passes while it waits again.
     open.deadline_ms = open.answer_deadline_ms(state.now_ms);
     effects.push(Effect::Cancel { exchange, attempt });
     log(
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -229,10 +229,7 @@
         Event::Admin { token, request } => crate::admin::on_request(state, token, request, effects),
         Event::Stop => control::on_stop(state, effects),
     }
-    while let Some(message) = state.local_messages.pop_front() {
-        let id = state.id().clone();
-        control::on_message(state, id, message, effects);
-    }
+    control::handle_local(state, effects);
     control::settle(state, may_dispatch, effects);
 }
 
