Settle a rank's charge with the present attempt only

Cause: the end of a preempted attempt arrives after the request was dispatched again. It settled the charge of the new attempt, because the rank queues know requests by id alone, so the shares behind the floors were wrong. Found by reading the change; the shares cannot be seen through the reducer's interface, so no test shows it yet, and the floods were not measured again. Change: the release of a place settles the charge only if the attempt is the exchange's present one.

--- a/crates/reducer/src/dispatch.rs
+++ b/crates/reducer/src/dispatch.rs
@@ -245,10 +245,14 @@
         End::NotSent => state.table.on_failure(now_ms, id, Failure::Connect),
         End::Broken => state.table.on_failure(now_ms, id, Failure::Broken),
     }
-    let tokens = match open.map(|open| &open.kind) {
-        Some(Kind::Chat { prompt_tokens, .. }) => prompt_tokens.saturating_add(output_tokens),
-        Some(Kind::Plain { .. }) => 1,
-        None => return,
+    // The queues know a request by its id alone. The late end of an earlier attempt, for example of a
+    // preempted one, must not settle what its rank is charged for the present attempt.
+    let Some(open) = open.filter(|open| open.attempt == attempt) else {
+        return;
+    };
+    let tokens = match &open.kind {
+        Kind::Chat { prompt_tokens, .. } => prompt_tokens.saturating_add(output_tokens),
+        Kind::Plain { .. } => 1,
     };
     state.queues.on_finish(now_ms, exchange, tokens);
 }
