--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,6 +1,8 @@
 //! Messages between instances. Any message may be lost, duplicated or reordered.
 
+use bytes::Bytes;
 use conf::Name;
+use conf::service::Role;
 use quorum::ReplicaId;
 
 use crate::command::{CommandReply, ConfigRevision, GateHolder, Order, Proposal, ProposalId};
@@ -33,6 +35,82 @@
         config: Option<ConfigRevision>,
         instances: Vec<InstanceInfo>,
     },
+    /// Subscribes to a replica's configuration and list of upstreams.
+    Watch(Watch),
+    /// Answers `Watch`, and is sent again when something has changed.
+    WatchReply(WatchReply),
+}
+
+/// Subscription of an instance to a replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Watch {
+    /// Identity and addresses of the subscriber.
+    pub info: InstanceInfo,
+    /// Number of the message within the process.
+    pub sequence: u64,
+    /// Whether the subscriber is an entry. Replicas subscribe to find each other.
+    pub accepts_callers: bool,
+    /// Version of the document that the subscriber holds, 0 for none.
+    pub version: u64,
+    /// Listing that the subscriber holds, 0 for none.
+    pub listing: u64,
+    /// Work that the subscriber has sent to upstreams of its availability zone.
+    pub backlog: Vec<Backlog>,
+}
+
+/// What a replica tells a subscriber.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WatchReply {
+    /// Number of the message that is answered.
+    pub sequence: u64,
+    /// Whether the replica has heard from the leader lately, so that the version is recent.
+    pub is_current: bool,
+    /// Version of the document in force.
+    pub version: u64,
+    /// The document, if the subscriber holds an older one.
+    pub document: Option<Bytes>,
+    /// Listing that the replica holds.
+    pub listing: u64,
+    /// The upstreams, if the subscriber holds another listing.
+    pub upstreams: Option<Vec<UpstreamRecord>>,
+    /// Replicas that the sender knows.
+    pub replicas: Vec<InstanceInfo>,
+    /// Entries that subscribe to any replica, as far as the sender knows.
+    pub entries: u32,
+    /// Work of the other entries of the subscriber's availability zone.
+    pub backlog: Vec<Backlog>,
+}
+
+/// Work sent to one upstream and not finished.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Backlog {
+    /// Instance id of the upstream.
+    pub upstream: Name,
+    /// Requests sent and not finished.
+    pub running: u32,
+    /// Prompt tokens sent and not read yet, by rank.
+    pub prompt_tokens: Vec<u32>,
+}
+
+/// An upstream on the platform's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Id of its present incarnation.
+    pub id: Name,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// IP address and port.
+    pub address: Name,
+    /// Availability zone that it runs in.
+    pub availability_zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Unix time of its start, in milliseconds; 0 if not known.
+    pub born_ms: u64,
+    /// Role of an engine; none for plain services.
+    pub role: Option<Role>,
 }
 
 /// Answer of a voter to a proposal.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of instances that forward requests unchanged: which upstream gets a request, what waits, what is refused,
+//! and how replicas publish the configuration and the list of upstreams.
+//!
+//! [`entry::Entry`] and [`control::Control`] are reducers. They read no clock and do no I/O; the caller passes the time
+//! and every event, and carries out the effects.
+#![forbid(unsafe_code)]
+
+pub mod budget;
+pub mod config;
+pub mod control;
+pub mod entry;
+pub mod exchange;
+pub mod place;
+pub mod subscription;
+pub mod upstream;
+pub mod voters;
+
+pub use config::{Config, EngineTraits, Invalid, Kind, Limits, Route, Service};
+pub use entry::{Entry, EntrySettings};
+pub use exchange::{Attempt, Directive, Outcome, Prompt, Refusal, RefusalReason, Request};
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,215 @@
+//! The choice of an upstream for a request.
+
+use std::hash::BuildHasher;
+
+use conf::{Name, Role};
+
+use crate::exchange::{Prompt, Request};
+use crate::upstream::Upstream;
+
+/// Prompt tokens that an engine computes in a millisecond before it has been observed; large engines reach 50 to 60.
+pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+/// Speed of a decode engine's own prefill, as a share of a prefill engine's.
+const DECODE_PREFILL_SHARE: f64 = 0.5;
+/// Cost of handing KV cache to another engine, in milliseconds: a second call and the transfer.
+const HANDOFF_MS: f64 = 25.0;
+/// Cost of leaving the availability zone, in milliseconds. Bytes between zones are dear.
+const ZONE_MS: f64 = 400.0;
+/// Delay that a decode engine's own prefill causes to the streams that run there, as a share of its time.
+const INTERFERENCE_SHARE: f64 = 0.5;
+/// Share of a prompt's shared tokens that its home engine is expected to hold, if this entry has not used it there:
+/// other entries send the same prompts to the same home.
+const HOME_CACHED_SHARE: f64 = 0.7;
+/// Cost of the failures of an upstream, in milliseconds at a failure rate of 1.
+const FAILURE_MS: f64 = 2_000.0;
+/// Share of an engine's slots above which it gets no further requests.
+const SLOT_SHARE: f64 = 0.95;
+/// Time that a plain request is taken to need, in milliseconds, to weigh queues against distance.
+const PLAIN_MS: f64 = 40.0;
+
+/// An upstream chosen for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Instance id of the upstream.
+    pub upstream: Name,
+    /// Whether it only computes the prompt.
+    pub is_prefill: bool,
+    /// Prompt tokens that it has to compute.
+    pub tokens: u32,
+    /// Expected wait until the prompt is begun, in milliseconds.
+    pub wait_ms: f64,
+    /// Expected time for the prompt, in milliseconds.
+    pub work_ms: f64,
+}
+
+impl Choice {
+    /// Returns the expected time to the first token, in milliseconds.
+    pub fn first_token_ms(&self) -> f64 {
+        self.wait_ms + self.work_ms
+    }
+}
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation<'a> {
+    /// Present time.
+    pub now_ms: u64,
+    /// Availability zone of this entry.
+    pub zone: &'a str,
+    /// Upstreams that failed this request.
+    pub tried: &'a [Name],
+}
+
+impl Situation<'_> {
+    fn is_candidate(&self, upstream: &Upstream) -> bool {
+        upstream.is_usable(self.now_ms) && !self.tried.contains(&upstream.record.id)
+    }
+
+    fn distance_ms(&self, upstream: &Upstream) -> f64 {
+        match upstream.record.availability_zone.as_str() == self.zone {
+            true => 0.0,
+            false => ZONE_MS,
+        }
+    }
+}
+
+/// Chooses an upstream of a plain service: the own zone first, then the shortest queue.
+pub fn plain<'a>(
+    situation: &Situation<'_>,
+    upstreams: impl Iterator<Item = &'a Upstream>,
+) -> Option<&'a Upstream> {
+    let cost = |upstream: &Upstream| {
+        let slots = f64::from(upstream.record.slots.max(1));
+        let queue_ms = f64::from(upstream.total_running() + 1) / slots * PLAIN_MS;
+        let queue_ms = match f64::from(upstream.total_running()) >= slots {
+            // A full upstream rejects; any other place is better.
+            true => queue_ms + 10.0 * ZONE_MS,
+            false => queue_ms,
+        };
+        queue_ms + situation.distance_ms(upstream) / 4.0 + upstream.failure_rate() * FAILURE_MS
+    };
+    upstreams
+        .filter(|upstream| situation.is_candidate(upstream))
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+}
+
+/// Chooses the engine that computes the prompt, and possibly runs the request.
+pub fn engine<'a>(
+    situation: &Situation<'_>,
+    request: &Request,
+    prompt: &Prompt,
+    upstreams: impl Iterator<Item = &'a Upstream> + Clone,
+) -> Option<Choice> {
+    let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
+    let home = home(situation, prompt, candidates.clone());
+    let mut best: Option<(f64, Choice)> = None;
+    for upstream in candidates.clone() {
+        if is_full(upstream) {
+            continue;
+        }
+        let is_prefill = upstream.is_prefill();
+        if is_prefill && decoder_near(situation, candidates.clone(), upstream).is_none() {
+            continue;
+        }
+        let tokens = uncached(situation, prompt, upstream, home);
+        let speed = speed_tokens_per_ms(upstream);
+        let wait_ms = f64::from(upstream.tokens_ahead(request.rank)) / speed;
+        let work_ms = f64::from(tokens) / speed;
+        let extra_ms = match upstream.record.role {
+            Some(Role::Prefill) => HANDOFF_MS,
+            _ => work_ms * INTERFERENCE_SHARE,
+        };
+        let cost_ms = wait_ms
+            + work_ms
+            + extra_ms
+            + situation.distance_ms(upstream)
+            + upstream.failure_rate() * FAILURE_MS;
+        if best.as_ref().is_none_or(|(least, _)| cost_ms < *least) {
+            let choice = Choice {
+                upstream: upstream.record.id.clone(),
+                is_prefill,
+                tokens,
+                wait_ms,
+                work_ms,
+            };
+            best = Some((cost_ms, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// Chooses the engine that generates from a computed prompt: the one in the prefill engine's zone that runs the least.
+pub fn decoder<'a>(
+    situation: &Situation<'_>,
+    source: &Upstream,
+    upstreams: impl Iterator<Item = &'a Upstream>,
+) -> Option<&'a Upstream> {
+    let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
+    decoder_near(situation, candidates, source)
+}
+
+fn decoder_near<'a>(
+    situation: &Situation<'_>,
+    candidates: impl Iterator<Item = &'a Upstream>,
+    source: &Upstream,
+) -> Option<&'a Upstream> {
+    let zone = &source.record.availability_zone;
+    candidates
+        .filter(|upstream| matches!(upstream.record.role, Some(Role::Decode | Role::Mixed)))
+        .filter(|upstream| upstream.record.availability_zone == *zone)
+        .filter(|upstream| !is_full(upstream))
+        .min_by_key(|upstream| {
+            let failures = (upstream.failure_rate() * 64.0) as u32;
+            (upstream.total_running() + failures, upstream.running)
+        })
+        .filter(|upstream| situation.is_candidate(upstream))
+}
+
+fn is_full(upstream: &Upstream) -> bool {
+    f64::from(upstream.total_running()) >= f64::from(upstream.record.slots) * SLOT_SHARE
+}
+
+/// Returns the prompt tokens that an engine computes in a millisecond.
+pub fn speed_tokens_per_ms(upstream: &Upstream) -> f64 {
+    match upstream.record.role {
+        Some(Role::Decode) => PREFILL_TOKENS_PER_MS * DECODE_PREFILL_SHARE,
+        _ => PREFILL_TOKENS_PER_MS,
+    }
+}
+
+fn uncached(
+    situation: &Situation<'_>,
+    prompt: &Prompt,
+    upstream: &Upstream,
+    home: Option<&Upstream>,
+) -> u32 {
+    let Some((key, shared)) = prompt.shared() else {
+        return prompt.tokens;
+    };
+    if upstream.has_shared(key, situation.now_ms) {
+        return prompt.tokens - shared;
+    }
+    let is_home = home.is_some_and(|home| home.record.id == upstream.record.id);
+    let cached = match is_home {
+        true => f64::from(shared) * HOME_CACHED_SHARE,
+        false => 0.0,
+    };
+    prompt.tokens - cached as u32
+}
+
+/// Returns the engine of the own zone that all entries prefer for the prompt's shared part, by rendezvous hashing.
+/// Prefill engines come first, as their caches hold no memory of running requests.
+fn home<'a>(
+    situation: &Situation<'_>,
+    prompt: &Prompt,
+    candidates: impl Iterator<Item = &'a Upstream>,
+) -> Option<&'a Upstream> {
+    let (key, _) = prompt.shared()?;
+    let hasher = foldhash::fast::FixedState::default();
+    candidates
+        .filter(|upstream| situation.distance_ms(upstream) == 0.0)
+        .max_by_key(|upstream| {
+            let draw = hasher.hash_one((key, &upstream.record.id));
+            (upstream.is_prefill(), draw)
+        })
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,168 @@
+//! What an entry believes of one upstream.
+
+use conf::{Map, Name, Role};
+use fleet::{Backlog, UpstreamRecord};
+
+/// Ranks that are told apart. Less urgent ones count as the last.
+pub const RANKS: usize = 4;
+
+/// Failures in a row after which an upstream gets no requests for a while.
+const CIRCUIT_FAILURES: u32 = 2;
+/// Time for which the circuit is open after the first such failure, in milliseconds; it doubles with each further one.
+const CIRCUIT_MIN_MS: u64 = 400;
+/// Longest time for which the circuit is open, in milliseconds: a crashed upstream stays listed for some seconds.
+const CIRCUIT_MAX_MS: u64 = 3_200;
+/// Weight of the latest result in the moving failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time after which a prompt part that was used here may have left the cache, in milliseconds.
+const SHARED_TTL_MS: u64 = 20_000;
+/// Prompt parts remembered for each upstream; the cache of an engine holds fewer long ones.
+const SHARED_PARTS: usize = 256;
+
+/// Work that a request adds to an upstream until it has begun or ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Charge {
+    /// Instance id of the upstream.
+    pub upstream: Name,
+    /// Prompt tokens to be computed.
+    pub tokens: u32,
+    /// Rank of the request.
+    pub rank: u8,
+}
+
+/// One upstream as seen by this entry.
+#[derive(Clone, Debug, Default)]
+pub struct Upstream {
+    /// What the platform lists.
+    pub record: UpstreamRecord,
+    /// Requests of this entry that run or wait there.
+    pub running: u32,
+    /// Prompt tokens of this entry that have not been computed there, by rank.
+    pub tokens: [u32; RANKS],
+    /// The same of the other entries in the availability zone.
+    pub others_running: u32,
+    /// Prompt tokens of the other entries, by rank.
+    pub others_tokens: [u32; RANKS],
+    failures: u32,
+    failure_rate: f64,
+    open_until_ms: u64,
+    /// Shared prompt parts that were computed there, with the time of their last use.
+    shared: Map<u64, u64>,
+}
+
+impl Upstream {
+    /// Starts without load.
+    pub fn new(record: UpstreamRecord) -> Self {
+        Self {
+            record,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether it may get requests.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        !self.record.draining && now_ms >= self.open_until_ms
+    }
+
+    /// Returns whether it computes prompts for others.
+    pub fn is_prefill(&self) -> bool {
+        self.record.role == Some(Role::Prefill)
+    }
+
+    /// Returns requests known to run or wait there.
+    pub fn total_running(&self) -> u32 {
+        self.running + self.others_running
+    }
+
+    /// Returns prompt tokens that are computed before those of a request of `rank`.
+    pub fn tokens_ahead(&self, rank: u8) -> u32 {
+        let count = rank_index(rank) + 1;
+        let own: u32 = self.tokens[..count].iter().sum();
+        let others: u32 = self.others_tokens[..count].iter().sum();
+        own + others
+    }
+
+    /// Returns the moving share of failed requests.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    /// Adds a request.
+    pub fn add(&mut self, tokens: u32, rank: u8) {
+        self.running += 1;
+        self.tokens[rank_index(rank)] += tokens;
+    }
+
+    /// Removes the prompt tokens of a request, which have been computed.
+    pub fn computed(&mut self, charge: &mut Charge) {
+        let tokens = &mut self.tokens[rank_index(charge.rank)];
+        *tokens = tokens.saturating_sub(charge.tokens);
+        charge.tokens = 0;
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, mut charge: Charge) {
+        self.computed(&mut charge);
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Takes over what the other entries have sent.
+    pub fn set_others(&mut self, backlog: Option<&Backlog>) {
+        self.others_running = backlog.map_or(0, |one| one.running);
+        self.others_tokens = [0; RANKS];
+        let tokens = backlog.map_or(&[][..], |one| &one.prompt_tokens);
+        for (rank, tokens) in tokens.iter().enumerate() {
+            self.others_tokens[rank.min(RANKS - 1)] += tokens;
+        }
+    }
+
+    /// Returns what this entry has sent, if anything.
+    pub fn backlog(&self) -> Option<Backlog> {
+        (self.running > 0).then(|| Backlog {
+            upstream: self.record.id.clone(),
+            running: self.running,
+            prompt_tokens: self.tokens.to_vec(),
+        })
+    }
+
+    /// Returns whether a shared prompt part is believed to be cached.
+    pub fn has_shared(&self, key: u64, now_ms: u64) -> bool {
+        let used_ms = self.shared.get(&key);
+        used_ms.is_some_and(|used_ms| now_ms - used_ms <= SHARED_TTL_MS)
+    }
+
+    /// Remembers that a shared prompt part has been computed.
+    pub fn add_shared(&mut self, key: u64, now_ms: u64) {
+        self.shared.insert(key, now_ms);
+        if self.shared.len() > SHARED_PARTS
+            && let Some(oldest) = self.shared.iter().min_by_key(|(_, used)| **used)
+        {
+            let oldest = *oldest.0;
+            self.shared.remove(&oldest);
+        }
+    }
+
+    /// Counts a request that was answered.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.open_until_ms = 0;
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT;
+    }
+
+    /// Counts a request that failed there. Returns whether the circuit is open now.
+    pub fn failed(&mut self, now_ms: u64, is_unreachable: bool) -> bool {
+        self.failures += 1;
+        self.failure_rate += (1.0 - self.failure_rate) * FAILURE_WEIGHT;
+        let threshold = if is_unreachable { 1 } else { CIRCUIT_FAILURES };
+        let Some(excess) = self.failures.checked_sub(threshold) else {
+            return false;
+        };
+        let pause_ms = (CIRCUIT_MIN_MS << excess.min(8)).min(CIRCUIT_MAX_MS);
+        self.open_until_ms = now_ms + pause_ms;
+        true
+    }
+}
+
+fn rank_index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
--- a/crates/mustardstack/src/cli.rs
+++ b/crates/mustardstack/src/cli.rs
@@ -24,6 +24,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Serve(Serve),
+    Join(Join),
     Check(Check),
     Apply(Apply),
     Status(Status),
@@ -49,6 +50,11 @@
     pub folder: PathBuf,
 }
 
+/// Run an instance with the settings file that the platform writes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "join")]
+pub struct Join {}
+
 /// Validate a folder and print the merged result with the file of each value.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/mustardstack/src/error.rs
+++ b/crates/mustardstack/src/error.rs
@@ -46,6 +46,12 @@
     /// The instance could not start or go on.
     #[error(transparent)]
     Node(#[from] node::Error),
+    /// An instance on the platform could not start or go on.
+    #[error(transparent)]
+    Relay(#[from] relay::Error),
+    /// The platform's settings file cannot be used.
+    #[error(transparent)]
+    Settings(#[from] platform::SettingsError),
     /// A stand-in or the load generator could not start or go on.
     #[error(transparent)]
     Standin(#[from] standin::Error),
@@ -58,9 +64,9 @@
     /// Returns the exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Configuration(_) | Self::Invalid(_) | Self::Usage(_) => USAGE,
+            Self::Configuration(_) | Self::Invalid(_) | Self::Usage(_) | Self::Settings(_) => USAGE,
             Self::Io(_) | Self::Declined | Self::Refused(_) => FAILURE,
-            Self::Node(_) | Self::Standin(_) | Self::Experiment(_) => FAILURE,
+            Self::Node(_) | Self::Relay(_) | Self::Standin(_) | Self::Experiment(_) => FAILURE,
             Self::Conflict(_) => CONFLICT,
             Self::Unavailable(_) => UNAVAILABLE,
             Self::NotInForce(_) => NOT_IN_FORCE,
--- /dev/null
+++ b/crates/mustardstack/src/join.rs
@@ -0,0 +1,13 @@
+//! `mustardstack join`: runs an instance on the users' platform.
+
+use std::rc::Rc;
+
+use crate::error::Error;
+
+/// Runs an instance until it is told to stop.
+pub fn run() -> Result<(), Error> {
+    let settings = platform::load()?;
+    let reload = Box::new(|| platform::load().map_err(|error| error.to_string()));
+    relay::run(settings, Rc::new(platform::Platform::default()), reload)?;
+    Ok(())
+}
--- a/crates/mustardstack/src/main.rs
+++ b/crates/mustardstack/src/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod error;
 mod experiment;
+mod join;
 mod load;
 mod serve;
 mod standin;
@@ -37,6 +38,7 @@
 fn run(options: &Options) -> Result<(), Error> {
     match &options.command {
         Command::Serve(serve) => serve::run(serve),
+        Command::Join(_) => join::run(),
         Command::Check(check) => check::run(check),
         Command::Apply(apply) => block_on(apply::apply(apply)),
         Command::Status(status) => block_on(status::status(status)),
--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -24,6 +24,23 @@
             return out.push(Output::ChangeRefused { token });
         }
         let set = set.with_instance(old, new);
+        self.append_members(token, set, out);
+    }
+
+    pub(crate) fn on_add_voter(&mut self, token: u64, new: &FastStr, out: &mut Vec<Output>) {
+        if !self.is_leader() {
+            let leader = self.leader_instance();
+            return out.push(Output::NotLeader { token, leader });
+        }
+        let set = self.members.current();
+        if self.settled_members_index() == 0 || set.instances.contains(new) {
+            return out.push(Output::ChangeRefused { token });
+        }
+        let set = set.with_additional_instance(new);
+        self.append_members(token, set, out);
+    }
+
+    fn append_members(&mut self, token: u64, set: MemberSet, out: &mut Vec<Output>) {
         let index = self.append_own(EntryBody::Members(set), out);
         out.push(Output::Appended {
             token,
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -21,6 +21,8 @@
     members_index: u64,
     /// Latest member set received.
     members: MemberSet,
+    /// Instances that may know of the log, besides those of the member sets.
+    pub(crate) contacts: Vec<FastStr>,
     /// Member set with which this replica is founding the log.
     pub(crate) founding: Option<MemberSet>,
 }
@@ -32,6 +34,7 @@
             empty: BTreeMap::new(),
             members_index: 0,
             members: MemberSet::default(),
+            contacts: Vec::new(),
             founding: None,
         }
     }
@@ -74,6 +77,7 @@
             leader.joiners.push(Joiner {
                 id: from,
                 members_index,
+                heard_ms: self.now_ms,
             });
         }
         self.maintain_members(out);
@@ -165,7 +169,7 @@
         let known = self.join.members.instances.iter();
         let own = self.members.current().instances.iter();
         let mut contacts: Vec<FastStr> = self.settings.initial_voters.clone();
-        contacts.extend(known.chain(own).cloned());
+        contacts.extend(known.chain(own).chain(&self.join.contacts).cloned());
         contacts.sort_unstable();
         contacts.dedup();
         contacts.retain(|instance| *instance != self.settings.id.instance);
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -61,6 +61,13 @@
         set
     }
 
+    pub(crate) fn with_additional_instance(&self, new: &FastStr) -> Self {
+        let mut set = self.clone();
+        set.instances.push(new.clone());
+        set.instances.sort_unstable();
+        set
+    }
+
     pub(crate) fn with_instance(&self, old: &FastStr, new: &FastStr) -> Self {
         let mut set = self.clone();
         set.instances.retain(|instance| instance != old);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -178,6 +178,8 @@
         old: FastStr,
         new: FastStr,
     },
+    /// Lets `new` run a voter in addition to the present ones; answered like `ReplaceVoter`.
+    AddVoter { token: u64, new: FastStr },
     /// Asks for an index at which a current read may be served; answered by `Output::ReadReady` or `Output::NotLeader`.
     Read { token: u64 },
     /// The state machine's encoded state at `index`, in answer to `Output::TakeSnapshot`.
--- a/crates/quorum/src/peer.rs
+++ b/crates/quorum/src/peer.rs
@@ -115,6 +115,8 @@
     pub(crate) id: ReplicaId,
     /// Index of the member set that the replica has seen.
     pub(crate) members_index: u64,
+    /// When the replica asked.
+    pub(crate) heard_ms: u64,
 }
 
 /// State that only a leader has.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -144,6 +144,7 @@
             Input::Persisted { ticket } => self.on_persisted(ticket, out),
             Input::Propose { token, command } => self.on_propose(token, command, out),
             Input::ReplaceVoter { token, old, new } => self.on_replace(token, &old, &new, out),
+            Input::AddVoter { token, new } => self.on_add_voter(token, &new, out),
             Input::Read { token } => self.on_read(token, out),
             Input::StateAt { index, state } => self.on_state(index, state, out),
         }
@@ -152,6 +153,66 @@
         self.announce_leader(out);
     }
 
+    /// Names instances that may know of the log, for a replica that is in no member set yet.
+    pub fn set_contacts(&mut self, contacts: Vec<FastStr>) {
+        self.join.contacts = contacts;
+    }
+
+    /// Returns how long ago the known leader was heard from, in milliseconds; 0 on the leader.
+    pub fn leader_age_ms(&self) -> Option<u64> {
+        self.leader.as_ref()?;
+        match self.role {
+            Role::Leader(_) => Some(0),
+            _ => Some(self.now_ms - self.heard_leader_ms),
+        }
+    }
+
+    /// Returns, on the leader, the instances that asked to be let in within `max_age_ms` and are in no member set.
+    pub fn joiners(&self, max_age_ms: u64) -> Vec<FastStr> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let instances = &self.members.current().instances;
+        leader
+            .joiners
+            .iter()
+            .filter(|joiner| self.now_ms - joiner.heard_ms <= max_age_ms)
+            .map(|joiner| joiner.id.instance.clone())
+            .filter(|instance| !instances.contains(instance))
+            .collect()
+    }
+
+    /// Returns, on the leader, how long ago each instance of the member set was heard from, in milliseconds.
+    pub fn member_ages_ms(&self) -> Vec<(FastStr, u64)> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let age_ms = |instance: &FastStr| {
+            if *instance == self.settings.id.instance {
+                return 0;
+            }
+            let heard = leader
+                .peers
+                .iter()
+                .filter(|peer| peer.id.instance == *instance)
+                .map(|peer| peer.heard_ms);
+            let asked = leader
+                .joiners
+                .iter()
+                .filter(|joiner| joiner.id.instance == *instance)
+                .map(|joiner| joiner.heard_ms);
+            heard
+                .chain(asked)
+                .max()
+                .map_or(u64::MAX, |heard_ms| self.now_ms - heard_ms)
+        };
+        let instances = &self.members.current().instances;
+        instances
+            .iter()
+            .map(|instance| (instance.clone(), age_ms(instance)))
+            .collect()
+    }
+
     /// Returns the replica's state for `status` and metrics.
     pub fn status(&self) -> Status {
         Status {
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -77,6 +77,11 @@
         PeerMessage::Config {
             config, instances, ..
         } => state.follower.on_config(config.as_ref(), &instances),
+        // Subscriptions belong to instances that follow a platform; this one reports to the leader instead.
+        PeerMessage::Watch(_) | PeerMessage::WatchReply(_) => {
+            let text = format!("a subscription message of {from} is dropped");
+            log(effects, Level::Debug, Part::Fleet, text);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,106 @@
+//! Bodies of answers, and the refusals of the instance itself.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use gateway::{Refusal, RefusalReason};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// The body of a stream was broken off, so that the caller sees that the answer is not whole.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the answer was broken off")]
+pub struct BrokenOff;
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// A whole body; none once it has been taken.
+    Whole(Option<Bytes>),
+    /// Events as they arrive. It ends whole only after `None`.
+    Events(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl From<Bytes> for AnswerBody {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl http_body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|result| result.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer to a caller. No error leaves the service.
+pub type Answered = Result<Response<AnswerBody>, Infallible>;
+
+/// Returns the answer for a request that ends without an upstream's answer.
+pub fn refusal(refusal: Refusal) -> Response<AnswerBody> {
+    let status = match refusal.reason {
+        RefusalReason::NoConfiguration
+        | RefusalReason::NoUpstream
+        | RefusalReason::TooLate
+        | RefusalReason::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::Failed => StatusCode::BAD_GATEWAY,
+        RefusalReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let run = match refusal.reason.is_not_run() {
+        true => "not_run",
+        false => "unknown",
+    };
+    let reason = refusal.reason.name();
+    let body = format!("{{\"error\":{{\"code\":\"{reason}\"}},\"run\":\"{run}\"}}");
+    let mut response = json(status, body);
+    if refusal.reason.is_not_run() {
+        let seconds = refusal.retry_after_ms as f64 / 1_000.0;
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns an answer with a JSON body.
+pub fn json(status: StatusCode, body: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(Bytes::from(body)));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+/// Returns an answer that says why a call is refused.
+pub fn error(status: StatusCode, code: &str, message: &str) -> Response<AnswerBody> {
+    let body = format!("{{\"error\":{{\"code\":\"{code}\",\"message\":{message:?}}},\"run\":\"not_run\"}}");
+    json(status, body)
+}
--- /dev/null
+++ b/crates/relay/src/clock.rs
@@ -0,0 +1,38 @@
+//! The instance's clock.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// A clock that counts the time in which the machine was suspended, so that leases and deadlines end in time after it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start_ms: u64,
+}
+
+impl Clock {
+    /// Starts the clock. It never shows 0, which stands for "never".
+    pub fn start() -> Self {
+        Self {
+            start_ms: boottime_ms() - 1,
+        }
+    }
+
+    /// Returns the time since the start, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        boottime_ms() - self.start_ms
+    }
+
+    /// Returns the instant of the runtime's clock at which this one shows `deadline_ms`, unless the machine is suspended
+    /// before.
+    pub fn instant(&self, deadline_ms: u64) -> Instant {
+        let left_ms = deadline_ms.saturating_sub(self.now_ms());
+        Instant::now() + Duration::from_millis(left_ms)
+    }
+}
+
+fn boottime_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
--- /dev/null
+++ b/crates/relay/src/http.rs
@@ -0,0 +1,104 @@
+//! HTTP listeners.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use conf::Name;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer::{Answered, AnswerBody};
+use crate::error::Error;
+use crate::logs::{self, Importance};
+use crate::pool::watch_over;
+
+/// Pause after a failed accept. The usual reason, no free file descriptors, passes with time.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// Tells connections to close after the present answer.
+pub type Stop = watch::Receiver<bool>;
+
+/// Bounds on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Largest head, in bytes.
+    pub header_bytes: usize,
+    /// Time for a head, which includes the idle time before it.
+    pub head_timeout: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            head_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Opens a listener.
+///
+/// # Errors
+/// Fails if the address cannot be used.
+pub async fn listen(listener: &'static str, address: &Name) -> Result<TcpListener, Error> {
+    TcpListener::bind(address.as_str())
+        .await
+        .map_err(|source| Error::Bind {
+            listener,
+            address: address.clone(),
+            source,
+        })
+}
+
+/// Serves connections until the task is dropped. `bounds` is asked for each connection.
+pub async fn serve<H, F>(socket: TcpListener, bounds: impl Fn() -> Bounds, handle: H, stop: Stop)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let handle = Rc::new(handle);
+    loop {
+        match socket.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, bounds(), handle.clone(), stop.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(error) => {
+                logs::line(Importance::Belief, "http", &format!("accept=failed reason={error:?}"));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, bounds: Bounds, handle: Rc<H>, mut stop: Stop)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    watch_over(&stream);
+    let service = service_fn(move |request| {
+        let handle = handle.clone();
+        async move { Answered::Ok(handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.head_timeout)
+        .max_buf_size(bounds.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // Errors here are those of the caller's connection; the exchange sees them as a caller that has left.
+    tokio::select! {
+        _ = &mut connection => return,
+        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,65 @@
+//! The runtime of instances that forward requests unchanged: listeners, connections to upstreams, peers, disk and logs
+//! around the reducers of `gateway`.
+#![forbid(unsafe_code)]
+
+mod answer;
+mod call;
+mod caller;
+mod clock;
+mod control;
+pub mod dialect;
+mod entry;
+mod error;
+mod http;
+mod listing;
+pub mod logs;
+mod peers;
+mod pool;
+pub mod settings;
+mod shutdown;
+mod stream;
+mod telemetry;
+
+pub use dialect::{Dialect, Headers, ListingPage, Paths};
+pub use error::Error;
+pub use settings::{Role, Settings};
+
+use std::rc::Rc;
+
+/// Runs an instance until it is told to stop and has finished its work.
+///
+/// # Errors
+/// Fails if a listener, the disk or a thread cannot be set up, or if the disk fails later.
+pub fn run(settings: Settings, dialect: Rc<dyn Dialect>, reload: Reload) -> Result<(), Error> {
+    let logs = logs::install(&settings)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::os("cannot start the runtime"))?;
+    let local = tokio::task::LocalSet::new();
+    logs::line(logs::Importance::Failure, "process", &format!(
+        "outcome=started instance={} zone={} role={}",
+        settings.info.id,
+        settings.info.availability_zone,
+        settings.role.name(),
+    ));
+    let result = local.block_on(&runtime, async {
+        let drain = tokio::task::spawn_local(logs::drain(logs.clone()));
+        let result = match settings.role {
+            Role::Entry => entry::run(settings, dialect, reload).await,
+            Role::Control => control::run(settings, dialect, reload).await,
+        };
+        drain.abort();
+        result
+    });
+    let outcome = match &result {
+        Ok(()) => "stopped".to_owned(),
+        Err(error) => format!("failed reason={:?}", error.to_string()),
+    };
+    logs::line(logs::Importance::Failure, "process", &format!("outcome={outcome}"));
+    logs.finish();
+    result
+}
+
+/// Reads the settings again.
+pub type Reload = Box<dyn Fn() -> Result<Settings, String>>;
--- /dev/null
+++ b/crates/relay/src/listing.rs
@@ -0,0 +1,76 @@
+//! Reading the platform's list of upstreams.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use conf::Name;
+use fleet::UpstreamRecord;
+use http::Request;
+use http::header::HOST;
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::logs::{self, Importance};
+use crate::pool::Pool;
+
+/// Time allowed for a page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest page, in bytes.
+const PAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Pages that a list may have, so that a list that never ends is noticed.
+const MAX_PAGES: usize = 200;
+
+/// Reads all pages of the list.
+///
+/// # Errors
+/// Returns why the list could not be read in full.
+pub async fn read(
+    pool: &Pool,
+    address: &Name,
+    dialect: &Rc<dyn Dialect>,
+) -> Result<Vec<UpstreamRecord>, String> {
+    let mut upstreams = Vec::new();
+    let mut page_token: Option<String> = None;
+    for _ in 0..MAX_PAGES {
+        let path = dialect.listing_path(page_token.as_deref());
+        let body = get(pool, address, &path).await?;
+        let page = dialect.listing(&body)?;
+        for reason in &page.unreadable {
+            let text = format!("list_entry=unreadable reason={reason:?} outcome=skipped");
+            logs::line(Importance::Step, "list", &text);
+        }
+        upstreams.extend(page.upstreams);
+        match page.next {
+            Some(next) => page_token = Some(next),
+            None => return Ok(upstreams),
+        }
+    }
+    Err(format!("the list has more than {MAX_PAGES} pages"))
+}
+
+async fn get(pool: &Pool, address: &Name, path: &str) -> Result<Bytes, String> {
+    let deadline = Instant::now() + PAGE_TIMEOUT;
+    let exchange = async {
+        let mut connection = pool.connection(address, false, deadline).await?;
+        let request = Request::get(path)
+            .header(HOST, address.as_str())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| error.to_string())?;
+        let sent = connection.sender.send_request(request).await;
+        let response = sent.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), PAGE_BYTES);
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        if !status.is_success() {
+            return Err(format!("status {status}"));
+        }
+        pool.put(address, connection, None);
+        Ok(body.to_bytes())
+    };
+    match tokio::time::timeout_at(deadline, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err("no answer in time".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/telemetry.rs
@@ -0,0 +1,38 @@
+//! The metrics listener.
+
+use bytes::Bytes;
+use conf::Name;
+use http::{Response, StatusCode};
+use node::telemetry::Telemetry;
+use tokio::sync::watch;
+
+use crate::answer::{self, AnswerBody};
+use crate::error::Error;
+use crate::http::{Bounds, listen, serve};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the metrics of the process in the background.
+///
+/// # Errors
+/// Fails if the recorder or the listener cannot be set up.
+pub async fn start(address: &Name) -> Result<(), Error> {
+    let telemetry = Telemetry::install()?;
+    let socket = listen("metrics", address).await?;
+    let (sender, stop) = watch::channel(false);
+    let handle = move |request: http::Request<hyper::body::Incoming>| {
+        let telemetry = telemetry.clone();
+        async move {
+            match request.uri().path() {
+                METRICS_PATH => Response::new(AnswerBody::from(Bytes::from(telemetry.render()))),
+                _ => answer::error(StatusCode::NOT_FOUND, "unknown_path", "only /metrics is served"),
+            }
+        }
+    };
+    tokio::task::spawn_local(async move {
+        serve(socket, Bounds::default, handle, stop).await;
+        drop(sender);
+    });
+    Ok(())
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -42,9 +42,51 @@
       config @11 :ConfigRevision;
       instances @12 :List(InstanceInfo);
     }
+    watch @14 :Watch;
+    watchReply @15 :WatchReply;
   }
 }
 
+# Subscription of an instance to a replica, and what it carries for other entries.
+struct Watch {
+  info @0 :InstanceInfo;
+  sequence @1 :UInt64;
+  acceptsCallers @2 :Bool;
+  version @3 :UInt64;
+  listing @4 :UInt64;
+  backlog @5 :List(Backlog);
+}
+
+struct WatchReply {
+  sequence @0 :UInt64;
+  isCurrent @1 :Bool;
+  version @2 :UInt64;
+  document @3 :Data;
+  listing @4 :UInt64;
+  hasUpstreams @5 :Bool;
+  upstreams @6 :List(UpstreamRecord);
+  replicas @7 :List(InstanceInfo);
+  entries @8 :UInt32;
+  backlog @9 :List(Backlog);
+}
+
+struct Backlog {
+  upstream @0 :Text;
+  running @1 :UInt32;
+  promptTokens @2 :List(UInt32);
+}
+
+struct UpstreamRecord {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  availabilityZone @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  bornMs @6 :UInt64;
+  role @7 :Role;
+}
+
 struct ReplicaId {
   instance @0 :Text;
   storageId @1 :UInt64;
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -108,7 +108,7 @@
     })
 }
 
-fn write_role(role: Option<Role>) -> schema::Role {
+pub fn write_role(role: Option<Role>) -> schema::Role {
     match role {
         None => schema::Role::Unset,
         Some(Role::Prefill) => schema::Role::Prefill,
@@ -117,7 +117,7 @@
     }
 }
 
-fn read_role(role: schema::Role) -> Option<Role> {
+pub fn read_role(role: schema::Role) -> Option<Role> {
     match role {
         schema::Role::Unset => None,
         schema::Role::Prefill => Some(Role::Prefill),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 mod message;
 mod quorum;
 mod reply;
+mod watch;
 
 #[allow(clippy::all)]
 pub mod peer_capnp;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -14,6 +14,7 @@
 use crate::peer_capnp as schema;
 use crate::quorum::{read_message, read_replica, write_message, write_replica};
 use crate::reply::{read_propose_reply, write_propose_reply};
+use crate::watch::{read_watch, read_watch_reply, write_watch, write_watch_reply};
 
 /// Encodes a message to another instance.
 ///
@@ -72,6 +73,8 @@
                 write_revision(config, builder.init_config());
             }
         }
+        PeerMessage::Watch(watch) => write_watch(watch, root.init_watch()),
+        PeerMessage::WatchReply(reply) => write_watch_reply(reply, root.init_watch_reply()),
     }
 }
 
@@ -107,5 +110,7 @@
                 .map(read_info)
                 .collect::<Result<_, _>>()?,
         },
+        p::Watch(watch) => PeerMessage::Watch(read_watch(watch?)?),
+        p::WatchReply(reply) => PeerMessage::WatchReply(read_watch_reply(reply?)?),
     })
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2470,7 +2470,8 @@
 
 pub mod peer_message {
     pub use self::Which::{
-        AskConfig, Config, Digest, Propose, ProposeReply, Quorum, Report, ReportReply,
+        AskConfig, Config, Digest, Propose, ProposeReply, Quorum, Report, ReportReply, Watch,
+        WatchReply,
     };
 
     #[derive(Copy, Clone)]
@@ -2604,6 +2605,20 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_watch(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 8 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_watch_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 9 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Quorum(self.reader.into())),
@@ -2634,6 +2649,18 @@
                 )),
                 6 => ::core::result::Result::Ok(AskConfig(self.reader.into())),
                 7 => ::core::result::Result::Ok(Config(self.reader.into())),
+                8 => ::core::result::Result::Ok(Watch(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                9 => ::core::result::Result::Ok(WatchReply(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -2865,6 +2892,54 @@
             self.builder.into()
         }
         #[inline]
+        pub fn set_watch(
+            &mut self,
+            value: crate::peer_capnp::watch::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 8);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_watch(self) -> crate::peer_capnp::watch::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 8);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_watch(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 8 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_watch_reply(
+            &mut self,
+            value: crate::peer_capnp::watch_reply::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_watch_reply(self) -> crate::peer_capnp::watch_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_watch_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 9 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Quorum(self.builder.into())),
@@ -2895,6 +2970,18 @@
                 )),
                 6 => ::core::result::Result::Ok(AskConfig(self.builder.into())),
                 7 => ::core::result::Result::Ok(Config(self.builder.into())),
+                8 => ::core::result::Result::Ok(Watch(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                9 => ::core::result::Result::Ok(WatchReply(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -2912,80 +2999,94 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 147] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(149, 95, 6, 10, 93, 61, 110, 136),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 8, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 10, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 101, 114, 77),
             ::capnp::word(101, 115, 115, 97, 103, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(143, 205, 58, 166, 252, 135, 108, 252),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(123, 73, 14, 252, 229, 6, 164, 246),
-            ::capnp::word(189, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(34, 53, 225, 16, 92, 59, 19, 216),
-            ::capnp::word(201, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(201, 79, 82, 174, 47, 56, 52, 186),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(113, 117, 111, 114, 117, 109, 0, 0),
             ::capnp::word(112, 114, 111, 112, 111, 115, 101, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3029,6 +3130,23 @@
             ::capnp::word(97, 115, 107, 67, 111, 110, 102, 105),
             ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
+            ::capnp::word(119, 97, 116, 99, 104, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 116, 99, 104, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3040,6 +3158,8 @@
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::load_digest::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::peer_capnp::peer_message::ask_config::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::peer_message::config::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::watch::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::watch_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3059,11 +3179,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 5, 1, 2, 0, 3, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 7, 5, 1, 2, 0, 3, 4, 8, 9];
         pub(crate) const TYPE_ID: u64 = 0x886e_3d5d_0a06_5f95;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
         Quorum(A0),
         Propose(A1),
         ProposeReply(A2),
@@ -3072,6 +3192,8 @@
         Digest(A5),
         AskConfig(A6),
         Config(A7),
+        Watch(A8),
+        WatchReply(A9),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::peer_message::quorum::Reader<'a>,
@@ -3082,6 +3204,8 @@
         ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::load_digest::Owned>>,
         crate::peer_capnp::peer_message::ask_config::Reader<'a>,
         crate::peer_capnp::peer_message::config::Reader<'a>,
+        ::capnp::Result<crate::peer_capnp::watch::Reader<'a>>,
+        ::capnp::Result<crate::peer_capnp::watch_reply::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::peer_message::quorum::Builder<'a>,
@@ -3092,6 +3216,8 @@
         ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::load_digest::Owned>>,
         crate::peer_capnp::peer_message::ask_config::Builder<'a>,
         crate::peer_capnp::peer_message::config::Builder<'a>,
+        ::capnp::Result<crate::peer_capnp::watch::Builder<'a>>,
+        ::capnp::Result<crate::peer_capnp::watch_reply::Builder<'a>>,
     >;
 
     pub mod quorum {
@@ -4709,6 +4835,2174 @@
     }
 }
 
+pub mod watch {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_info(self) -> ::capnp::Result<crate::peer_capnp::instance_info::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_info(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_accepts_callers(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_listing(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_backlog(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::backlog::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_backlog(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 4,
+                pointers: 2,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_info(self) -> ::capnp::Result<crate::peer_capnp::instance_info::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_info(
+            &mut self,
+            value: crate::peer_capnp::instance_info::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_info(self) -> crate::peer_capnp::instance_info::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_info(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_accepts_callers(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_accepts_callers(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_listing(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_listing(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_backlog(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_backlog(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::backlog::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_backlog(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_backlog(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {
+        pub fn get_info(&self) -> crate::peer_capnp::instance_info::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 101, 112, 116, 115, 67),
+            ::capnp::word(97, 108, 108, 101, 114, 115, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::instance_info::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 0, 4, 1, 3];
+        pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
+    }
+}
+
+pub mod watch_reply {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_is_current(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_document(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_listing(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_has_upstreams(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_upstreams(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_record::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_upstreams(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_replicas(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::instance_info::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_replicas(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_backlog(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::backlog::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_backlog(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 4,
+                pointers: 4,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_is_current(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_is_current(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_document(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_document(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_document(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_listing(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_listing(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_has_upstreams(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_has_upstreams(&mut self, value: bool) {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_upstreams(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_upstreams(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::upstream_record::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_upstreams(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_upstreams(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_replicas(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_replicas(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::instance_info::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_replicas(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_replicas(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_entries(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_backlog(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_backlog(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::backlog::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_backlog(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(3),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_backlog(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 185] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
+            ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 67, 117, 114, 114, 101, 110),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 85, 112, 115, 116, 114),
+            ::capnp::word(101, 97, 109, 115, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 3, 8, 5, 1, 4, 7, 0, 6, 2];
+        pub(crate) const TYPE_ID: u64 = 0xc761_f241_21bd_b018;
+    }
+}
+
+pub mod backlog {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_prompt_tokens(
+            self,
+        ) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_prompt_tokens(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 2,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_upstream(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_upstream(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_prompt_tokens(
+            self,
+        ) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_prompt_tokens(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_prompt_tokens(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_prompt_tokens(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 66, 97, 99, 107, 108),
+            ::capnp::word(111, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xc45d_b174_77a5_e84c;
+    }
+}
+
+pub mod upstream_record {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_availability_zone(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
+        #[inline]
+        pub fn get_born_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_role(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::Role, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(3))
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 4,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_address(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_availability_zone(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_availability_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_availability_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_slots(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_draining(&mut self, value: bool) {
+            self.builder.set_bool_field(32, value);
+        }
+        #[inline]
+        pub fn get_born_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_born_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_role(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::Role, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(3))
+        }
+        #[inline]
+        pub fn set_role(&mut self, value: crate::peer_capnp::Role) {
+            self.builder.set_data_field::<u16>(3, value as u16);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 85, 112, 115, 116, 114),
+            ::capnp::word(101, 97, 109, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 118, 97, 105, 108, 97, 98, 105),
+            ::capnp::word(108, 105, 116, 121, 90, 111, 110, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 114, 97, 105, 110, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 77, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 108, 101, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(63, 231, 243, 46, 34, 83, 173, 133),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::Role as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 6, 5, 0, 7, 1, 4];
+        pub(crate) const TYPE_ID: u64 = 0xe7fa_793e_462d_0785;
+    }
+}
+
 pub mod replica_id {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -72,7 +72,7 @@
 }
 
 fn message(g: &mut Gen) -> PeerMessage {
-    match below(g, 8) {
+    match below(g, 10) {
         0 => PeerMessage::Quorum {
             from: replica(g),
             to: replica(g),
@@ -97,6 +97,8 @@
             token: number(g),
             info: info(g),
         },
+        7 => PeerMessage::Watch(watch(g)),
+        8 => PeerMessage::WatchReply(watch_reply(g)),
         _ => PeerMessage::Config {
             token: number(g),
             config: option(g, revision),
@@ -105,6 +107,52 @@
     }
 }
 
+fn watch(g: &mut Gen) -> Watch {
+    Watch {
+        info: info(g),
+        sequence: number(g),
+        accepts_callers: flag(g),
+        version: number(g),
+        listing: number(g),
+        backlog: list(g, backlog),
+    }
+}
+
+fn watch_reply(g: &mut Gen) -> WatchReply {
+    WatchReply {
+        sequence: number(g),
+        is_current: flag(g),
+        version: number(g),
+        document: option(g, bytes),
+        listing: number(g),
+        upstreams: option(g, |g| list(g, upstream_record)),
+        replicas: list(g, info),
+        entries: u32::arbitrary(g),
+        backlog: list(g, backlog),
+    }
+}
+
+fn backlog(g: &mut Gen) -> Backlog {
+    Backlog {
+        upstream: name(g),
+        running: u32::arbitrary(g),
+        prompt_tokens: Vec::arbitrary(g),
+    }
+}
+
+fn upstream_record(g: &mut Gen) -> UpstreamRecord {
+    UpstreamRecord {
+        id: name(g),
+        service: name(g),
+        address: name(g),
+        availability_zone: name(g),
+        slots: u32::arbitrary(g),
+        draining: flag(g),
+        born_ms: number(g),
+        role: option(g, |g| *g.choose(&[Role::Prefill, Role::Decode, Role::Mixed]).unwrap()),
+    }
+}
+
 fn demand(g: &mut Gen) -> fleet::ServiceDemand {
     fleet::ServiceDemand {
         service: name(g),
