Keep the prompts of streams away from engines that generate

Cause: an engine that generates and reads prompts takes 46 ms a step, so that events of seven tokens come 320 ms apart and 361 of 508 short questions were late.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -28,9 +28,9 @@
 /// Objectives after which a repeatable request without an answer is tried elsewhere.
 const HEAD_OBJECTIVES: u64 = 2;
 /// Expected times of a prefill call after which it is tried elsewhere.
-const PREFILL_PATIENCE: f64 = 4.0;
-/// Shortest time allowed for a prefill call, in milliseconds.
-const PREFILL_MIN_MS: f64 = 700.0;
+const PREFILL_PATIENCE: f64 = 3.0;
+/// Time allowed for a prefill call besides the expected one, in milliseconds: other entries' work may go first.
+const PREFILL_SLACK_MS: f64 = 2_000.0;
 /// Share of the time left within which a caller is told to come back.
 const RETRY_AFTER_SHARE: u64 = 3;
 /// Shortest wait that a caller is told, in milliseconds.
@@ -819,7 +819,7 @@
 ) -> Option<u64> {
     if *task == Task::Prefill {
         let patience_ms = expected_ms.unwrap_or(0.0) * PREFILL_PATIENCE;
-        return Some(now_ms + patience_ms.max(PREFILL_MIN_MS) as u64);
+        return Some(now_ms + (patience_ms + PREFILL_SLACK_MS) as u64);
     }
     let request = &open.request;
     let can_repeat = request.kind.is_repeatable() && open.runs + 1 < request.max_attempts;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,8 +15,8 @@
 const HANDOFF_MS: f64 = 25.0;
 /// Cost of leaving the availability zone, in milliseconds. Bytes between zones are dear.
 const ZONE_MS: f64 = 400.0;
-/// Delay that a decode engine's own prefill causes to the streams that run there, as a share of its time.
-const INTERFERENCE_SHARE: f64 = 0.5;
+/// Cost of a decode engine's own prefill, in milliseconds: it delays the events of all streams that run there.
+const INTERFERENCE_MS: f64 = 400.0;
 /// Share of a prompt's shared tokens that its home engine is expected to hold, if this entry has not used it there:
 /// other entries send the same prompts to the same home.
 const HOME_CACHED_SHARE: f64 = 0.7;
@@ -117,7 +117,8 @@
         let work_ms = f64::from(tokens) / speed;
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_MS,
-            _ => work_ms * INTERFERENCE_SHARE,
+            Some(Role::Decode) => INTERFERENCE_MS,
+            _ => 0.0,
         };
         let cost_ms = wait_ms
             + work_ms
