Let the leader order which engines compute prompts and which generate

Cause: two of three engines of a zone generated, so that one engine read all prompts; generating takes little.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,6 +8,7 @@
 use fleet::{Backlog, InstanceInfo, PeerMessage, UpstreamRecord, Watch, WatchReply};
 use quorum::{EntryBody, Input, Output, Recovered, Replica, ReplicaId, ReplicaSettings, Write};
 
+use crate::stages::{RoleOrder, Stages};
 use crate::voters::{self, Candidates, VoterChange};
 
 /// Interval of the leader's heartbeats, in milliseconds. Several fit into an election timeout on a lossy link.
@@ -33,6 +34,11 @@
 /// Interval between two decisions on the member set, in milliseconds.
 const VOTER_CHANGE_INTERVAL_MS: u64 = 500;
 
+/// Time for which a new leader gives no orders, in milliseconds, besides the lease of the holder before it.
+const ORDER_QUIET_MARGIN_MS: u64 = 1_000;
+/// Interval of decisions on roles, in milliseconds.
+const STAGE_INTERVAL_MS: u64 = 500;
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug, Default)]
 pub struct ControlSettings {
@@ -46,6 +52,8 @@
     pub contacts: Vec<InstanceInfo>,
     /// Voters to reach.
     pub target_voters: usize,
+    /// Time for which a holder of the right to give orders keeps it, in milliseconds.
+    pub order_lease_ms: u64,
     /// Seed of election timeouts.
     pub seed: u64,
 }
@@ -71,6 +79,25 @@
     Listed { upstreams: Vec<UpstreamRecord> },
     /// The platform's list could not be read.
     ListingFailed { reason: String },
+    /// An engine has answered an order, or has not.
+    Ordered {
+        upstream: Name,
+        term: u64,
+        outcome: OrderOutcome,
+    },
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The engine carries it out, or it holds already.
+    Accepted,
+    /// The engine refuses it now.
+    Refused,
+    /// The engine has seen a higher fencing token.
+    Fenced,
+    /// There was no answer; the order may still be carried out.
+    Unknown,
 }
 
 /// Answer to an operator's call.
@@ -101,6 +128,8 @@
     Answer { call: u64, answer: Answer },
     /// Read the platform's list.
     ReadList,
+    /// Order an engine to change its role, with the term as fencing token.
+    Order { term: u64, order: RoleOrder },
     /// Write a log line.
     Log { text: String },
 }
@@ -153,6 +182,12 @@
     replicas: Map<Name, (InstanceInfo, u32)>,
     next_watch_ms: u64,
     next_change_ms: u64,
+    stages: Stages,
+    next_stages_ms: u64,
+    /// Term in which this replica leads, and since when.
+    leads_since: Option<(u64, u64)>,
+    /// Term in which an engine has seen a higher fencing token: no more orders are given in it.
+    fenced_term: u64,
     sequence: u64,
     calls: Map<u64, (u64, Call)>,
     outputs: Vec<Output>,
@@ -196,6 +231,10 @@
             watchers: Map::default(),
             next_watch_ms: now_ms,
             next_change_ms: now_ms,
+            stages: Stages::default(),
+            next_stages_ms: now_ms,
+            leads_since: None,
+            fenced_term: 0,
             sequence: 0,
             calls: Map::default(),
             outputs: Vec::new(),
@@ -219,6 +258,16 @@
                 self.confirm(now_ms, call, Read::Describe);
             }
             ControlEvent::Listed { upstreams } => self.on_listed(now_ms, upstreams, effects),
+            ControlEvent::Ordered {
+                upstream,
+                term,
+                outcome,
+            } => {
+                if outcome == OrderOutcome::Fenced {
+                    self.fenced_term = self.fenced_term.max(term);
+                }
+                log(effects, format!("upstream={upstream} term={term} order={outcome:?}"));
+            }
             ControlEvent::ListingFailed { reason } => log(
                 effects,
                 format!(
@@ -273,6 +322,48 @@
             self.next_change_ms = now_ms + VOTER_CHANGE_INTERVAL_MS;
             self.change_voters(effects);
         }
+        if now_ms >= self.next_stages_ms {
+            self.next_stages_ms = now_ms + STAGE_INTERVAL_MS;
+            self.order_stages(now_ms, effects);
+        }
+    }
+
+    /// Orders roles, once the orders of an earlier leader cannot be under way any more.
+    fn order_stages(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
+        let status = self.replica.status();
+        if !status.is_leader {
+            self.leads_since = None;
+            return;
+        }
+        let since = match self.leads_since {
+            Some((term, since_ms)) if term == status.term => since_ms,
+            _ => {
+                self.leads_since = Some((status.term, now_ms));
+                self.stages = Stages::default();
+                now_ms
+            }
+        };
+        let quiet_ms = self.settings.order_lease_ms + ORDER_QUIET_MARGIN_MS;
+        let is_listed = self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS;
+        if now_ms - since < quiet_ms || !is_listed || self.fenced_term == status.term {
+            return;
+        }
+        for order in self.stages.next_orders(now_ms, &self.upstreams) {
+            log(
+                effects,
+                format!(
+                    "upstream={} role={:?} term={} decision=order listing_age_ms={}",
+                    order.upstream,
+                    order.role,
+                    status.term,
+                    self.listing_age_ms(now_ms)
+                ),
+            );
+            effects.push(ControlEffect::Order {
+                term: status.term,
+                order,
+            });
+        }
     }
 
     fn change_voters(&mut self, effects: &mut Vec<ControlEffect>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod place;
+pub mod stages;
 pub mod subscription;
 pub mod upstream;
 pub mod voters;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,7 +8,7 @@
 use gateway::exchange::Task;
 use gateway::{Attempt, Outcome};
 use http::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, HeaderName, PROXY_AUTHENTICATE,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
@@ -22,6 +22,8 @@
 
 /// Largest answer of a plain service, in bytes. It is held in memory until it is known to be whole.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Time allowed for freeing a handle.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Header that states for how long an idle connection is kept.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Header of connections through a proxy, which concerns one connection only.
@@ -160,20 +162,18 @@
     }
 
     /// Frees the memory of a handle that will not be used.
-    pub async fn free(&self, address: &Name, handle: &str, deadline: Instant) -> Result<(), String> {
-        let connection = self.pool.connection(address, false, deadline).await?;
-        let request = Request::delete(self.dialect.handle_path(handle))
-            .header(HOST, address.as_str())
-            .body(Full::new(Bytes::new()))
-            .map_err(|error| error.to_string())?;
-        let sent = send(connection, request, deadline).await;
-        let (response, connection) = sent.map_err(|failed| failed.reason)?;
-        let idle = keep_alive(response.headers());
-        let body = timeout_at(deadline, response.into_body().collect()).await;
-        body.map_err(|_| "no answer in time".to_owned())?
-            .map_err(|error| error.to_string())?;
-        self.keep(address, connection, idle);
-        Ok(())
+    ///
+    /// # Errors
+    /// Returns why the engine did not confirm it.
+    pub async fn free(&self, address: &Name, handle: &str) -> Result<(), String> {
+        let path = self.dialect.handle_path(handle);
+        let request = Request::delete(path).body(Full::new(Bytes::new()));
+        let request = request.map_err(|error| error.to_string())?;
+        let (status, _) = self.pool.exchange(address, request, FREE_TIMEOUT).await?;
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(format!("status {status}")),
+        }
     }
 
     fn request(
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use conf::Map;
 use disk::Opened;
-use gateway::control::{Answer, Control, ControlEffect, ControlEvent, ControlSettings};
+use gateway::control::{
+    Answer, Control, ControlEffect, ControlEvent, ControlSettings, OrderOutcome,
+};
+use gateway::stages::RoleOrder;
 use http::header::LOCATION;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -24,6 +27,7 @@
 use crate::error::Error;
 use crate::http::{Bounds, listen, serve};
 use crate::listing;
+use crate::orders;
 use crate::logs::{self, Importance};
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
@@ -83,6 +87,7 @@
                 }
             }
             ControlEffect::ReadList => self.read_list(),
+            ControlEffect::Order { term, order } => self.order(term, order),
             ControlEffect::Log { text } => logs::line(Importance::Belief, "control", &text),
         }
     }
@@ -106,6 +111,26 @@
         });
     }
 
+    fn order(&self, term: u64, order: RoleOrder) {
+        let Some(shell) = self.this.borrow().upgrade() else {
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            let holder = &shell.settings.info.id;
+            let given = orders::give(&shell.pool, &shell.dialect, holder, term, &order).await;
+            let outcome = given.unwrap_or_else(|reason| {
+                let text = format!("upstream={} order=unanswered reason={reason:?}", order.upstream);
+                logs::line(Importance::Belief, "control", &text);
+                OrderOutcome::Unknown
+            });
+            shell.step(ControlEvent::Ordered {
+                upstream: order.upstream,
+                term,
+                outcome,
+            });
+        });
+    }
+
     async fn call(&self, event: impl FnOnce(u64) -> ControlEvent) -> Answer {
         let call = self.next_call.get() + 1;
         self.next_call.set(call);
@@ -155,6 +180,7 @@
             founders: settings.founders.clone(),
             contacts: settings.contacts.clone(),
             target_voters: settings.target_voters,
+            order_lease_ms: settings.order_lease_ms,
             seed: storage_id,
         },
         recovered,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,6 +1,6 @@
 //! The border to a platform's wire format.
 
-use conf::Name;
+use conf::{Name, Role};
 use fleet::UpstreamRecord;
 use gateway::{Config, Invalid, Prompt};
 use http::{HeaderMap, HeaderName};
@@ -52,6 +52,17 @@
     pub next: Option<String>,
 }
 
+/// State of an engine as it says itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Present role.
+    pub role: Role,
+    /// Orders accepted since its start.
+    pub sequence: u64,
+    /// Whether an order is being carried out.
+    pub is_changing: bool,
+}
+
 /// A platform's wire format, decoded once at the border.
 pub trait Dialect {
     /// Returns the names of headers.
@@ -84,6 +95,21 @@
     /// Returns the value of the stage header that asks for the prompt only.
     fn prefill_stage(&self) -> &'static str;
 
+    /// Returns the path of an engine's state.
+    fn report_path(&self) -> &'static str;
+
+    /// Decodes an engine's state.
+    ///
+    /// # Errors
+    /// Returns why it cannot be read.
+    fn report(&self, body: &[u8]) -> Result<EngineReport, String>;
+
+    /// Returns the path of orders to engines.
+    fn order_path(&self) -> &'static str;
+
+    /// Encodes an order to change the role, valid only while the engine has accepted `sequence` orders.
+    fn order(&self, role: Role, holder: &str, fence: u64, sequence: u64) -> String;
+
     /// Decodes the handle in the answer to a prefill call.
     fn handle(&self, body: &[u8]) -> Option<Name>;
 
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -12,7 +12,7 @@
 use http::{Response, StatusCode};
 use reducer::Event;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::answer;
 use crate::call::Client;
@@ -36,8 +36,6 @@
 const LINGER: Duration = Duration::from_millis(3_000);
 /// Time before the end of the grace period at which a stopping instance gives up.
 const GRACE_MARGIN_MS: u64 = 400;
-/// Time allowed for freeing a handle.
-const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The reducer with what its effects act on. Used on one thread.
 pub struct Shell {
@@ -103,8 +101,7 @@
                     return;
                 };
                 tokio::task::spawn_local(async move {
-                    let deadline = Instant::now() + FREE_TIMEOUT;
-                    if let Err(reason) = shell.client.free(&address, &handle, deadline).await {
+                    if let Err(reason) = shell.client.free(&address, &handle).await {
                         let text = format!("handle={handle} address={address} outcome=not_freed reason={reason:?}");
                         logs::line(Importance::Belief, "entry", &text);
                     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 mod listing;
 pub mod logs;
+mod orders;
 mod peers;
 mod pool;
 pub mod settings;
@@ -20,7 +21,7 @@
 mod stream;
 mod telemetry;
 
-pub use dialect::{Dialect, Headers, ListingPage, Paths};
+pub use dialect::{Dialect, EngineReport, Headers, ListingPage, Paths};
 pub use error::Error;
 pub use settings::{Role, Settings};
 
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -7,9 +7,7 @@
 use conf::Name;
 use fleet::UpstreamRecord;
 use http::Request;
-use http::header::HOST;
-use http_body_util::{BodyExt, Full, Limited};
-use tokio::time::Instant;
+use http_body_util::Full;
 
 use crate::dialect::Dialect;
 use crate::logs::{self, Importance};
@@ -17,8 +15,6 @@
 
 /// Time allowed for a page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Largest page, in bytes.
-const PAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Pages that a list may have, so that a list that never ends is noticed.
 const MAX_PAGES: usize = 200;
 
@@ -51,26 +47,11 @@
 }
 
 async fn get(pool: &Pool, address: &Name, path: &str) -> Result<Bytes, String> {
-    let deadline = Instant::now() + PAGE_TIMEOUT;
-    let exchange = async {
-        let mut connection = pool.connection(address, false, deadline).await?;
-        let request = Request::get(path)
-            .header(HOST, address.as_str())
-            .body(Full::new(Bytes::new()))
-            .map_err(|error| error.to_string())?;
-        let sent = connection.sender.send_request(request).await;
-        let response = sent.map_err(|error| error.to_string())?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), PAGE_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
-        if !status.is_success() {
-            return Err(format!("status {status}"));
-        }
-        pool.put(address, connection, None);
-        Ok(body.to_bytes())
-    };
-    match tokio::time::timeout_at(deadline, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
+    let request = Request::get(path).body(Full::new(Bytes::new()));
+    let request = request.map_err(|error| error.to_string())?;
+    let (status, body) = pool.exchange(address, request, PAGE_TIMEOUT).await?;
+    match status.is_success() {
+        true => Ok(body),
+        false => Err(format!("status {status}")),
     }
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use conf::{Map, Name};
-use http_body_util::Full;
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -30,6 +32,9 @@
 /// Probes without an answer after which a connection counts as dead.
 const PROBES: u32 = 2;
 
+/// Largest answer to a call of the instance's own, in bytes.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Idle connections by address. Used on one thread.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -80,6 +85,33 @@
         }
     }
 
+    /// Makes a small call of the instance's own and returns the status and the whole body.
+    ///
+    /// # Errors
+    /// Returns why there is no whole answer in time. The call may have been carried out.
+    pub async fn exchange(
+        &self,
+        address: &Name,
+        mut request: Request<Full<Bytes>>,
+        time_limit: Duration,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let deadline = Instant::now() + time_limit;
+        let host = HeaderValue::from_str(address).map_err(|error| error.to_string())?;
+        request.headers_mut().insert(HOST, host);
+        let exchange = async {
+            let mut connection = self.connection(address, false, deadline).await?;
+            let sent = connection.sender.send_request(request).await;
+            let response = sent.map_err(|error| error.to_string())?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_BYTES);
+            let body = body.collect().await.map_err(|error| error.to_string())?;
+            self.put(address, connection, None);
+            Ok((status, body.to_bytes()))
+        };
+        let answer = timeout_at(deadline, exchange).await;
+        answer.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+
     /// Keeps a connection for further requests.
     pub fn put(&self, address: &Name, mut connection: Connection, keep_alive: Option<Duration>) {
         if connection.sender.is_closed() {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -49,6 +49,8 @@
     pub founders: Vec<Name>,
     /// Voters to reach.
     pub target_voters: usize,
+    /// Time for which a holder of the right to give orders keeps it, in milliseconds.
+    pub order_lease_ms: u64,
     /// Address of the platform's list of upstreams.
     pub list_address: Name,
     /// Bounds on retries of all entries together.
@@ -72,6 +74,7 @@
             contacts: Vec::new(),
             founders: Vec::new(),
             target_voters: 3,
+            order_lease_ms: 3_000,
             list_address: Name::default(),
             budget: BudgetSettings::default(),
             grace_ms: 8_000,
