Take every further call of a request out of the retry budget

Cause: a request whose handed-over cache was refused was computed apart again, two calls for one place in the budget, and an entry that knew no others spent the whole slack. Ruled out: retries after failures of the engines, which were counted.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -29,6 +29,9 @@
 /// Part of the budget that is spent; the rest covers entries that count requests in another window.
 const USED_SHARE: f64 = 0.7;
 
+/// Entries assumed at least, since an entry that has just started does not know the others.
+const MIN_ENTRIES: u32 = 6;
+
 /// Retries and requests of one service through one entry.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -42,17 +45,23 @@
         self.requests_ms.push_back(now_ms);
     }
 
-    /// Takes one retry out of the budget. `entries` is the number of entries that share the slack.
-    pub fn take_retry(&mut self, settings: &BudgetSettings, now_ms: u64, entries: u32) -> bool {
+    /// Takes `count` further calls out of the budget. `entries` is the number of entries that share the slack.
+    pub fn take_retries(
+        &mut self,
+        count: usize,
+        settings: &BudgetSettings,
+        now_ms: u64,
+        entries: u32,
+    ) -> bool {
         let start_ms = now_ms.saturating_sub(settings.window_ms);
         forget_before(&mut self.requests_ms, start_ms);
         forget_before(&mut self.retries_ms, start_ms);
-        let slack = settings.slack / f64::from(entries.max(1));
+        let slack = settings.slack / f64::from(entries.max(MIN_ENTRIES));
         let allowed = (settings.ratio * self.requests_ms.len() as f64 + slack) * USED_SHARE;
-        if (self.retries_ms.len() + 1) as f64 > allowed {
+        if (self.retries_ms.len() + count) as f64 > allowed {
             return false;
         }
-        self.retries_ms.push_back(now_ms);
+        self.retries_ms.extend(std::iter::repeat_n(now_ms, count));
         true
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -114,6 +114,8 @@
     runs: u32,
     sends: u32,
     prefills: u32,
+    /// Whether the budget has no place for another prefill call.
+    runs_where_computed: bool,
     has_begun: bool,
     /// Handle that waits to be used, with the address of its engine.
     handle: Option<(Name, Name)>,
@@ -318,6 +320,7 @@
             runs: 0,
             sends: 0,
             prefills: 0,
+            runs_where_computed: false,
             has_begun: false,
             handle: None,
             task: None,
@@ -377,7 +380,9 @@
             zone: &self.settings.info.availability_zone,
             tried: &open.tried,
         };
-        let upstreams = self.of_service(&open.request.service);
+        let upstreams = self
+            .of_service(&open.request.service)
+            .filter(|upstream| !open.runs_where_computed || !upstream.is_prefill());
         place::engine(&situation, &open.request, prompt, upstreams)
     }
 
@@ -619,6 +624,9 @@
                     Importance::Belief,
                     format!("service={service} rank={rank} reason=no_decoder handle=freed"),
                 );
+                if let Some(open) = self.exchanges.get_mut(&exchange) {
+                    open.runs_where_computed = true;
+                }
                 self.place(now_ms, exchange, effects);
             }
         }
@@ -710,11 +718,22 @@
         if !is_allowed || !has_time || open.sends >= MAX_SENDS {
             return end;
         }
+        // The first prefill call and the first call that runs the request are not retries. A request that has had
+        // both needs two more calls to be computed apart again, or one to be computed where it runs.
+        let has_had_both = open.prefills > 0 && open.sends > open.prefills;
         let budget = self.budgets.entry(request.service.clone()).or_default();
-        match budget.take_retry(&self.settings.budget, now_ms, self.entries) {
-            true => AfterFailure::Again,
-            false => end,
+        let mut take =
+            |count| budget.take_retries(count, &self.settings.budget, now_ms, self.entries);
+        if has_had_both && take(2) {
+            return AfterFailure::Again;
+        }
+        if !take(1) {
+            return end;
+        }
+        if has_had_both && let Some(open) = self.exchanges.get_mut(&exchange) {
+            open.runs_where_computed = true;
         }
+        AfterFailure::Again
     }
 
     fn on_closed(
