--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -56,6 +56,8 @@
     pub listing: u64,
     /// Work that the subscriber has sent to upstreams of its availability zone.
     pub backlog: Vec<Backlog>,
+    /// Shared prompt parts that engines have got since the message before.
+    pub parts: Vec<PartUse>,
 }
 
 /// What a replica tells a subscriber.
@@ -79,6 +81,17 @@
     pub entries: u32,
     /// Work of the other entries of the subscriber's availability zone.
     pub backlog: Vec<Backlog>,
+    /// Shared prompt parts that engines have got through other entries.
+    pub parts: Vec<PartUse>,
+}
+
+/// A shared prompt part that an engine has computed or fetched.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartUse {
+    /// Hash of the part's id.
+    pub key: u64,
+    /// Instance id of the engine.
+    pub upstream: Name,
 }
 
 /// Work sent to one upstream and not finished.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use conf::{Map, Name};
-use fleet::{Backlog, InstanceInfo, PeerMessage, UpstreamRecord, Watch, WatchReply};
+use fleet::{Backlog, InstanceInfo, PartUse, PeerMessage, UpstreamRecord, Watch, WatchReply};
 use quorum::{EntryBody, Input, Output, Recovered, Replica, ReplicaId, ReplicaSettings, Write};
 
 use crate::stages::{RoleOrder, Stages};
@@ -39,6 +39,9 @@
 /// Interval of decisions on roles, in milliseconds.
 const STAGE_INTERVAL_MS: u64 = 500;
 
+/// Prompt parts kept for subscribers that have not got them yet. A subscriber that lags further behind misses some.
+const RECENT_PARTS: usize = 1_024;
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug, Default)]
 pub struct ControlSettings {
@@ -163,6 +166,33 @@
     version: u64,
     listing: u64,
     backlog: Vec<Backlog>,
+    /// Number of the first prompt part that the subscriber has not got.
+    next_part: u64,
+}
+
+/// Prompt parts that engines have got lately, in order of arrival.
+#[derive(Debug, Default)]
+struct RecentParts {
+    /// Each part with the subscriber that reported it.
+    parts: VecDeque<(Name, PartUse)>,
+    /// Number of the part after the last.
+    next: u64,
+}
+
+impl RecentParts {
+    fn push(&mut self, from: &Name, part: PartUse) {
+        self.parts.push_back((from.clone(), part));
+        self.next += 1;
+        if self.parts.len() > RECENT_PARTS {
+            self.parts.pop_front();
+        }
+    }
+
+    /// Returns the parts from number `first` on, with the subscriber that reported each.
+    fn since(&self, first: u64) -> impl Iterator<Item = &(Name, PartUse)> {
+        let oldest = self.next - self.parts.len() as u64;
+        self.parts.iter().skip(first.saturating_sub(oldest) as usize)
+    }
 }
 
 /// A replica's state.
@@ -180,6 +210,9 @@
     watchers: Map<Name, Watcher>,
     /// Other replicas, by id, with the number of entries that subscribe to each.
     replicas: Map<Name, (InstanceInfo, u32)>,
+    recent_parts: RecentParts,
+    /// Number of the first prompt part that the other replicas have not got.
+    next_part: u64,
     next_watch_ms: u64,
     next_change_ms: u64,
     stages: Stages,
@@ -229,6 +262,8 @@
             listed_ms: None,
             next_listing_ms: now_ms,
             watchers: Map::default(),
+            recent_parts: RecentParts::default(),
+            next_part: 0,
             next_watch_ms: now_ms,
             next_change_ms: now_ms,
             stages: Stages::default(),
@@ -407,13 +442,24 @@
             // A replica takes the document from the log and reads the list itself.
             version: u64::MAX,
             listing: u64::MAX,
+            parts: self.parts_of_entries(),
             ..Watch::default()
         };
+        self.next_part = self.recent_parts.next;
         for (info, _) in self.replicas.values() {
             effects.push(send(info, PeerMessage::Watch(watch.clone())));
         }
     }
 
+    /// Returns the prompt parts that entries have reported here since the last message to the other replicas.
+    fn parts_of_entries(&self) -> Vec<PartUse> {
+        self.recent_parts
+            .since(self.next_part)
+            .filter(|(from, _)| !self.replicas.contains_key(from))
+            .map(|(_, part)| part.clone())
+            .collect()
+    }
+
     fn on_peer(
         &mut self,
         now_ms: u64,
@@ -447,6 +493,13 @@
                 self.replica.set_contacts(self.replicas.keys().cloned().collect());
             }
         }
+        for part in watch.parts {
+            self.recent_parts.push(&id, part);
+        }
+        let next_part = self
+            .watchers
+            .get(&id)
+            .map_or(self.recent_parts.next, |known| known.next_part);
         let known = self.watchers.insert(
             id.clone(),
             Watcher {
@@ -457,6 +510,7 @@
                 version: watch.version,
                 listing: watch.listing,
                 backlog: watch.backlog,
+                next_part,
             },
         );
         if known.is_none() && watch.accepts_callers {
@@ -505,7 +559,17 @@
                 false => own_entries,
             },
             backlog,
+            parts: match watcher.accepts_callers {
+                true => self
+                    .recent_parts
+                    .since(watcher.next_part)
+                    .filter(|(from, _)| from != id)
+                    .map(|(_, part)| part.clone())
+                    .collect(),
+                false => Vec::new(),
+            },
         };
+        watcher.next_part = self.recent_parts.next;
         watcher.version = watcher.version.max(self.version);
         if lacks_listing {
             watcher.listing = self.listing;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use conf::{Map, Name};
-use fleet::{InstanceInfo, PeerMessage, UpstreamRecord, WatchReply};
+use fleet::{InstanceInfo, PartUse, PeerMessage, UpstreamRecord, WatchReply};
 
 use crate::budget::{Budget, BudgetSettings};
 use crate::config::Config;
@@ -137,6 +137,8 @@
     /// Requests that wait for an engine, by service.
     waiting: Map<Name, Vec<u64>>,
     budgets: Map<Name, Budget>,
+    /// Prompt parts that engines have got through this entry since the last message to the replica.
+    parts: Vec<PartUse>,
     next_pump_ms: u64,
 }
 
@@ -156,6 +158,7 @@
             exchanges: Map::default(),
             waiting: Map::default(),
             budgets: Map::default(),
+            parts: Vec::new(),
             next_pump_ms: 0,
         }
     }
@@ -212,7 +215,7 @@
             let backlog = self.upstreams.values().filter_map(Upstream::backlog).collect();
             let due = self
                 .subscription
-                .watch(now_ms, version, self.listing, backlog);
+                .watch(now_ms, version, self.listing, backlog, std::mem::take(&mut self.parts));
             if let Some((to, watch)) = due {
                 effects.push(EntryEffect::Send {
                     to: to.id,
@@ -253,6 +256,11 @@
         for (id, upstream) in &mut self.upstreams {
             upstream.set_others(backlog.get(id).copied());
         }
+        for part in reply.parts {
+            if let Some(upstream) = self.upstreams.get_mut(&part.upstream) {
+                upstream.add_shared(part.key, now_ms);
+            }
+        }
         self.subscription.prefer_near(now_ms);
         self.pump_all(now_ms, effects);
     }
@@ -352,7 +360,13 @@
             return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
         };
         let upstream = upstream.record.id.clone();
-        self.send(now_ms, exchange, &upstream, Task::Run, 0, None, effects);
+        let plan = Plan {
+            task: Task::Run,
+            tokens: 0,
+            expected_ms: None,
+            fetch_from: None,
+        };
+        self.send(now_ms, exchange, &upstream, plan, effects);
     }
 
     fn place_prompt(
@@ -397,9 +411,13 @@
             true => Task::Prefill,
             false => Task::Run,
         };
-        let expected_ms = choice.first_token_ms();
-        let (upstream, tokens) = (choice.upstream, choice.tokens);
-        self.send(now_ms, exchange, &upstream, task, tokens, Some(expected_ms), effects);
+        let plan = Plan {
+            task,
+            tokens: choice.tokens,
+            expected_ms: Some(choice.first_token_ms()),
+            fetch_from: choice.fetch_from,
+        };
+        self.send(now_ms, exchange, &choice.upstream, plan, effects);
     }
 
     /// Returns whether a request that goes first waits for the same service.
@@ -520,17 +538,20 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn send(
         &mut self,
         now_ms: u64,
         exchange: u64,
         upstream: &Name,
-        task: Task,
-        tokens: u32,
-        expected_ms: Option<f64>,
+        plan: Plan,
         effects: &mut Vec<EntryEffect>,
     ) {
+        let Plan {
+            task,
+            tokens,
+            expected_ms,
+            fetch_from,
+        } = plan;
         let Some(open) = self.exchanges.get_mut(&exchange) else {
             return;
         };
@@ -545,10 +566,12 @@
             rank: request.rank,
         });
         open.sends += 1;
-        if task == Task::Prefill {
-            open.prefills += 1;
-            if let Some((key, _)) = request.prompt.as_ref().and_then(Prompt::shared) {
-                target.add_shared(key, now_ms);
+        open.prefills += u32::from(task == Task::Prefill);
+        if let Some((key, tokens)) = request.prompt.as_ref().and_then(Prompt::shared) {
+            target.add_shared(key, now_ms);
+            if tokens >= place::FETCH_MIN_TOKENS {
+                let upstream = upstream.clone();
+                self.parts.push(PartUse { key, upstream });
             }
         }
         let first_ms = now_ms + expected_ms.map_or(0, |ms| (ms + FIRST_EVENT_MS) as u64);
@@ -559,6 +582,7 @@
         let attempt = Attempt {
             upstream: upstream.clone(),
             address: target.record.address.clone(),
+            fetch_from: fetch_from.clone(),
             deadline_ms: request.deadline_ms,
             head_deadline_ms: head_deadline_ms(now_ms, open, &task, expected_ms),
             priority,
@@ -566,12 +590,13 @@
         };
         let text = format!(
             "request={} decision=send upstream={upstream} task={} rank={} tokens={tokens} running={} expected_ms={:.0} \
-             left_ms={} send={}",
+             fetch_from={} left_ms={} send={}",
             request.id,
             task_name(&task),
             request.rank,
             target.total_running(),
             expected_ms.unwrap_or(0.0),
+            fetch_from.as_deref().unwrap_or("none"),
             request.deadline_ms.saturating_sub(now_ms),
             open.sends,
         );
@@ -614,8 +639,13 @@
         match place::decoder(&situation, source, self.of_service(&service)) {
             Some(decoder) => {
                 let decoder = decoder.record.id.clone();
-                let task = Task::Generate { address, handle };
-                self.send(now_ms, exchange, &decoder, task, 0, Some(0.0), effects);
+                let plan = Plan {
+                    task: Task::Generate { address, handle },
+                    tokens: 0,
+                    expected_ms: Some(0.0),
+                    fetch_from: None,
+                };
+                self.send(now_ms, exchange, &decoder, plan, effects);
             }
             None => {
                 effects.push(EntryEffect::Free { address, handle });
@@ -642,11 +672,6 @@
         if let Some(charge) = &mut open.charge
             && let Some(upstream) = self.upstreams.get_mut(&charge.upstream)
         {
-            if charge.tokens > 0
-                && let Some((key, _)) = open.request.prompt.as_ref().and_then(Prompt::shared)
-            {
-                upstream.add_shared(key, now_ms);
-            }
             upstream.computed(charge);
         }
         self.pump(now_ms, &service, effects);
@@ -823,6 +848,17 @@
     }
 }
 
+/// What a chosen upstream is to do.
+struct Plan {
+    task: Task,
+    /// Prompt tokens that it has to compute.
+    tokens: u32,
+    /// Expected time to the first token, in milliseconds; none for plain requests.
+    expected_ms: Option<f64>,
+    /// Address of the engine from which it first fetches shared parts.
+    fetch_from: Option<Name>,
+}
+
 enum AfterFailure {
     Again,
     PassOn,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -57,6 +57,8 @@
     pub address: Name,
     /// What the upstream is to do.
     pub task: Task,
+    /// Address of an engine from which the KV cache of the shared parts is to be fetched first.
+    pub fetch_from: Option<Name>,
     /// When the upstream is to stop.
     pub deadline_ms: u64,
     /// When an upstream that has not begun to answer is given up; none if only the deadline ends the wait.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -17,9 +17,15 @@
 const ZONE_MS: f64 = 400.0;
 /// Cost of a decode engine's own prefill, in milliseconds: it delays the events of all streams that run there.
 const INTERFERENCE_MS: f64 = 400.0;
-/// Share of a prompt's shared tokens that its home engine is expected to hold, if this entry has not used it there:
-/// other entries send the same prompts to the same home.
-const HOME_CACHED_SHARE: f64 = 0.7;
+/// Shared tokens from which a transfer from another engine pays: below, reading them takes less than 40 ms.
+pub const FETCH_MIN_TOKENS: u32 = 2_000;
+/// Tokens whose KV cache a link carries in a millisecond: 160 KB each at 1.6 Tbit/s.
+const TRANSFER_TOKENS_PER_MS: f64 = 1_200.0;
+/// Factor on the time of transfers between availability zones.
+const ZONE_TRANSFER_FACTOR: f64 = 2.0;
+/// Share of a prompt's shared tokens that its home engine is expected to hold although no entry has reported it: the
+/// report may be under way.
+const HOME_CACHED_SHARE: f64 = 0.2;
 /// Cost of the failures of an upstream, in milliseconds at a failure rate of 1.
 const FAILURE_MS: f64 = 2_000.0;
 /// Share of an engine's slots above which it gets no further requests.
@@ -36,6 +42,8 @@
     pub is_prefill: bool,
     /// Prompt tokens that it has to compute.
     pub tokens: u32,
+    /// Address of an engine from which it first fetches the shared parts.
+    pub fetch_from: Option<Name>,
     /// Expected wait until the prompt is begun, in milliseconds.
     pub wait_ms: f64,
     /// Expected time for the prompt, in milliseconds.
@@ -102,6 +110,7 @@
 ) -> Option<Choice> {
     let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
     let home = home(situation, prompt, candidates.clone());
+    let holder = holder(situation, prompt, candidates.clone());
     let mut best: Option<(f64, Choice)> = None;
     for upstream in candidates.clone() {
         if is_full(upstream) {
@@ -111,10 +120,16 @@
         if is_prefill && decoder_near(situation, candidates.clone(), upstream).is_none() {
             continue;
         }
-        let tokens = uncached(situation, prompt, upstream, home);
+        let cached = is_cached(situation, prompt, upstream);
+        let source = holder.filter(|_| !cached);
+        let tokens = match (cached || source.is_some(), prompt.shared()) {
+            (true, Some((_, shared))) => prompt.tokens - shared,
+            _ => uncached(prompt, upstream, home),
+        };
         let speed = speed_tokens_per_ms(upstream);
         let wait_ms = f64::from(upstream.tokens_ahead(request.rank)) / speed;
-        let work_ms = f64::from(tokens) / speed;
+        let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
+        let work_ms = f64::from(tokens) / speed + fetch_ms;
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_MS,
             Some(Role::Decode) => INTERFERENCE_MS,
@@ -130,6 +145,7 @@
                 upstream: upstream.record.id.clone(),
                 is_prefill,
                 tokens,
+                fetch_from: source.map(|source| source.record.address.clone()),
                 wait_ms,
                 work_ms,
             };
@@ -178,18 +194,39 @@
     }
 }
 
-fn uncached(
+fn is_cached(situation: &Situation<'_>, prompt: &Prompt, upstream: &Upstream) -> bool {
+    let shared = prompt.shared();
+    shared.is_some_and(|(key, _)| upstream.has_shared(key, situation.now_ms))
+}
+
+/// Returns an engine that is believed to hold the prompt's shared parts, if they are worth a transfer. The own zone
+/// comes first, then the engine that used them last.
+fn holder<'a>(
     situation: &Situation<'_>,
     prompt: &Prompt,
-    upstream: &Upstream,
-    home: Option<&Upstream>,
-) -> u32 {
-    let Some((key, shared)) = prompt.shared() else {
-        return prompt.tokens;
-    };
-    if upstream.has_shared(key, situation.now_ms) {
-        return prompt.tokens - shared;
+    candidates: impl Iterator<Item = &'a Upstream>,
+) -> Option<&'a Upstream> {
+    let (key, tokens) = prompt.shared()?;
+    if tokens < FETCH_MIN_TOKENS {
+        return None;
     }
+    candidates
+        .filter(|upstream| upstream.has_shared(key, situation.now_ms))
+        .max_by_key(|upstream| {
+            let is_near = situation.distance_ms(upstream) == 0.0;
+            (is_near, upstream.shared_used_ms(key))
+        })
+}
+
+fn fetch_ms(prompt: &Prompt, upstream: &Upstream, source: &Upstream) -> f64 {
+    let tokens = prompt.shared().map_or(0, |(_, tokens)| tokens);
+    let is_near = upstream.record.availability_zone == source.record.availability_zone;
+    let factor = if is_near { 1.0 } else { ZONE_TRANSFER_FACTOR };
+    f64::from(tokens) / TRANSFER_TOKENS_PER_MS * factor
+}
+
+fn uncached(prompt: &Prompt, upstream: &Upstream, home: Option<&Upstream>) -> u32 {
+    let shared = prompt.shared().map_or(0, |(_, tokens)| tokens);
     let is_home = home.is_some_and(|home| home.record.id == upstream.record.id);
     let cached = match is_home {
         true => f64::from(shared) * HOME_CACHED_SHARE,
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,7 +1,7 @@
 //! An entry's subscription to a replica: which one, and what it brought.
 
 use conf::{Map, Name};
-use fleet::{Backlog, InstanceInfo, Watch, WatchReply};
+use fleet::{Backlog, InstanceInfo, PartUse, Watch, WatchReply};
 
 /// Interval of the subscription's messages, in milliseconds. They also carry the backlog to the other entries.
 const WATCH_INTERVAL_MS: u64 = 400;
@@ -72,6 +72,7 @@
         version: u64,
         listing: u64,
         backlog: Vec<Backlog>,
+        parts: Vec<PartUse>,
     ) -> Option<(InstanceInfo, Watch)> {
         let (to, _) = self.replicas.get(self.current.as_ref()?)?;
         self.next_watch_ms = now_ms + WATCH_INTERVAL_MS;
@@ -83,6 +84,7 @@
             version,
             listing,
             backlog,
+            parts,
         };
         Some((to.clone(), watch))
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,7 +15,7 @@
 /// Weight of the latest result in the moving failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time after which a prompt part that was used here may have left the cache, in milliseconds.
-const SHARED_TTL_MS: u64 = 20_000;
+const SHARED_TTL_MS: u64 = 12_000;
 /// Prompt parts remembered for each upstream; the cache of an engine holds fewer long ones.
 const SHARED_PARTS: usize = 256;
 
@@ -131,6 +131,11 @@
         used_ms.is_some_and(|used_ms| now_ms - used_ms <= SHARED_TTL_MS)
     }
 
+    /// Returns when a shared prompt part was last used there, or 0.
+    pub fn shared_used_ms(&self, key: u64) -> u64 {
+        self.shared.get(&key).copied().unwrap_or(0)
+    }
+
     /// Remembers that a shared prompt part has been computed.
     pub fn add_shared(&mut self, key: u64, now_ms: u64) {
         self.shared.insert(key, now_ms);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -194,6 +194,9 @@
         if let Some(priority) = attempt.priority {
             headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority)));
         }
+        if let Some(address) = &attempt.fetch_from {
+            insert(headers, &names.fetch_from, address);
+        }
         match &attempt.task {
             Task::Run => {}
             Task::Prefill => insert(headers, &names.stage, self.dialect.prefill_stage()),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -26,6 +26,8 @@
     pub stage: HeaderName,
     /// Names the engine and handle of a computed prompt.
     pub kv_source: HeaderName,
+    /// Names the engine from which cached parts are fetched first.
+    pub fetch_from: HeaderName,
     /// Headers that only this system may set: they are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -55,6 +55,13 @@
   version @3 :UInt64;
   listing @4 :UInt64;
   backlog @5 :List(Backlog);
+  parts @6 :List(PartUse);
+}
+
+# A shared prompt part that an engine has computed or fetched.
+struct PartUse {
+  key @0 :UInt64;
+  upstream @1 :Text;
 }
 
 struct WatchReply {
@@ -68,6 +75,7 @@
   replicas @7 :List(InstanceInfo);
   entries @8 :UInt32;
   backlog @9 :List(Backlog);
+  parts @10 :List(PartUse);
 }
 
 struct Backlog {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -4979,6 +4979,20 @@
         pub fn has_backlog(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_use::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -4988,7 +5002,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5163,6 +5177,41 @@
         pub fn has_backlog(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_use::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -5181,66 +5230,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -5295,6 +5351,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5304,6 +5372,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::part_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5322,13 +5391,350 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 0, 4, 1, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 0, 4, 6, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
     }
 }
 
+pub mod part_use {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_upstream(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_upstream(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_upstream(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 85),
+            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xf3ea_d2f6_04fa_3ec4;
+    }
+}
+
 pub mod watch_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -5511,6 +5917,20 @@
         pub fn has_backlog(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_use::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5520,7 +5940,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 4,
+                pointers: 5,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5776,6 +6196,41 @@
         pub fn has_backlog(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_use::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(4),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline {
@@ -5790,94 +6245,101 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 185] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 204] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -5976,6 +6438,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5989,6 +6463,7 @@
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::peer_capnp::part_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6007,9 +6482,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 3, 8, 5, 1, 4, 7, 0, 6, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 3, 8, 5, 1, 4, 10, 7, 0, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0xc761_f241_21bd_b018;
     }
 }
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -1,7 +1,7 @@
 //! Subscriptions to a replica, and its answers.
 
 use bytes::Bytes;
-use fleet::{Backlog, UpstreamRecord, Watch, WatchReply};
+use fleet::{Backlog, PartUse, UpstreamRecord, Watch, WatchReply};
 
 use crate::config::{read_name, read_role, write_role};
 use crate::error::DecodeError;
@@ -14,10 +14,16 @@
     builder.set_accepts_callers(watch.accepts_callers);
     builder.set_version(watch.version);
     builder.set_listing(watch.listing);
-    let mut list = builder.init_backlog(watch.backlog.len() as u32);
+    let mut list = builder
+        .reborrow()
+        .init_backlog(watch.backlog.len() as u32);
     for (index, backlog) in (0..).zip(&watch.backlog) {
         write_backlog(backlog, list.reborrow().get(index));
     }
+    let mut list = builder.init_parts(watch.parts.len() as u32);
+    for (index, part) in (0..).zip(&watch.parts) {
+        write_part(part, list.reborrow().get(index));
+    }
 }
 
 pub fn read_watch(reader: schema::watch::Reader<'_>) -> Result<Watch, DecodeError> {
@@ -32,6 +38,11 @@
             .iter()
             .map(read_backlog)
             .collect::<Result<_, _>>()?,
+        parts: reader
+            .get_parts()?
+            .iter()
+            .map(read_part)
+            .collect::<Result<_, _>>()?,
     })
 }
 
@@ -59,10 +70,16 @@
     for (index, info) in (0..).zip(&reply.replicas) {
         write_info(info, list.reborrow().get(index));
     }
-    let mut list = builder.init_backlog(reply.backlog.len() as u32);
+    let mut list = builder
+        .reborrow()
+        .init_backlog(reply.backlog.len() as u32);
     for (index, backlog) in (0..).zip(&reply.backlog) {
         write_backlog(backlog, list.reborrow().get(index));
     }
+    let mut list = builder.init_parts(reply.parts.len() as u32);
+    for (index, part) in (0..).zip(&reply.parts) {
+        write_part(part, list.reborrow().get(index));
+    }
 }
 
 pub fn read_watch_reply(
@@ -100,6 +117,23 @@
             .iter()
             .map(read_backlog)
             .collect::<Result<_, _>>()?,
+        parts: reader
+            .get_parts()?
+            .iter()
+            .map(read_part)
+            .collect::<Result<_, _>>()?,
+    })
+}
+
+fn write_part(part: &PartUse, mut builder: schema::part_use::Builder<'_>) {
+    builder.set_key(part.key);
+    builder.set_upstream(part.upstream.as_str());
+}
+
+fn read_part(reader: schema::part_use::Reader<'_>) -> Result<PartUse, DecodeError> {
+    Ok(PartUse {
+        key: reader.get_key(),
+        upstream: read_name(reader.get_upstream())?,
     })
 }
 
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -115,6 +115,7 @@
         version: number(g),
         listing: number(g),
         backlog: list(g, backlog),
+        parts: list(g, part_use),
     }
 }
 
@@ -129,6 +130,14 @@
         replicas: list(g, info),
         entries: u32::arbitrary(g),
         backlog: list(g, backlog),
+        parts: list(g, part_use),
+    }
+}
+
+fn part_use(g: &mut Gen) -> PartUse {
+    PartUse {
+        key: number(g),
+        upstream: name(g),
     }
 }
 
