Order roles once the list has settled, and avoid engines that change

Cause: the list fills over three seconds at the start, the first orders were taken from a part of it, and later ones followed every six seconds in the middle of traffic; an engine that changes rejects for four seconds, and 2,302 handed-over requests went to such engines.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,5 +1,6 @@
 //! The reducer of an entry: requests in, directives out.
 
+use std::hash::BuildHasher;
 use std::sync::Arc;
 
 use conf::{Map, Name};
@@ -110,6 +111,8 @@
     arrived_ms: u64,
     charge: Option<Charge>,
     tried: Vec<Name>,
+    /// Draw that spreads requests over equally loaded upstreams.
+    draw: u64,
     /// Upstreams that may have run it.
     runs: u32,
     sends: u32,
@@ -320,7 +323,9 @@
     ) {
         let budget = self.budgets.entry(request.service.clone()).or_default();
         budget.count_request(now_ms);
+        let draw = foldhash::fast::FixedState::default().hash_one(&request.id);
         let open = Exchange {
+            draw,
             request,
             arrived_ms: now_ms,
             charge: None,
@@ -354,6 +359,7 @@
             now_ms,
             zone: &self.settings.info.availability_zone,
             tried: &open.tried,
+            draw: open.draw,
         };
         let upstreams = self.of_service(&open.request.service);
         let Some(upstream) = place::plain(&situation, upstreams) else {
@@ -393,6 +399,7 @@
             now_ms,
             zone: &self.settings.info.availability_zone,
             tried: &open.tried,
+            draw: open.draw,
         };
         let upstreams = self
             .of_service(&open.request.service)
@@ -631,6 +638,7 @@
             now_ms,
             zone: &self.settings.info.availability_zone,
             tried: &open.tried,
+            draw: open.draw,
         };
         let Some(source) = self.upstreams.get(&source) else {
             return self.place(now_ms, exchange, effects);
@@ -697,8 +705,12 @@
             open.tried.push(charge.upstream.clone());
             if let Some(upstream) = self.upstreams.get_mut(&charge.upstream) {
                 upstream.remove(charge);
+                let is_engine = upstream.record.role.is_some();
                 is_open = match outcome {
-                    // A full upstream is not a broken one.
+                    // A full upstream is not a broken one, but an engine with free slots rejects while it changes.
+                    Outcome::Rejected if is_engine && !upstream.is_half_full() => {
+                        upstream.failed(now_ms, true)
+                    }
                     Outcome::Rejected => false,
                     Outcome::Unreachable | Outcome::Misdirected => upstream.failed(now_ms, true),
                     _ => upstream.failed(now_ms, false),
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -33,6 +33,12 @@
 /// Time that a plain request is taken to need, in milliseconds, to weigh queues against distance.
 const PLAIN_MS: f64 = 40.0;
 
+/// Span of the random part of an engine's cost, in milliseconds. Entries that know of the same load would otherwise all
+/// choose the same engine until their reports have crossed.
+const SPREAD_MS: f64 = 60.0;
+/// Span of the random part of a decode engine's load, in requests, for the same reason.
+const SPREAD_REQUESTS: f64 = 3.0;
+
 /// An upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -66,6 +72,8 @@
     pub zone: &'a str,
     /// Upstreams that failed this request.
     pub tried: &'a [Name],
+    /// Draw that differs between requests and entries.
+    pub draw: u64,
 }
 
 impl Situation<'_> {
@@ -73,6 +81,13 @@
         upstream.is_usable(self.now_ms) && !self.tried.contains(&upstream.record.id)
     }
 
+    /// Returns a number from 0 to 1 that is random over requests and upstreams.
+    fn jitter(&self, upstream: &Upstream) -> f64 {
+        let hasher = foldhash::fast::FixedState::default();
+        let draw = hasher.hash_one((self.draw, &upstream.record.id));
+        draw as f64 / u64::MAX as f64
+    }
+
     fn distance_ms(&self, upstream: &Upstream) -> f64 {
         match upstream.record.availability_zone.as_str() == self.zone {
             true => 0.0,
@@ -139,6 +154,7 @@
             + work_ms
             + extra_ms
             + situation.distance_ms(upstream)
+            + situation.jitter(upstream) * SPREAD_MS
             + upstream.failure_rate() * FAILURE_MS;
         if best.as_ref().is_none_or(|(least, _)| cost_ms < *least) {
             let choice = Choice {
@@ -175,11 +191,14 @@
         .filter(|upstream| matches!(upstream.record.role, Some(Role::Decode | Role::Mixed)))
         .filter(|upstream| upstream.record.availability_zone == *zone)
         .filter(|upstream| !is_full(upstream))
-        .min_by_key(|upstream| {
-            let failures = (upstream.failure_rate() * 64.0) as u32;
-            (upstream.total_running() + failures, upstream.running)
+        .min_by(|a, b| {
+            let load = |upstream: &Upstream| {
+                f64::from(upstream.total_running())
+                    + upstream.failure_rate() * f64::from(upstream.record.slots)
+                    + situation.jitter(upstream) * SPREAD_REQUESTS
+            };
+            load(a).total_cmp(&load(b))
         })
-        .filter(|upstream| situation.is_candidate(upstream))
 }
 
 fn is_full(upstream: &Upstream) -> bool {
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -12,7 +12,12 @@
 /// Time between two orders to the engines of one zone, in milliseconds, after the first ones.
 const ORDER_INTERVAL_MS: u64 = 6_000;
 /// Time for which the list must have shown a zone off its target, in milliseconds: a crashed engine may be back soon.
-const OFF_TARGET_MS: u64 = 3_000;
+const OFF_TARGET_MS: u64 = 5_000;
+/// Time for which the engines of a zone must be the same before the first orders, in milliseconds: at the start of the
+/// whole system the list fills over some seconds.
+const SETTLED_MS: u64 = 2_500;
+/// Engines for each of which a zone may be one off its target: an order costs more than a small deviation.
+const ENGINES_PER_DEVIATION: usize = 16;
 
 /// An engine that is to change its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +37,8 @@
     ordered: Map<Name, (Role, u64)>,
     /// When each zone's engines of a service were last ordered to change.
     ordered_ms: Map<(Name, Name), u64>,
+    /// Number of engines in each zone, and since when.
+    engines: Map<(Name, Name), (usize, u64)>,
     /// Since when each zone is off its target.
     off_target_ms: Map<(Name, Name), u64>,
 }
@@ -63,6 +70,16 @@
         key: &(Name, Name),
         engines: &[&UpstreamRecord],
     ) -> Vec<RoleOrder> {
+        let counted = self
+            .engines
+            .entry(key.clone())
+            .or_insert((engines.len(), now_ms));
+        if counted.0 != engines.len() {
+            *counted = (engines.len(), now_ms);
+        }
+        if now_ms - counted.1 < SETTLED_MS {
+            return Vec::new();
+        }
         let target = decode_target(engines.len());
         let mut decoders: Vec<&UpstreamRecord> = engines
             .iter()
@@ -73,13 +90,17 @@
             decoders.len().saturating_sub(target),
             target.saturating_sub(decoders.len()),
         );
-        if surplus == 0 && lack == 0 {
+        let is_first = !self.ordered_ms.contains_key(key);
+        let tolerated = match is_first || decoders.is_empty() {
+            true => 0,
+            false => engines.len() / ENGINES_PER_DEVIATION,
+        };
+        if surplus <= tolerated && lack <= tolerated {
             self.off_target_ms.remove(key);
             return Vec::new();
         }
         let since_ms = *self.off_target_ms.entry(key.clone()).or_insert(now_ms);
         let last_ms = self.ordered_ms.get(key).copied();
-        let is_first = last_ms.is_none();
         let is_due = last_ms.is_none_or(|last_ms| now_ms - last_ms >= ORDER_INTERVAL_MS);
         if !is_due || (!is_first && now_ms - since_ms < OFF_TARGET_MS) {
             return Vec::new();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -74,6 +74,11 @@
         self.running + self.others_running
     }
 
+    /// Returns whether half of its slots are known to be taken.
+    pub fn is_half_full(&self) -> bool {
+        self.total_running() * 2 >= self.record.slots
+    }
+
     /// Returns prompt tokens that are computed before those of a request of `rank`.
     pub fn tokens_ahead(&self, rank: u8) -> u32 {
         let count = rank_index(rank) + 1;
