--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -119,7 +119,8 @@
     prefills: u32,
     /// Whether the budget has no place for another prefill call.
     runs_where_computed: bool,
-    has_begun: bool,
+    /// When the first event or the whole answer came.
+    begun_ms: Option<u64>,
     /// Handle that waits to be used, with the address of its engine.
     handle: Option<(Name, Name)>,
     task: Option<Task>,
@@ -334,7 +335,7 @@
             sends: 0,
             prefills: 0,
             runs_where_computed: false,
-            has_begun: false,
+            begun_ms: None,
             handle: None,
             task: None,
         };
@@ -675,7 +676,7 @@
         let Some(open) = self.exchanges.get_mut(&exchange) else {
             return;
         };
-        open.has_begun = true;
+        open.begun_ms.get_or_insert(now_ms);
         let service = open.request.service.clone();
         if let Some(charge) = &mut open.charge
             && let Some(upstream) = self.upstreams.get_mut(&charge.upstream)
@@ -797,18 +798,21 @@
                 upstream.succeeded();
             }
         }
-        let in_objective = now_ms <= open.request.objective_ms;
+        let begun_ms = open.begun_ms.unwrap_or(now_ms);
+        let in_objective = begun_ms <= open.request.objective_ms;
         let (importance, outcome) = match is_whole {
             true => (Importance::Step, "answered"),
             false => (Importance::Failure, "caller_left"),
         };
         let text = format!(
-            "request={} route={} outcome={outcome} elapsed_ms={} in_objective={in_objective} sends={} begun={}",
+            "request={} route={} outcome={outcome} elapsed_ms={} first_ms={} in_objective={in_objective} sends={} \
+             rank={}",
             open.request.id,
             open.request.route,
             now_ms - open.arrived_ms,
+            begun_ms - open.arrived_ms,
             open.sends,
-            open.has_begun,
+            open.request.rank,
         );
         log(effects, importance, text);
         self.pump(now_ms, &open.request.service, effects);
