Keep prompts of the less urgent ranks in the entry and mind callers' patience

Cause: an engine computes prompts in the order of their arrival (a short prompt behind a long one ended to the millisecond when the long one did), so that what an engine holds delays every urgent prompt after it. And callers give a stream up after two seconds or four objectives, so that 200 credits were held for callers who had left. Change: an engine gets less urgent prompts only with up to 60 ms before them, urgent ones up to 400 ms; requests that cannot begin within the caller's patience are refused at once.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -40,6 +40,8 @@
     pub timeout_ms: u64,
     /// Time within which an answer counts in full, in milliseconds.
     pub objective_ms: u64,
+    /// Longest pause between two events with which a stream counts as in time, in milliseconds.
+    pub gap_ms: u64,
     /// Rank, 0 for the most urgent.
     pub rank: u8,
     /// Services and their weights. The sum of the weights is above 0.
@@ -48,7 +50,25 @@
     pub max_attempts: u32,
 }
 
+/// Time for which every caller waits for the next event of a stream, in milliseconds.
+const PATIENCE_MIN_MS: u64 = 2_000;
+/// Objectives for which a caller waits for the next event.
+const PATIENCE_OBJECTIVES: u64 = 4;
+/// Pauses for which a caller waits for the next event.
+const PATIENCE_GAPS: u64 = 8;
+
 impl Route {
+    /// Returns the time after which callers give up a request that has not begun to be answered, in milliseconds.
+    pub fn patience_ms(&self) -> u64 {
+        let patience_ms = match self.kind {
+            Kind::Stream { .. } => PATIENCE_MIN_MS
+                .max(self.objective_ms * PATIENCE_OBJECTIVES)
+                .max(self.gap_ms * PATIENCE_GAPS),
+            Kind::Idempotent | Kind::NonIdempotent => self.timeout_ms,
+        };
+        patience_ms.min(self.timeout_ms)
+    }
+
     /// Returns the service for a request, by weight. Equal draws give equal services.
     pub fn service(&self, draw: u64) -> Option<&Name> {
         let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -15,9 +15,12 @@
 use crate::subscription::Subscription;
 use crate::upstream::{Charge, Upstream};
 
-/// Work before an engine up to which it gets more, in milliseconds. What waits beyond that stays with the entry, where
-/// newer facts decide its place.
-const SHALLOW_MS: f64 = 200.0;
+/// Work before an engine up to which it gets more of the most urgent rank, in milliseconds. What waits beyond that stays
+/// with the entry, where newer facts decide its place.
+const URGENT_SHALLOW_MS: f64 = 400.0;
+/// The same for all other ranks. An engine computes prompts in the order of their arrival, so that what it holds delays
+/// more urgent prompts that come later.
+const SHALLOW_MS: f64 = 60.0;
 /// Time that a caller needs at least to make use of an answer, in milliseconds.
 const MARGIN_MS: u64 = 30;
 /// Time from the end of the prompt to the first event, in milliseconds.
@@ -387,8 +390,8 @@
             return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
         };
         let request = &self.exchanges[&exchange].request;
-        let service = request.service.clone();
-        if self.has_waiting_before(&service, exchange) || choice.wait_ms > SHALLOW_MS {
+        let (service, rank) = (request.service.clone(), request.rank);
+        if self.has_waiting_before(&service, exchange) || choice.wait_ms > shallow_ms(rank) {
             return self.wait(now_ms, exchange, &choice, effects);
         }
         self.send_choice(now_ms, exchange, choice, effects);
@@ -452,7 +455,7 @@
         let service = request.service.clone();
         let queue_ms = self.queue_ms(&service, request.rank);
         let expected_ms = (choice.first_token_ms() + queue_ms + FIRST_EVENT_MS) as u64;
-        if now_ms + expected_ms + MARGIN_MS > request.deadline_ms {
+        if now_ms + expected_ms + MARGIN_MS > request.begin_deadline_ms {
             let reason = RefusalReason::TooLate;
             return self.refuse(now_ms, exchange, reason, queue_ms as u64, effects);
         }
@@ -524,7 +527,7 @@
             let Some(prompt) = request.prompt.clone() else {
                 continue;
             };
-            let deadline_ms = request.deadline_ms;
+            let (deadline_ms, rank) = (request.begin_deadline_ms, request.rank);
             match self.choose(now_ms, exchange, &prompt) {
                 None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
                 Some(choice) => {
@@ -533,7 +536,7 @@
                         let wait_ms = choice.wait_ms as u64;
                         let reason = RefusalReason::TooLate;
                         self.refuse(now_ms, exchange, reason, wait_ms, effects);
-                    } else if choice.wait_ms > SHALLOW_MS {
+                    } else if choice.wait_ms > shallow_ms(rank) {
                         left.push(exchange);
                     } else {
                         self.send_choice(now_ms, exchange, choice, effects);
@@ -881,6 +884,14 @@
     Refuse(RefusalReason),
 }
 
+/// Returns the work before an engine up to which it gets more of a rank, in milliseconds.
+fn shallow_ms(rank: u8) -> f64 {
+    match rank {
+        0 => URGENT_SHALLOW_MS,
+        _ => SHALLOW_MS,
+    }
+}
+
 /// Returns when an upstream that has not begun to answer is given up.
 fn head_deadline_ms(
     now_ms: u64,
@@ -890,7 +901,8 @@
 ) -> Option<u64> {
     if *task == Task::Prefill {
         let patience_ms = expected_ms.unwrap_or(0.0) * PREFILL_PATIENCE;
-        return Some(now_ms + (patience_ms + PREFILL_SLACK_MS) as u64);
+        let prefill_deadline_ms = now_ms + (patience_ms + PREFILL_SLACK_MS) as u64;
+        return Some(prefill_deadline_ms.min(open.request.begin_deadline_ms));
     }
     let request = &open.request;
     let can_repeat = request.kind.is_repeatable() && open.runs + 1 < request.max_attempts;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,8 @@
     pub rank: u8,
     /// When an answer is worth nothing any more.
     pub deadline_ms: u64,
+    /// When the caller gives up if the answer has not begun.
+    pub begin_deadline_ms: u64,
     /// When an answer, or the first event of a stream, no longer counts in full.
     pub objective_ms: u64,
     /// Upstreams on which it may run.
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -153,6 +153,7 @@
         kind: route.kind,
         rank: route.rank,
         deadline_ms: arrived_ms + left_ms,
+        begin_deadline_ms: arrived_ms + left_ms.min(route.patience_ms()),
         objective_ms: arrived_ms + route.objective_ms,
         max_attempts: route.max_attempts,
         prompt,
