Send less urgent prompts only to engines that are nearly idle

Cause as before: what an engine holds delays every urgent prompt after it. Change: up to 20 ms of work before a less urgent prompt in place of 60 ms.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -20,7 +20,7 @@
 const URGENT_SHALLOW_MS: f64 = 400.0;
 /// The same for all other ranks. An engine computes prompts in the order of their arrival, so that what it holds delays
 /// more urgent prompts that come later.
-const SHALLOW_MS: f64 = 60.0;
+const SHALLOW_MS: f64 = 20.0;
 /// Time that a caller needs at least to make use of an answer, in milliseconds.
 const MARGIN_MS: u64 = 30;
 /// Time from the end of the prompt to the first event, in milliseconds.
