--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -119,6 +119,8 @@
     draw: u64,
     /// Upstreams that may have run it.
     runs: u32,
+    /// Whether an upstream has answered with a failure, which may be passed on.
+    has_failed_answer: bool,
     sends: u32,
     prefills: u32,
     /// Whether the budget has no place for another prefill call.
@@ -350,6 +352,7 @@
             charge: None,
             tried: Vec::new(),
             runs: 0,
+            has_failed_answer: false,
             sends: 0,
             prefills: 0,
             runs_where_computed: false,
@@ -741,6 +744,7 @@
         }
         let may_have_run = !outcome.is_not_run() && task != Some(Task::Prefill);
         open.runs += u32::from(may_have_run);
+        open.has_failed_answer |= outcome == Outcome::FailedAnswer;
         let text = format!(
             "request={} upstream={upstream_id} task={} outcome={} elapsed_ms={} runs={} circuit_open={is_open}",
             open.request.id,
@@ -769,7 +773,7 @@
         let open = &self.exchanges[&exchange];
         let request = &open.request;
         let end = match outcome {
-            Outcome::FailedAnswer => AfterFailure::PassOn,
+            _ if open.has_failed_answer => AfterFailure::PassOn,
             Outcome::TimedOut if open.runs > 0 => AfterFailure::Refuse(RefusalReason::TimedOut),
             _ if open.runs > 0 => AfterFailure::Refuse(RefusalReason::Failed),
             _ => AfterFailure::Refuse(RefusalReason::NotRun),
--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -67,6 +67,18 @@
     );
 }
 
+/// Guards against a 502 in place of a failure that is in hand, if the second upstream cannot be reached.
+#[test]
+fn a_failure_in_hand_is_passed_on_if_the_second_try_brings_nothing() {
+    let mut driver = plain_driver();
+    let request = driver.request(Kind::Idempotent, 0);
+    let (exchange, directive) = driver.arrive(request);
+    sent(directive);
+    sent(driver.end(exchange, Outcome::FailedAnswer));
+    driver.now_ms += 4_990;
+    assert_eq!(driver.end(exchange, Outcome::Unreachable), Some(Directive::PassOn));
+}
+
 /// Guards against new work for an upstream that leaves, also after an older list that does not show it yet.
 #[test]
 fn a_leaving_upstream_gets_no_new_work() {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -220,7 +220,7 @@
                     }
                     Err(failed) => {
                         log_failed(&exchange, &forwarded, &attempt, &failed.reason);
-                        failed_answer = failed.answer;
+                        failed_answer = failed.answer.or(failed_answer);
                         exchange.ended(failed.outcome);
                     }
                 }
