--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -76,7 +76,10 @@
     sent(directive);
     sent(driver.end(exchange, Outcome::FailedAnswer));
     driver.now_ms += 4_990;
-    assert_eq!(driver.end(exchange, Outcome::Unreachable), Some(Directive::PassOn));
+    assert_eq!(
+        driver.end(exchange, Outcome::Unreachable),
+        Some(Directive::PassOn)
+    );
 }
 
 /// Guards against new work for an upstream that leaves, also after an older list that does not show it yet.
--- /dev/null
+++ b/crates/mustardstack/tests/soak_support/http.rs
@@ -0,0 +1,117 @@
+//! A minimal HTTP client and server: one request on each connection.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+pub struct Message {
+    /// Status of an answer; 0 for a request.
+    pub status: u16,
+    /// Path of a request.
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(one, _)| one.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Makes a call and returns the whole answer.
+pub fn call(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<Message> {
+    let address = address.parse().map_err(io::Error::other)?;
+    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n");
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    head += &format!("Content-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body)?;
+    read(&mut BufReader::new(stream))
+}
+
+/// Answers each connection's only request in a thread of its own.
+pub fn serve(
+    address: &str,
+    handle: impl Fn(&Message) -> (u16, Vec<(String, String)>, Vec<u8>) + Send + Sync + 'static,
+) {
+    let listener = TcpListener::bind(address).expect("the stand-in's address is free");
+    let handle = std::sync::Arc::new(handle);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handle = handle.clone();
+            std::thread::spawn(move || {
+                // A connection that fails is one of the faults.
+                let _ = answer(stream, &*handle);
+            });
+        }
+    });
+}
+
+fn answer(
+    mut stream: TcpStream,
+    handle: &dyn Fn(&Message) -> (u16, Vec<(String, String)>, Vec<u8>),
+) -> io::Result<()> {
+    let request = read(&mut BufReader::new(stream.try_clone()?))?;
+    let (status, headers, body) = handle(&request);
+    let mut head = format!("HTTP/1.1 {status} Status\r\nConnection: close\r\n");
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    head += &format!("Content-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&body)
+}
+
+fn read(reader: &mut impl BufRead) -> io::Result<Message> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let second = line
+        .split_whitespace()
+        .nth(1)
+        .unwrap_or_default()
+        .to_owned();
+    let mut message = Message {
+        status: second.parse().unwrap_or(0),
+        path: second,
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        match line.trim_end().split_once(':') {
+            Some((name, value)) => message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned())),
+            None => break,
+        }
+    }
+    let length = message
+        .header("Content-Length")
+        .and_then(|text| text.parse().ok());
+    message.body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut message.body)?;
+    Ok(message)
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::mpsc::Sender;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,6 +38,8 @@
 
 /// Interval of the reducer's time events. Heartbeats and elections need several of them.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval of looking after the disk thread.
+const DISK_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Largest configuration that an operator may send, in bytes.
 const DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 /// Time in which an operator's body must have arrived.
@@ -44,14 +47,15 @@
 
 /// The reducer with what its effects act on. Used on one thread.
 struct Shell {
-    control: RefCell<Control>,
+    /// The replica; none while its disk fails.
+    control: RefCell<Option<Control>>,
     effects: RefCell<Vec<ControlEffect>>,
     clock: Clock,
     dialect: Rc<dyn Dialect>,
     pool: Pool,
     settings: Settings,
     peers: PeerLinks,
-    writes: Sender<Ticketed>,
+    writes: RefCell<Option<Sender<Ticketed>>>,
     calls: RefCell<Map<u64, oneshot::Sender<Answer>>>,
     next_call: Cell<u64>,
     is_reading: Cell<bool>,
@@ -62,7 +66,10 @@
     fn step(&self, event: ControlEvent) {
         let now_ms = self.clock.now_ms();
         let mut effects = self.effects.take();
-        self.control.borrow_mut().step(now_ms, event, &mut effects);
+        match self.control.borrow_mut().as_mut() {
+            Some(control) => control.step(now_ms, event, &mut effects),
+            None => refuse(event, &mut effects),
+        }
         for effect in effects.drain(..) {
             self.perform(effect);
         }
@@ -72,8 +79,10 @@
     fn perform(&self, effect: ControlEffect) {
         match effect {
             ControlEffect::Persist { ticket, write } => {
-                // The main task notices a disk thread that has ended.
-                let _ = self.writes.send((ticket, write));
+                if let Some(writes) = self.writes.borrow().as_ref() {
+                    // The main task notices a disk thread that has ended.
+                    let _ = writes.send((ticket, write));
+                }
             }
             ControlEffect::Send {
                 to,
@@ -134,6 +143,61 @@
         });
     }
 
+    /// Starts the replica on what its disk holds.
+    fn open_replica(&self) -> Result<JoinHandle<Result<(), node::Error>>, Error> {
+        let Opened {
+            store,
+            storage_id,
+            recovered,
+        } = persist::open(&self.settings.data_folder)?;
+        let text = format!(
+            "store=opened storage_id={storage_id:x} term={} entries={} founders={}",
+            recovered.term,
+            recovered.entries.len(),
+            self.settings.founders.len()
+        );
+        logs::line(Importance::Belief, "control", &text);
+        let disk = persist::start(store, self.peers.events.clone())?;
+        let settings = ControlSettings {
+            info: self.settings.info.clone(),
+            storage_id,
+            founders: self.settings.founders.clone(),
+            contacts: self.settings.contacts.clone(),
+            target_voters: self.settings.target_voters,
+            order_lease_ms: self.settings.order_lease_ms,
+            seed: storage_id,
+        };
+        let control = Control::new(settings, recovered, self.clock.now_ms());
+        self.control.replace(Some(control));
+        self.writes.replace(Some(disk.writes));
+        Ok(disk.thread)
+    }
+
+    /// Stops the replica when its disk has failed, and starts it again from the disk at the next check. What was not
+    /// synced is unknown, so the replica goes on from what the disk holds.
+    fn check_disk(&self, disk: &mut JoinHandle<Result<(), node::Error>>) {
+        if !disk.is_finished() {
+            return;
+        }
+        if self.control.take().is_some() {
+            self.writes.take();
+            logs::line(
+                Importance::Failure,
+                "control",
+                "replica=stopped reason=\"the disk has failed\"",
+            );
+            // Reports of the old thread that still wait in the queue find no replica until the next check.
+            return;
+        }
+        match self.open_replica() {
+            Ok(opened) => *disk = opened,
+            Err(error) => {
+                let text = format!("replica=not_started reason={:?}", error.to_string());
+                logs::line(Importance::Failure, "control", &text);
+            }
+        }
+    }
+
     async fn call(&self, event: impl FnOnce(u64) -> ControlEvent) -> Answer {
         let call = self.next_call.get() + 1;
         self.next_call.set(call);
@@ -166,42 +230,16 @@
             &format!("metrics=absent reason={:?}", error.to_string()),
         );
     }
-    let Opened {
-        store,
-        storage_id,
-        recovered,
-    } = persist::open(&settings.data_folder)?;
-    let text = format!(
-        "store=opened storage_id={storage_id:x} term={} entries={} founders={}",
-        recovered.term,
-        recovered.entries.len(),
-        settings.founders.len()
-    );
-    logs::line(Importance::Belief, "control", &text);
-    let disk = persist::start(store, peers.events.clone())?;
     let clock = Clock::start();
-    let control = Control::new(
-        ControlSettings {
-            info: settings.info.clone(),
-            storage_id,
-            founders: settings.founders.clone(),
-            contacts: settings.contacts.clone(),
-            target_voters: settings.target_voters,
-            order_lease_ms: settings.order_lease_ms,
-            seed: storage_id,
-        },
-        recovered,
-        clock.now_ms(),
-    );
     let shell = Rc::new(Shell {
-        control: RefCell::new(control),
+        control: RefCell::default(),
         effects: RefCell::default(),
         clock,
         dialect,
         pool: Pool::default(),
         settings,
         peers,
-        writes: disk.writes,
+        writes: RefCell::default(),
         calls: RefCell::default(),
         next_call: Cell::new(0),
         is_reading: Cell::new(false),
@@ -215,7 +253,8 @@
         serve(operators, Bounds::default, handle, stopped).await;
     });
     tokio::task::spawn_local(take_events(shell.clone(), queue));
-    let mut checks = interval(Duration::from_millis(200));
+    let mut disk = shell.open_replica()?;
+    let mut checks = interval(DISK_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
@@ -229,15 +268,23 @@
                     logs::line(Importance::Belief, "process", &outcome);
                 }
             },
-            _ = checks.tick() => if disk.thread.is_finished() {
-                return Err(Error::DiskStopped);
-            },
+            _ = checks.tick() => shell.check_disk(&mut disk),
         }
     }
     let _ = stop.send(true);
     Ok(())
 }
 
+/// Answers an operator's call while there is no replica. Everything else may be lost.
+fn refuse(event: ControlEvent, effects: &mut Vec<ControlEffect>) {
+    if let ControlEvent::Publish { call, .. } | ControlEvent::Describe { call } = event {
+        let answer = Answer::Unavailable {
+            reason: "the disk has failed",
+        };
+        effects.push(ControlEffect::Answer { call, answer });
+    }
+}
+
 async fn take_events(shell: Rc<Shell>, mut queue: mpsc::Receiver<Event>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -27,9 +27,6 @@
     /// The logger cannot be set up.
     #[error("cannot set up logs: {0}")]
     Logs(String),
-    /// The disk thread has ended.
-    #[error("the disk has failed")]
-    DiskStopped,
 }
 
 impl Error {
