--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,7 +22,7 @@
 /// Shared tokens from which a transfer from another engine pays: below, reading them takes less than 40 ms.
 pub const FETCH_MIN_TOKENS: u32 = 2_000;
 /// Cost of a transfer besides its time, in milliseconds: the copy displaces other parts from the cache.
-const FETCH_MS: f64 = 60.0;
+const FETCH_MS: f64 = 160.0;
 /// Tokens whose KV cache a link carries in a millisecond: 160 KB each at 1.6 Tbit/s.
 const TRANSFER_TOKENS_PER_MS: f64 = 1_200.0;
 /// Factor on the time of transfers between availability zones.
