--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -41,6 +41,16 @@
     assert_eq!(fleet.describe(), Some(expected));
 }
 
+/// Guards against the lower of two versions that are proposed at the same time overwriting the higher one.
+#[test]
+fn of_two_racing_versions_the_higher_one_is_in_force() {
+    let mut fleet = Fleet::new(3, 3);
+    fleet.run(3_000);
+    fleet.race(&[9, 8]);
+    fleet.run(1_000);
+    assert_eq!(fleet.versions(), [9, 9, 9]);
+}
+
 /// Guards against a read that a cut-off leader answers with an old version.
 #[test]
 fn a_leader_without_a_majority_answers_no_read() {
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -51,6 +51,8 @@
 struct Work {
     exchange: u64,
     left_tokens: u32,
+    /// Whether the engine computes the prompt for another one, which then generates.
+    is_prefill: bool,
 }
 
 /// Plays arrivals against one entry and two engines that compute prompts.
@@ -83,6 +85,7 @@
                 directive,
             }));
         }
+        let mut begun = Vec::new();
         for work in engines.values_mut() {
             let mut budget = TOKENS_PER_MS * STEP_MS as u32;
             while let Some(first) = work.front_mut() {
@@ -92,13 +95,23 @@
                 if first.left_tokens > 0 {
                     break;
                 }
-                let exchange = first.exchange;
+                let (exchange, is_prefill) = (first.exchange, first.is_prefill);
                 work.pop_front();
-                let handle = "handle".into();
-                effects.extend(driver.step(EntryEvent::Prefilled { exchange, handle }));
+                if is_prefill {
+                    let handle = "handle".into();
+                    effects.extend(driver.step(EntryEvent::Prefilled { exchange, handle }));
+                } else {
+                    begun.push(exchange);
+                }
             }
         }
         let mut effects: VecDeque<EntryEffect> = effects.into();
+        for exchange in begun {
+            let (rank, _, objective_ms) = open[&exchange];
+            let in_time = driver.now_ms <= objective_ms;
+            tallies[usize::from(rank)].in_time += u32::from(in_time);
+            effects.extend(finish(&mut driver, exchange));
+        }
         while let Some(effect) = effects.pop_front() {
             let EntryEffect::Direct {
                 exchange,
@@ -110,19 +123,22 @@
             let (rank, arrived_ms, objective_ms) = open[&exchange];
             let tally = &mut tallies[usize::from(rank)];
             match directive {
-                Directive::Send(attempt) if attempt.task == Task::Prefill => {
-                    let prompts = engines.entry(attempt.upstream).or_default();
-                    let left_tokens = tokens_of(exchange, &driver);
-                    prompts.push_back(Work {
-                        exchange,
-                        left_tokens,
-                    });
-                }
-                Directive::Send(_) => {
+                Directive::Send(attempt) if matches!(attempt.task, Task::Generate { .. }) => {
                     tally.in_time += u32::from(driver.now_ms <= objective_ms);
-                    effects.extend(driver.step(EntryEvent::Started { exchange }));
-                    let is_whole = true;
-                    effects.extend(driver.step(EntryEvent::Closed { exchange, is_whole }));
+                    effects.extend(finish(&mut driver, exchange));
+                }
+                Directive::Send(attempt) => {
+                    let is_prefill = attempt.task == Task::Prefill;
+                    // An engine that generates computes prompts at half the speed.
+                    let factor = if is_prefill { 1 } else { 2 };
+                    engines
+                        .entry(attempt.upstream)
+                        .or_default()
+                        .push_back(Work {
+                            exchange,
+                            left_tokens: tokens_of(exchange, &driver) * factor,
+                            is_prefill,
+                        });
                 }
                 Directive::Refuse(_) => {
                     tally.refused += 1;
@@ -137,6 +153,14 @@
     tallies
 }
 
+/// Passes the answer on to its end.
+fn finish(driver: &mut Driver, exchange: u64) -> Vec<EntryEffect> {
+    let mut effects = driver.step(EntryEvent::Started { exchange });
+    let is_whole = true;
+    effects.extend(driver.step(EntryEvent::Closed { exchange, is_whole }));
+    effects
+}
+
 fn tokens_of(exchange: u64, driver: &Driver) -> u32 {
     driver.entry.prompt_tokens(exchange).unwrap_or(0)
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -180,6 +180,20 @@
         })
     }
 
+    /// Publishes versions at the leader, none of which is decided before the last is sent.
+    pub fn race(&mut self, versions: &[u64]) {
+        let leader = self.leader().expect("a leader is elected");
+        for version in versions {
+            self.next_call += 1;
+            let event = ControlEvent::Publish {
+                call: self.next_call,
+                version: *version,
+                document: Bytes::from_static(b"document"),
+            };
+            self.step(leader, event);
+        }
+    }
+
     /// Reads at the leader.
     pub fn describe(&mut self) -> Option<Answer> {
         let leader = self.leader()?;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -91,7 +91,7 @@
     /// What happened, for the log.
     pub reason: String,
     /// The failure that the upstream answered, if it may be passed on.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Box<Response<Bytes>>>,
 }
 
 impl Failed {
@@ -277,7 +277,7 @@
         let status = response.status();
         if status.is_server_error() {
             return Err(Failed {
-                answer: Some(passed_on(response)),
+                answer: Some(Box::new(passed_on(response))),
                 ..Failed::new(Outcome::FailedAnswer, format!("status {status}"))
             });
         }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -205,7 +205,7 @@
 
 /// Carries out directives until there is an answer.
 async fn run(mut exchange: Exchange, forwarded: Rc<Forwarded>) -> Response<AnswerBody> {
-    let mut failed_answer: Option<Response<Bytes>> = None;
+    let mut failed_answer: Option<Box<Response<Bytes>>> = None;
     loop {
         match exchange.next().await {
             Some(Directive::Send(attempt)) => {
@@ -228,7 +228,7 @@
             Some(Directive::PassOn) => {
                 if let Some(response) = failed_answer.take() {
                     exchange.finish();
-                    return response.map(AnswerBody::from);
+                    return (*response).map(AnswerBody::from);
                 }
                 return unknown_end();
             }
