--- a/crates/mustardstack/tests/soak_support/http.rs
+++ b/crates/mustardstack/tests/soak_support/http.rs
@@ -10,8 +10,6 @@
 pub struct Message {
     /// Status of an answer; 0 for a request.
     pub status: u16,
-    /// Path of a request.
-    pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
@@ -26,6 +24,9 @@
     }
 }
 
+/// Status, headers and body of a stand-in's answer.
+pub type Reply = (u16, Vec<(String, String)>, Vec<u8>);
+
 /// Makes a call and returns the whole answer.
 pub fn call(
     address: &str,
@@ -48,10 +49,7 @@
 }
 
 /// Answers each connection's only request in a thread of its own.
-pub fn serve(
-    address: &str,
-    handle: impl Fn(&Message) -> (u16, Vec<(String, String)>, Vec<u8>) + Send + Sync + 'static,
-) {
+pub fn serve(address: &str, handle: impl Fn(&Message) -> Reply + Send + Sync + 'static) {
     let listener = TcpListener::bind(address).expect("the stand-in's address is free");
     let handle = std::sync::Arc::new(handle);
     std::thread::spawn(move || {
@@ -65,10 +63,7 @@
     });
 }
 
-fn answer(
-    mut stream: TcpStream,
-    handle: &dyn Fn(&Message) -> (u16, Vec<(String, String)>, Vec<u8>),
-) -> io::Result<()> {
+fn answer(mut stream: TcpStream, handle: &dyn Fn(&Message) -> Reply) -> io::Result<()> {
     let request = read(&mut BufReader::new(stream.try_clone()?))?;
     let (status, headers, body) = handle(&request);
     let mut head = format!("HTTP/1.1 {status} Status\r\nConnection: close\r\n");
@@ -92,7 +87,6 @@
         .to_owned();
     let mut message = Message {
         status: second.parse().unwrap_or(0),
-        path: second,
         headers: Vec::new(),
         body: Vec::new(),
     };
