--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -127,8 +127,6 @@
     runs_where_computed: bool,
     /// When the first event or the whole answer came.
     begun_ms: Option<u64>,
-    /// Handle that waits to be used, with the address of its engine.
-    handle: Option<(Name, Name)>,
     task: Option<Task>,
 }
 
@@ -357,7 +355,6 @@
             prefills: 0,
             runs_where_computed: false,
             begun_ms: None,
-            handle: None,
             task: None,
         };
         self.exchanges.insert(exchange, open);
@@ -815,9 +812,6 @@
         if let Some(waiting) = self.waiting.get_mut(&open.request.service) {
             waiting.retain(|other| *other != exchange);
         }
-        if let Some((address, handle)) = open.handle {
-            effects.push(EntryEffect::Free { address, handle });
-        }
         if let Some(charge) = open.charge
             && let Some(upstream) = self.upstreams.get_mut(&charge.upstream)
         {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Closes idle connections that have expired, and those to addresses that are not `in_use`.
+    /// Closes idle connections that have expired.
     pub fn tidy(&self) {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
