Fetch shared parts from engines that have computed them

Cause: most transfers brought nothing. The source was the engine that used the part last, which is the one that generates: it receives the prompts of several others and drops them after a few seconds. Of the parts that were sent somewhere less than 0.2 s ago, half were not computed yet.

Ruled out: the transfer itself (with a hit, prompts take what is expected), and too long a memory of parts (the engines that compute prompts keep them for more than 10 s).

Change: engines that only generate do not count as holders, and a part can be fetched 0.4 s after its first use. The log line of a call states the shared tokens and the age of what is known of them.

Test: parts_are_not_fetched_from_an_engine_that_generates, a_part_that_is_still_being_computed_is_not_fetched, both seen to fail with the mechanism broken. shared_parts_are_fetched_from_an_engine_that_holds_them lets a second pass first, since a part that was reported just now may not be computed yet.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -390,6 +390,7 @@
             tokens: 0,
             expected_ms: None,
             fetch_from: None,
+            shared_age_ms: None,
         };
         self.send(now_ms, exchange, &upstream, plan, effects);
     }
@@ -442,6 +443,7 @@
             tokens: choice.tokens,
             expected_ms: Some(choice.first_token_ms()),
             fetch_from: choice.fetch_from,
+            shared_age_ms: choice.shared_age_ms,
         };
         self.send(now_ms, exchange, &choice.upstream, plan, effects);
     }
@@ -577,6 +579,7 @@
             tokens,
             expected_ms,
             fetch_from,
+            shared_age_ms,
         } = plan;
         let Some(open) = self.exchanges.get_mut(&exchange) else {
             return;
@@ -593,7 +596,10 @@
         });
         open.sends += 1;
         open.prefills += u32::from(task == Task::Prefill);
-        if let Some((key, tokens)) = request.prompt.as_ref().and_then(Prompt::shared) {
+        // What an engine receives to generate from soon leaves its cache again: it gets the prompts of many others.
+        let computes = !matches!(task, Task::Generate { .. });
+        let shared = request.prompt.as_ref().and_then(Prompt::shared);
+        if let Some((key, tokens)) = shared.filter(|_| computes) {
             target.add_shared(key, now_ms);
             if tokens >= place::FETCH_MIN_TOKENS {
                 let upstream = upstream.clone();
@@ -615,11 +621,13 @@
             task: task.clone(),
         };
         let text = format!(
-            "request={} decision=send upstream={upstream} task={} rank={} tokens={tokens} running={} expected_ms={:.0} \
-             fetch_from={} left_ms={} send={}",
+            "request={} decision=send upstream={upstream} task={} rank={} tokens={tokens} shared={} shared_age_ms={} running={} \
+             expected_ms={:.0} fetch_from={} left_ms={} send={}",
             request.id,
             task_name(&task),
             request.rank,
+            shared.map_or(0, |(_, tokens)| tokens),
+            shared_age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string()),
             target.total_running(),
             expected_ms.unwrap_or(0.0),
             fetch_from.as_deref().unwrap_or("none"),
@@ -674,6 +682,7 @@
                     tokens: 0,
                     expected_ms: Some(0.0),
                     fetch_from: None,
+                    shared_age_ms: None,
                 };
                 self.send(now_ms, exchange, &decoder, plan, effects);
             }
@@ -898,6 +907,8 @@
     expected_ms: Option<f64>,
     /// Address of the engine from which it first fetches shared parts.
     fetch_from: Option<Name>,
+    /// Time since the shared parts were last used where they are believed to be, in milliseconds.
+    shared_age_ms: Option<u64>,
 }
 
 enum AfterFailure {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -54,6 +54,8 @@
     pub tokens: u32,
     /// Address of an engine from which it first fetches the shared parts.
     pub fetch_from: Option<Name>,
+    /// Time since the shared parts were last used where they are believed to be, in milliseconds.
+    pub shared_age_ms: Option<u64>,
     /// Expected wait until the prompt is begun, in milliseconds.
     pub wait_ms: f64,
     /// Expected time for the prompt, in milliseconds.
@@ -168,6 +170,11 @@
                 is_prefill,
                 tokens,
                 fetch_from: source.map(|source| source.record.address.clone()),
+                shared_age_ms: cached
+                    .then_some(upstream)
+                    .or(source)
+                    .zip(prompt.shared())
+                    .map(|(holder, (key, _))| situation.now_ms - holder.shared_used_ms(key)),
                 wait_ms,
                 work_ms,
             };
@@ -236,7 +243,7 @@
         return None;
     }
     candidates
-        .filter(|upstream| upstream.has_shared(key, situation.now_ms))
+        .filter(|upstream| upstream.can_export(key, situation.now_ms))
         .max_by_key(|upstream| {
             let is_near = situation.distance_ms(upstream) == 0.0;
             (is_near, upstream.shared_used_ms(key))
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -19,6 +19,9 @@
 const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
 /// Time after which a prompt part that was used here may have left the cache, in milliseconds.
 const SHARED_TTL_MS: u64 = 12_000;
+/// Time after its first use at an engine from which a prompt part counts as computed there, in milliseconds: the length of a
+/// usual queue and of a long prompt.
+const EXPORT_AGE_MS: u64 = 400;
 /// Prompt parts remembered for each upstream; the cache of an engine holds fewer long ones.
 const SHARED_PARTS: usize = 256;
 
@@ -51,8 +54,17 @@
     /// When the failure rate was last changed.
     failure_rate_ms: u64,
     open_until_ms: u64,
-    /// Shared prompt parts that were computed there, with the time of their last use.
-    shared: Map<u64, u64>,
+    /// Shared prompt parts of the requests that were sent there.
+    shared: Map<u64, SharedUse>,
+}
+
+/// Use of a shared prompt part at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SharedUse {
+    /// First use since the part was last unknown here.
+    since_ms: u64,
+    /// Latest use.
+    used_ms: u64,
 }
 
 impl Upstream {
@@ -136,28 +148,43 @@
         })
     }
 
-    /// Returns whether a shared prompt part is believed to be cached.
+    /// Returns whether a shared prompt part is believed to be cached, or computed before any further request.
     pub fn has_shared(&self, key: u64, now_ms: u64) -> bool {
-        let used_ms = self.shared.get(&key);
-        used_ms.is_some_and(|used_ms| now_ms - used_ms <= SHARED_TTL_MS)
+        self.shared_use(key, now_ms).is_some()
+    }
+
+    /// Returns whether other engines are believed to be able to fetch a shared prompt part from here. A part that was
+    /// sent there only just now may still wait to be computed.
+    pub fn can_export(&self, key: u64, now_ms: u64) -> bool {
+        let shared = self.shared_use(key, now_ms);
+        shared.is_some_and(|shared| now_ms - shared.since_ms >= EXPORT_AGE_MS)
     }
 
     /// Returns when a shared prompt part was last used there, or 0.
     pub fn shared_used_ms(&self, key: u64) -> u64 {
-        self.shared.get(&key).copied().unwrap_or(0)
+        self.shared.get(&key).map_or(0, |shared| shared.used_ms)
     }
 
-    /// Remembers that a shared prompt part has been computed.
+    /// Remembers that a shared prompt part is used there.
     pub fn add_shared(&mut self, key: u64, now_ms: u64) {
-        self.shared.insert(key, now_ms);
+        let since_ms = self
+            .shared_use(key, now_ms)
+            .map_or(now_ms, |shared| shared.since_ms);
+        let used_ms = now_ms;
+        self.shared.insert(key, SharedUse { since_ms, used_ms });
         if self.shared.len() > SHARED_PARTS
-            && let Some(oldest) = self.shared.iter().min_by_key(|(_, used)| **used)
+            && let Some(oldest) = self.shared.iter().min_by_key(|(_, shared)| shared.used_ms)
         {
             let oldest = *oldest.0;
             self.shared.remove(&oldest);
         }
     }
 
+    fn shared_use(&self, key: u64, now_ms: u64) -> Option<&SharedUse> {
+        let shared = self.shared.get(&key)?;
+        (now_ms - shared.used_ms <= SHARED_TTL_MS).then_some(shared)
+    }
+
     /// Counts a request that was answered.
     pub fn succeeded(&mut self, now_ms: u64) {
         self.failures = 0;
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -15,6 +15,8 @@
 
 const TOKENS_PER_MS: u32 = 50;
 const STEP_MS: u64 = 5;
+/// Time after which a prompt that was sent to an idle engine has been computed.
+const COMPUTED_MS: u64 = 1_000;
 
 fn zone() -> Vec<fleet::UpstreamRecord> {
     vec![
@@ -236,6 +238,7 @@
         upstream: "read-far".into(),
     };
     driver.others(Vec::new(), vec![part]);
+    driver.now_ms += COMPUTED_MS;
     let request = driver.prompt(1, (1, 13_000), 3_700);
     let attempt = sent(driver.arrive(request).1);
     assert!(attempt.upstream.starts_with("read-"));
@@ -243,6 +246,57 @@
     assert_eq!(attempt.fetch_from.as_deref(), Some("read-far:80"));
 }
 
+/// Guards against transfers from an engine that has not yet computed the part: it would be computed twice.
+#[test]
+fn a_part_that_is_still_being_computed_is_not_fetched() {
+    let mut upstreams = zone();
+    upstreams.push(engine("read-far", OTHER_ZONE, Role::Prefill));
+    let mut driver = Driver::new(upstreams);
+    let part = PartUse {
+        key: 1,
+        upstream: "read-far".into(),
+    };
+    driver.others(Vec::new(), vec![part]);
+    let request = driver.prompt(1, (1, 13_000), 3_700);
+    let attempt = sent(driver.arrive(request).1);
+    assert_eq!(attempt.fetch_from, None);
+}
+
+/// Guards against transfers from engines that generate. They get the KV cache of the prompts of several other engines,
+/// so that a part is gone after a few seconds and the prompt is computed as if nothing were shared.
+#[test]
+fn parts_are_not_fetched_from_an_engine_that_generates() {
+    let mut upstreams = zone();
+    upstreams.push(engine("read-far", OTHER_ZONE, Role::Prefill));
+    let mut driver = Driver::new(upstreams);
+    let request = driver.prompt(1, (1, 13_000), 3_700);
+    let (exchange, directive) = driver.arrive(request);
+    let reader = sent(directive).upstream;
+    let handle = "handle".into();
+    let effects = driver.step(EntryEvent::Prefilled { exchange, handle });
+    let writer = sent(entry_support::directive(&effects, exchange)).upstream;
+    assert!(writer.starts_with("write-"));
+    let parts = driver.reported_parts();
+    assert!(
+        parts.iter().all(|part| part.upstream == reader),
+        "{parts:?}"
+    );
+    finish(&mut driver, exchange);
+    driver.now_ms += COMPUTED_MS;
+    // The engine that holds the part is so busy that another one is chosen.
+    let busy = Backlog {
+        upstream: reader.clone(),
+        running: 10,
+        prompt_tokens: vec![0, 0, 400_000],
+    };
+    driver.others(vec![busy], Vec::new());
+    let request = driver.prompt(1, (1, 13_000), 3_700);
+    let attempt = sent(driver.arrive(request).1);
+    assert_ne!(attempt.upstream, reader);
+    let reader_address = format!("{reader}:80");
+    assert_eq!(attempt.fetch_from.as_deref(), Some(reader_address.as_str()));
+}
+
 /// Guards against transfers of parts that the chosen engine holds itself, and against parts that no entry reports.
 #[test]
 fn an_engine_that_holds_the_shared_parts_is_preferred() {
