Replace calls that reached no upstream without the retry budget

From second 4 to 9, 899 requests ended as "not run" although nothing had reached an engine: each refused connection took a place in the budget of repeated calls. 374 prompts were computed again because the engine that was to generate could not be reached or had been replaced, while the KV cache waited under its handle.

Ruled out: too small a budget. Arrivals that an engine rejects have to count; a connection that was not opened is none.

Change: only calls that may have reached an upstream count. A prompt whose handle was not taken is handed to another engine, and the handle is freed if the request ends.

Tests: calls_that_reach_no_upstream_take_nothing_out_of_the_budget, a_computed_prompt_is_handed_to_another_engine_if_the_first_cannot_be_reached, a_handle_that_no_engine_can_take_is_freed; all failed before the change.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -121,8 +121,12 @@
     runs: u32,
     /// Whether an upstream has answered with a failure, which may be passed on.
     has_failed_answer: bool,
+    /// Calls made, also those that reached no upstream.
     sends: u32,
+    /// Calls to compute the prompt that may have reached an upstream.
     prefills: u32,
+    /// Calls to run the request that may have reached an upstream.
+    run_calls: u32,
     /// Whether the budget has no place for another prefill call.
     runs_where_computed: bool,
     /// When the first event or the whole answer came.
@@ -353,6 +357,7 @@
             has_failed_answer: false,
             sends: 0,
             prefills: 0,
+            run_calls: 0,
             runs_where_computed: false,
             begun_ms: None,
             task: None,
@@ -595,7 +600,10 @@
             rank: request.rank,
         });
         open.sends += 1;
-        open.prefills += u32::from(task == Task::Prefill);
+        match task {
+            Task::Prefill => open.prefills += 1,
+            Task::Run | Task::Generate { .. } => open.run_calls += 1,
+        }
         // What an engine receives to generate from soon leaves its cache again: it gets the prompts of many others.
         let computes = !matches!(task, Task::Generate { .. });
         let shared = request.prompt.as_ref().and_then(Prompt::shared);
@@ -658,11 +666,23 @@
         };
         let source = charge.upstream.clone();
         let service = open.request.service.clone();
-        let rank = open.request.rank;
         if let Some(upstream) = self.upstreams.get_mut(&source) {
             upstream.remove(charge);
             upstream.succeeded(now_ms);
         }
+        self.hand_over(now_ms, exchange, &source, handle, effects);
+        self.pump(now_ms, &service, effects);
+    }
+
+    /// Lets an engine near `source` generate with the KV cache that `source` keeps under a handle.
+    fn hand_over(
+        &mut self,
+        now_ms: u64,
+        exchange: u64,
+        source: &Name,
+        handle: Name,
+        effects: &mut Vec<EntryEffect>,
+    ) {
         let open = &self.exchanges[&exchange];
         let situation = Situation {
             now_ms,
@@ -670,36 +690,32 @@
             tried: &open.tried,
             draw: open.draw,
         };
-        let Some(source) = self.upstreams.get(&source) else {
+        let Some(source) = self.upstreams.get(source) else {
             return self.place(now_ms, exchange, effects);
         };
         let address = source.record.address.clone();
-        match place::decoder(&situation, source, self.of_service(&service)) {
-            Some(decoder) => {
-                let decoder = decoder.record.id.clone();
-                let plan = Plan {
-                    task: Task::Generate { address, handle },
-                    tokens: 0,
-                    expected_ms: Some(0.0),
-                    fetch_from: None,
-                    shared_age_ms: None,
-                };
-                self.send(now_ms, exchange, &decoder, plan, effects);
-            }
-            None => {
-                effects.push(EntryEffect::Free { address, handle });
-                log(
-                    effects,
-                    Importance::Belief,
-                    format!("service={service} rank={rank} reason=no_decoder handle=freed"),
-                );
-                if let Some(open) = self.exchanges.get_mut(&exchange) {
-                    open.runs_where_computed = true;
-                }
-                self.place(now_ms, exchange, effects);
-            }
+        let decoder = place::decoder(&situation, source, self.of_service(&open.request.service));
+        if let Some(decoder) = decoder {
+            let decoder = decoder.record.id.clone();
+            let plan = Plan {
+                task: Task::Generate { address, handle },
+                tokens: 0,
+                expected_ms: Some(0.0),
+                fetch_from: None,
+                shared_age_ms: None,
+            };
+            return self.send(now_ms, exchange, &decoder, plan, effects);
         }
-        self.pump(now_ms, &service, effects);
+        let text = format!(
+            "request={} decision=free_handle reason=no_decoder source={address}",
+            open.request.id
+        );
+        log(effects, Importance::Belief, text);
+        effects.push(EntryEffect::Free { address, handle });
+        if let Some(open) = self.exchanges.get_mut(&exchange) {
+            open.runs_where_computed = true;
+        }
+        self.place(now_ms, exchange, effects);
     }
 
     fn on_started(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
@@ -760,9 +776,28 @@
             open.runs,
         );
         log(effects, Importance::Belief, text);
-        let decision = self.after_failure(now_ms, exchange, outcome);
+        if outcome == Outcome::Unreachable {
+            match &task {
+                Some(Task::Prefill) => open.prefills -= 1,
+                Some(Task::Run | Task::Generate { .. }) => open.run_calls -= 1,
+                None => {}
+            }
+        }
+        let kept = task.and_then(|task| self.kept_handle(task, outcome));
+        let decision = self.after_failure(now_ms, exchange, outcome, kept.is_some());
+        if let (AfterFailure::PassOn | AfterFailure::Refuse(_), Some((_, address, handle))) =
+            (&decision, &kept)
+        {
+            let (address, handle) = (address.clone(), handle.clone());
+            effects.push(EntryEffect::Free { address, handle });
+        }
         match decision {
-            AfterFailure::Again => self.place(now_ms, exchange, effects),
+            AfterFailure::Again => match kept {
+                Some((source, _, handle)) => {
+                    self.hand_over(now_ms, exchange, &source, handle, effects);
+                }
+                None => self.place(now_ms, exchange, effects),
+            },
             AfterFailure::PassOn => {
                 let directive = Directive::PassOn;
                 effects.push(EntryEffect::Direct {
@@ -775,7 +810,25 @@
         self.pump(now_ms, &service, effects);
     }
 
-    fn after_failure(&mut self, now_ms: u64, exchange: u64, outcome: Outcome) -> AfterFailure {
+    /// Returns the engine that still keeps the KV cache of a computed prompt although the call that was to take it
+    /// failed, with its address and the handle.
+    fn kept_handle(&self, task: Task, outcome: Outcome) -> Option<(Name, Name, Name)> {
+        let is_kept = matches!(outcome, Outcome::Unreachable | Outcome::Misdirected);
+        let Task::Generate { address, handle } = task else {
+            return None;
+        };
+        let mut upstreams = self.upstreams.values();
+        let source = upstreams.find(|upstream| upstream.record.address == address)?;
+        is_kept.then(|| (source.record.id.clone(), address, handle))
+    }
+
+    fn after_failure(
+        &mut self,
+        now_ms: u64,
+        exchange: u64,
+        outcome: Outcome,
+        has_handle: bool,
+    ) -> AfterFailure {
         let open = &self.exchanges[&exchange];
         let request = &open.request;
         let end = match outcome {
@@ -790,9 +843,13 @@
         if !is_allowed || !has_time || open.sends >= MAX_SENDS {
             return end;
         }
+        // A call that reached no upstream is replaced, not repeated.
+        if outcome == Outcome::Unreachable {
+            return AfterFailure::Again;
+        }
         // The first prefill call and the first call that runs the request are not retries. A request that has had
         // both needs two more calls to be computed apart again, or one to be computed where it runs.
-        let has_had_both = open.prefills > 0 && open.sends > open.prefills;
+        let has_had_both = open.prefills > 0 && open.run_calls > 0 && !has_handle;
         let budget = self.budgets.entry(request.service.clone()).or_default();
         let mut take =
             |count| budget.take_retries(count, &self.settings.budget, now_ms, self.entries);
--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -2,8 +2,9 @@
 
 mod entry_support;
 
-use conf::Role;
+use conf::{Name, Role};
 use entry_support::{Driver, OTHER_ZONE, ZONE, engine, plain, refused, sent};
+use gateway::entry::{EntryEffect, EntryEvent};
 use gateway::exchange::Task;
 use gateway::{Directive, Kind, Outcome, RefusalReason};
 
@@ -149,7 +150,7 @@
         let attempt = sent(directive);
         assert_eq!(attempt.task, Task::Prefill);
         let handle = "handle".into();
-        let effects = driver.step(gateway::entry::EntryEvent::Prefilled { exchange, handle });
+        let effects = driver.step(EntryEvent::Prefilled { exchange, handle });
         let attempt = sent(entry_support::directive(&effects, exchange));
         match &rejecting {
             None => {
@@ -182,7 +183,7 @@
             if attempt.task == Task::Prefill {
                 prefills += 1;
                 let handle = "handle".into();
-                let event = gateway::entry::EntryEvent::Prefilled { exchange, handle };
+                let event = EntryEvent::Prefilled { exchange, handle };
                 let effects = driver.step(event);
                 next = entry_support::directive(&effects, exchange);
             } else {
@@ -195,3 +196,60 @@
     // A fifth of the requests and this entry's part of the slack of 50.
     assert!(extra <= 20 + 50 / 6, "{extra}");
 }
+
+/// Guards against refusals while a quarter of the engines refuses connections: calls that reach no upstream are no
+/// repeated work, and the budget of repeated calls is spent within a second of a crash.
+#[test]
+fn calls_that_reach_no_upstream_take_nothing_out_of_the_budget() {
+    let ids = [
+        "near-1", "near-2", "near-3", "near-4", "near-5", "near-6", "near-7", "near-8", "near-9",
+        "near-10", "near-11", "near-12",
+    ];
+    let mut driver = Driver::new(ids.map(|id| plain(id, ZONE)).into());
+    for _ in 0..100 {
+        driver.now_ms += 1_000;
+        let (exchange, directive) = driver.arrive(driver.request(Kind::NonIdempotent, 0));
+        sent(directive);
+        sent(driver.end(exchange, Outcome::Unreachable));
+        sent(driver.end(exchange, Outcome::Unreachable));
+        let is_whole = true;
+        driver.step(EntryEvent::Closed { exchange, is_whole });
+    }
+}
+
+/// Guards against prompts that are computed again because the engine that was to generate could not be reached.
+#[test]
+fn a_computed_prompt_is_handed_to_another_engine_if_the_first_cannot_be_reached() {
+    let upstreams = vec![
+        engine("read", ZONE, Role::Prefill),
+        engine("write-1", ZONE, Role::Decode),
+        engine("write-2", ZONE, Role::Decode),
+    ];
+    for outcome in [Outcome::Unreachable, Outcome::Misdirected] {
+        let mut driver = Driver::new(upstreams.clone());
+        let (exchange, _) = driver.arrive(driver.prompt(0, (1, 100), 500));
+        let handle = "handle".into();
+        let effects = driver.step(EntryEvent::Prefilled { exchange, handle });
+        let first = sent(entry_support::directive(&effects, exchange));
+        let second = sent(driver.end(exchange, outcome));
+        assert_ne!(second.upstream, first.upstream);
+        assert_eq!(second.task, first.task);
+    }
+}
+
+/// Guards against KV cache that stays in an engine's memory although its request has ended.
+#[test]
+fn a_handle_that_no_engine_can_take_is_freed() {
+    let upstreams = vec![
+        engine("read", ZONE, Role::Prefill),
+        engine("write", ZONE, Role::Decode),
+    ];
+    let mut driver = Driver::new(upstreams);
+    let (exchange, _) = driver.arrive(driver.prompt(0, (1, 100), 500));
+    let handle = Name::from("handle");
+    driver.step(EntryEvent::Prefilled { exchange, handle });
+    let outcome = Outcome::Unreachable;
+    let effects = driver.step(EntryEvent::Ended { exchange, outcome });
+    let is_freed = |effect: &EntryEffect| matches!(effect, EntryEffect::Free { handle, .. } if handle == "handle");
+    assert!(effects.iter().any(is_freed), "{effects:?}");
+}
