Keep engines of a large zone for the most urgent rank

At the peak all prefill engines of a zone compute long prompts (270 ms and more), since those that wait in the entries fill each engine as it becomes idle, and an urgent prompt that arrives then waits for one of them.

Ruled out: priorities at the engine, which computes prompts in the order of their arrival.

Change: in zones with eight prefill engines or more, a quarter of them takes only prompts of rank 0, and of rank 1 if they take at most 70 ms. Entries agree on them by the hash of the engine's id.

Test: a_large_zone_keeps_engines_for_the_most_urgent_rank replays a burst of long prompts before an urgent one; it fails without the reservation.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -429,7 +429,7 @@
         let upstreams = self
             .of_service(&open.request.service)
             .filter(|upstream| !open.runs_where_computed || !upstream.is_prefill());
-        place::engine(&situation, prompt, upstreams)
+        place::engine(&situation, prompt, open.request.rank, upstreams)
     }
 
     fn send_choice(
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -32,6 +32,12 @@
 const HOME_CACHED_SHARE: f64 = 0.2;
 /// Cost of the failures of an upstream, in milliseconds at a failure rate of 1.
 const FAILURE_MS: f64 = 2_000.0;
+/// Share of a zone's prefill engines that is kept for the most urgent rank.
+const RESERVED_SHARE: f64 = 0.25;
+/// Prefill engines of a zone from which on some are reserved.
+const RESERVED_MIN_ENGINES: usize = 8;
+/// Longest work of another rank that such an engine takes while it is idle, in milliseconds.
+const RESERVED_WORK_MS: f64 = 70.0;
 /// Share of an engine's slots above which it gets no further requests.
 const SLOT_SHARE: f64 = 0.95;
 /// Time that a plain request is taken to need, in milliseconds, to weigh queues against distance.
@@ -128,9 +134,12 @@
 pub fn engine<'a>(
     situation: &Situation<'_>,
     prompt: &Prompt,
+    rank: u8,
     upstreams: impl Iterator<Item = &'a Upstream> + Clone,
 ) -> Option<Choice> {
     let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
+    let reserved = reserved(situation, candidates.clone());
+    let is_kept_free = |upstream: &Upstream| rank > 0 && reserved.contains(&&upstream.record.id);
     let home = home(situation, prompt, candidates.clone());
     let holder = holder(situation, prompt, candidates.clone());
     let mut best: Option<(f64, Choice)> = None;
@@ -152,6 +161,9 @@
         let wait_ms = f64::from(upstream.tokens_ahead()) / speed;
         let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
         let work_ms = f64::from(tokens) / speed + fetch_ms;
+        if is_kept_free(upstream) && (rank > 1 || work_ms > RESERVED_WORK_MS) {
+            continue;
+        }
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_MS,
             Some(Role::Decode) => INTERFERENCE_MS + work_ms * INTERFERENCE_FACTOR,
@@ -184,6 +196,25 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns the prefill engines of the own zone that are kept for the most urgent rank, the same for all entries.
+fn reserved<'a>(
+    situation: &Situation<'_>,
+    candidates: impl Iterator<Item = &'a Upstream>,
+) -> Vec<&'a Name> {
+    let hasher = foldhash::fast::FixedState::default();
+    let mut engines: Vec<&Name> = candidates
+        .filter(|upstream| upstream.is_prefill() && situation.distance_ms(upstream) == 0.0)
+        .map(|upstream| &upstream.record.id)
+        .collect();
+    let count = match engines.len() {
+        0..RESERVED_MIN_ENGINES => 0,
+        engines => (engines as f64 * RESERVED_SHARE) as usize,
+    };
+    engines.sort_by_cached_key(|id| hasher.hash_one(id));
+    engines.truncate(count);
+    engines
+}
+
 /// Chooses the engine that generates from a computed prompt: the one in the prefill engine's zone that runs the least.
 pub fn decoder<'a>(
     situation: &Situation<'_>,
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -206,6 +206,39 @@
     assert_eq!(urgent.refused, 0, "{tallies:?}");
 }
 
+/// Guards against a burst of long prompts that occupies all engines of a large zone, so that urgent prompts which come a
+/// moment later wait until one of them has been computed.
+#[test]
+fn a_large_zone_keeps_engines_for_the_most_urgent_rank() {
+    let mut upstreams: Vec<_> = (1..=12)
+        .map(|index| fleet::UpstreamRecord {
+            id: Name::from(format!("read-{index}")),
+            ..engine("read", ZONE, Role::Prefill)
+        })
+        .collect();
+    upstreams.push(engine("write", ZONE, Role::Decode));
+    let mut driver = Driver::new(upstreams);
+    let mut busy: Vec<Name> = Vec::new();
+    for key in 0..24 {
+        let (_, directive) = driver.arrive(driver.prompt(2, (key, 13_000), 4_000));
+        if let Some(Directive::Send(attempt)) = directive {
+            busy.push(attempt.upstream);
+        }
+    }
+    assert_eq!(busy.len(), 9, "{busy:?}");
+    // Short prompts of the rank between use them as well; long ones do not.
+    let (_, directive) = driver.arrive(driver.prompt(1, (100, 13_000), 4_000));
+    assert_eq!(directive, None);
+    let (_, directive) = driver.arrive(driver.prompt(1, (101, 1_000), 1_000));
+    busy.push(sent(directive).upstream);
+    for _ in 0..2 {
+        let (_, directive) = driver.arrive(driver.prompt(0, (102, 350), 1_100));
+        let attempt = sent(directive);
+        assert!(!busy.contains(&attempt.upstream), "{busy:?}");
+        busy.push(attempt.upstream);
+    }
+}
+
 /// Guards against requests that are held until their callers give up although it was known at their arrival that they
 /// could not begin in time.
 #[test]
