--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -220,11 +220,6 @@
         self.services.get(name)
     }
 
-    /// Returns the services.
-    pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.services.values()
-    }
-
     /// Returns the route with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.hosts
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -196,11 +196,6 @@
         Some(charge.tokens)
     }
 
-    /// Returns the time since a replica confirmed the configuration, in milliseconds.
-    pub fn config_age_ms(&self, now_ms: u64) -> u64 {
-        self.subscription.age_ms(now_ms)
-    }
-
     /// Handles one event and appends the effects.
     pub fn step(&mut self, now_ms: u64, event: EntryEvent, effects: &mut Vec<EntryEffect>) {
         match event {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,10 +15,8 @@
 const HANDOFF_MS: f64 = 25.0;
 /// Cost of leaving the availability zone, in milliseconds. Bytes between zones are dear.
 const ZONE_MS: f64 = 400.0;
-/// Least cost of a decode engine's own prefill, in milliseconds: it delays the events of all streams that run there.
+/// Cost of a decode engine's own prefill, in milliseconds: it delays the events of all streams that run there.
 const INTERFERENCE_MS: f64 = 400.0;
-/// Cost of that delay for each millisecond of the prefill. A short prompt fits between two events, a long one does not.
-const INTERFERENCE_FACTOR: f64 = 0.0;
 /// Shared tokens from which a transfer from another engine pays: below, reading them takes less than 40 ms.
 pub const FETCH_MIN_TOKENS: u32 = 2_000;
 /// Cost of a transfer besides its time, in milliseconds: the copy displaces other parts from the cache.
@@ -166,7 +164,7 @@
         }
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_MS,
-            Some(Role::Decode) => INTERFERENCE_MS + work_ms * INTERFERENCE_FACTOR,
+            Some(Role::Decode) => INTERFERENCE_MS,
             _ => 0.0,
         };
         let cost_ms = wait_ms
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -9,7 +9,7 @@
 use gateway::entry::EntryEvent;
 use gateway::{Attempt, Config, Directive, Kind, Outcome, Refusal, RefusalReason, Route};
 use http::header::HOST;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -262,16 +262,27 @@
 
 fn log_failed(exchange: &Exchange, forwarded: &Forwarded, attempt: &Attempt, reason: &str) {
     let text = format!(
-        "request={:?} exchange={} upstream={} address={} call=failed reason={reason:?}",
-        forwarded.id, exchange.id, attempt.upstream, attempt.address
+        "request={} exchange={} upstream={} address={} call=failed reason={reason:?}",
+        printable(&forwarded.id),
+        exchange.id,
+        attempt.upstream,
+        attempt.address
     );
     logs::line(Importance::Failure, "call", &text);
 }
 
 fn log_refused(headers: &HeaderMap, shell: &Shell, reason: &str) {
     let id = headers.get(&shell.client.dialect.headers().request_id);
+    let id = id.map_or("none", printable);
     let version = shell.config().map_or(0, |config| config.version());
     let text =
-        format!("request={id:?} outcome=refused reason={reason} not_run=true config={version}");
+        format!("request={id} outcome=refused reason={reason} not_run=true config={version}");
     logs::line(Importance::Failure, "entry", &text);
 }
+
+/// Returns a request's id for a log line. What a caller sends must not look like further fields.
+fn printable(id: &HeaderValue) -> &str {
+    let is_graphic = id.as_bytes().iter().all(u8::is_ascii_graphic);
+    let text = id.to_str().ok().filter(|_| is_graphic);
+    text.unwrap_or("unprintable")
+}
