Spare the choice of an engine repeated work, and build its situation in one place

For each prefill engine, the choice searched all engines for the least loaded one that could generate, only to learn whether there is one in its zone; with 140 engines these are thousands of looks for each request that waits. It now lists the zones that can generate once. The engines kept for the most urgent rank are not worked out for that rank, which may use all of them, and prompts are no longer copied for each look at the queue.

The situation of a choice, a directive and the start of the metrics were written out in several places and have one function each now; what is kept of a computed prompt has a type. No decision changes, and no test.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -366,20 +366,15 @@
         let Some(open) = self.exchanges.get(&exchange) else {
             return;
         };
-        match open.request.prompt.clone() {
-            Some(prompt) => self.place_prompt(now_ms, exchange, &prompt, effects),
+        match open.request.prompt {
+            Some(_) => self.place_prompt(now_ms, exchange, effects),
             None => self.place_plain(now_ms, exchange, effects),
         }
     }
 
     fn place_plain(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let open = &self.exchanges[&exchange];
-        let situation = Situation {
-            now_ms,
-            zone: &self.settings.info.availability_zone,
-            tried: &open.tried,
-            draw: open.draw,
-        };
+        let situation = self.situation(now_ms, open);
         let upstreams = self.of_service(&open.request.service);
         let Some(upstream) = place::plain(&situation, upstreams) else {
             return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
@@ -395,14 +390,8 @@
         self.send(now_ms, exchange, &upstream, plan, effects);
     }
 
-    fn place_prompt(
-        &mut self,
-        now_ms: u64,
-        exchange: u64,
-        prompt: &Prompt,
-        effects: &mut Vec<EntryEffect>,
-    ) {
-        let Some(choice) = self.choose(now_ms, exchange, prompt) else {
+    fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
+        let Some(choice) = self.choose(now_ms, exchange) else {
             return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
         };
         let request = &self.exchanges[&exchange].request;
@@ -413,14 +402,10 @@
         self.send_choice(now_ms, exchange, choice, effects);
     }
 
-    fn choose(&self, now_ms: u64, exchange: u64, prompt: &Prompt) -> Option<Choice> {
+    fn choose(&self, now_ms: u64, exchange: u64) -> Option<Choice> {
         let open = &self.exchanges[&exchange];
-        let situation = Situation {
-            now_ms,
-            zone: &self.settings.info.availability_zone,
-            tried: &open.tried,
-            draw: open.draw,
-        };
+        let prompt = open.request.prompt.as_ref()?;
+        let situation = self.situation(now_ms, open);
         let upstreams = self
             .of_service(&open.request.service)
             .filter(|upstream| !open.runs_where_computed || !upstream.is_prefill());
@@ -541,11 +526,8 @@
         let mut left = Vec::new();
         for exchange in waiting {
             let request = &self.exchanges[&exchange].request;
-            let Some(prompt) = request.prompt.clone() else {
-                continue;
-            };
             let (deadline_ms, rank) = (request.begin_deadline_ms, request.rank);
-            match self.choose(now_ms, exchange, &prompt) {
+            match self.choose(now_ms, exchange) {
                 None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
                 Some(choice) => {
                     let expected_ms = (choice.first_token_ms() + FIRST_EVENT_MS) as u64;
@@ -639,11 +621,7 @@
         );
         open.task = Some(task);
         log(effects, Importance::Step, text);
-        let directive = Directive::Send(attempt);
-        effects.push(EntryEffect::Direct {
-            exchange,
-            directive,
-        });
+        direct(effects, exchange, Directive::Send(attempt));
     }
 
     fn on_prefilled(
@@ -679,12 +657,7 @@
         effects: &mut Vec<EntryEffect>,
     ) {
         let open = &self.exchanges[&exchange];
-        let situation = Situation {
-            now_ms,
-            zone: &self.settings.info.availability_zone,
-            tried: &open.tried,
-            draw: open.draw,
-        };
+        let situation = self.situation(now_ms, open);
         let Some(source) = self.upstreams.get(source) else {
             return self.place(now_ms, exchange, effects);
         };
@@ -780,41 +753,41 @@
         }
         let kept = task.and_then(|task| self.kept_handle(task, outcome));
         let decision = self.after_failure(now_ms, exchange, outcome, kept.is_some());
-        if let (AfterFailure::PassOn | AfterFailure::Refuse(_), Some((_, address, handle))) =
-            (&decision, &kept)
-        {
-            let (address, handle) = (address.clone(), handle.clone());
-            effects.push(EntryEffect::Free { address, handle });
+        match (&decision, kept) {
+            (AfterFailure::Again, Some(kept)) => {
+                self.hand_over(now_ms, exchange, &kept.source, kept.handle, effects);
+                return self.pump(now_ms, &service, effects);
+            }
+            (
+                _,
+                Some(Kept {
+                    address, handle, ..
+                }),
+            ) => effects.push(EntryEffect::Free { address, handle }),
+            (_, None) => {}
         }
         match decision {
-            AfterFailure::Again => match kept {
-                Some((source, _, handle)) => {
-                    self.hand_over(now_ms, exchange, &source, handle, effects);
-                }
-                None => self.place(now_ms, exchange, effects),
-            },
-            AfterFailure::PassOn => {
-                let directive = Directive::PassOn;
-                effects.push(EntryEffect::Direct {
-                    exchange,
-                    directive,
-                });
-            }
+            AfterFailure::Again => self.place(now_ms, exchange, effects),
+            AfterFailure::PassOn => direct(effects, exchange, Directive::PassOn),
             AfterFailure::Refuse(reason) => self.refuse(now_ms, exchange, reason, 0, effects),
         }
         self.pump(now_ms, &service, effects);
     }
 
-    /// Returns the engine that still keeps the KV cache of a computed prompt although the call that was to take it
-    /// failed, with its address and the handle.
-    fn kept_handle(&self, task: Task, outcome: Outcome) -> Option<(Name, Name, Name)> {
-        let is_kept = matches!(outcome, Outcome::Unreachable | Outcome::Misdirected);
-        let Task::Generate { address, handle } = task else {
+    /// Returns what an engine still keeps of a computed prompt although the call that was to take it failed.
+    fn kept_handle(&self, task: Task, outcome: Outcome) -> Option<Kept> {
+        let (Outcome::Unreachable | Outcome::Misdirected, Task::Generate { address, handle }) =
+            (outcome, task)
+        else {
             return None;
         };
         let mut upstreams = self.upstreams.values();
         let source = upstreams.find(|upstream| upstream.record.address == address)?;
-        is_kept.then(|| (source.record.id.clone(), address, handle))
+        Some(Kept {
+            source: source.record.id.clone(),
+            address,
+            handle,
+        })
     }
 
     fn after_failure(
@@ -937,11 +910,16 @@
             reason,
             retry_after_ms,
         };
-        let directive = Directive::Refuse(refusal);
-        effects.push(EntryEffect::Direct {
-            exchange,
-            directive,
-        });
+        direct(effects, exchange, Directive::Refuse(refusal));
+    }
+
+    fn situation<'a>(&'a self, now_ms: u64, open: &'a Exchange) -> Situation<'a> {
+        Situation {
+            now_ms,
+            zone: &self.settings.info.availability_zone,
+            tried: &open.tried,
+            draw: open.draw,
+        }
     }
 
     fn of_service(&self, service: &Name) -> impl Iterator<Item = &Upstream> + Clone {
@@ -963,6 +941,15 @@
     shared_age_ms: Option<u64>,
 }
 
+/// KV cache of a computed prompt that no engine has taken.
+struct Kept {
+    /// Engine that keeps it.
+    source: Name,
+    /// Address of that engine.
+    address: Name,
+    handle: Name,
+}
+
 enum AfterFailure {
     Again,
     PassOn,
@@ -1006,6 +993,13 @@
     }
 }
 
+fn direct(effects: &mut Vec<EntryEffect>, exchange: u64, directive: Directive) {
+    effects.push(EntryEffect::Direct {
+        exchange,
+        directive,
+    });
+}
+
 fn log(effects: &mut Vec<EntryEffect>, importance: Importance, text: String) {
     effects.push(EntryEffect::Log { importance, text });
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -136,8 +136,11 @@
     upstreams: impl Iterator<Item = &'a Upstream> + Clone,
 ) -> Option<Choice> {
     let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
-    let reserved = reserved(situation, candidates.clone());
-    let is_kept_free = |upstream: &Upstream| rank > 0 && reserved.contains(&&upstream.record.id);
+    let reserved = match rank {
+        0 => Vec::new(),
+        _ => reserved(situation, candidates.clone()),
+    };
+    let generating = generating_zones(candidates.clone());
     let home = home(situation, prompt, candidates.clone());
     let holder = holder(situation, prompt, candidates.clone());
     let mut best: Option<(f64, Choice)> = None;
@@ -146,7 +149,7 @@
             continue;
         }
         let is_prefill = upstream.is_prefill();
-        if is_prefill && decoder_near(situation, candidates.clone(), upstream).is_none() {
+        if is_prefill && !generating.contains(&&upstream.record.availability_zone) {
             continue;
         }
         let cached = is_cached(situation, prompt, upstream);
@@ -159,7 +162,8 @@
         let wait_ms = f64::from(upstream.tokens_ahead()) / speed;
         let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
         let work_ms = f64::from(tokens) / speed + fetch_ms;
-        if is_kept_free(upstream) && (rank > 1 || work_ms > RESERVED_WORK_MS) {
+        let is_kept_free = reserved.contains(&&upstream.record.id);
+        if is_kept_free && (rank > 1 || work_ms > RESERVED_WORK_MS) {
             continue;
         }
         let extra_ms = match upstream.record.role {
@@ -218,29 +222,33 @@
     situation: &Situation<'_>,
     source: &Upstream,
     upstreams: impl Iterator<Item = &'a Upstream>,
-) -> Option<&'a Upstream> {
-    let candidates = upstreams.filter(|upstream| situation.is_candidate(upstream));
-    decoder_near(situation, candidates, source)
-}
-
-fn decoder_near<'a>(
-    situation: &Situation<'_>,
-    candidates: impl Iterator<Item = &'a Upstream>,
-    source: &Upstream,
 ) -> Option<&'a Upstream> {
     let zone = &source.record.availability_zone;
-    candidates
-        .filter(|upstream| matches!(upstream.record.role, Some(Role::Decode | Role::Mixed)))
+    let load = |upstream: &Upstream| {
+        f64::from(upstream.total_running())
+            + upstream.failure_rate(situation.now_ms) * f64::from(upstream.record.slots)
+            + situation.jitter(upstream) * SPREAD_REQUESTS
+    };
+    upstreams
+        .filter(|upstream| situation.is_candidate(upstream) && can_generate(upstream))
         .filter(|upstream| upstream.record.availability_zone == *zone)
-        .filter(|upstream| !is_full(upstream))
-        .min_by(|a, b| {
-            let load = |upstream: &Upstream| {
-                f64::from(upstream.total_running())
-                    + upstream.failure_rate(situation.now_ms) * f64::from(upstream.record.slots)
-                    + situation.jitter(upstream) * SPREAD_REQUESTS
-            };
-            load(a).total_cmp(&load(b))
-        })
+        .min_by(|a, b| load(a).total_cmp(&load(b)))
+}
+
+/// Returns the zones in which an engine can generate.
+fn generating_zones<'a>(candidates: impl Iterator<Item = &'a Upstream>) -> Vec<&'a Name> {
+    let mut zones = Vec::new();
+    for upstream in candidates.filter(|upstream| can_generate(upstream)) {
+        let zone = &upstream.record.availability_zone;
+        if !zones.contains(&zone) {
+            zones.push(zone);
+        }
+    }
+    zones
+}
+
+fn can_generate(upstream: &Upstream) -> bool {
+    matches!(upstream.record.role, Some(Role::Decode | Role::Mixed)) && !is_full(upstream)
 }
 
 fn is_full(upstream: &Upstream) -> bool {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -222,13 +222,7 @@
     let mut signals = Signals::listen()?;
     let (peers, queue) = PeerLinks::open(&settings).await?;
     let operators = listen("operators", &settings.operator_address).await?;
-    if let Err(error) = telemetry::start(&settings.metrics_address).await {
-        logs::line(
-            Importance::Failure,
-            "process",
-            &format!("metrics=absent reason={:?}", error.to_string()),
-        );
-    }
+    telemetry::start(&settings.metrics_address).await;
     let clock = Clock::start();
     let shell = Rc::new(Shell {
         control: RefCell::default(),
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -154,13 +154,7 @@
     let (peers, queue) = PeerLinks::open(&settings).await?;
     let callers = listen("callers", &settings.caller_address).await?;
     let readiness = listen("readiness", &settings.ready_address).await?;
-    if let Err(error) = telemetry::start(&settings.metrics_address).await {
-        logs::line(
-            Importance::Failure,
-            "process",
-            &format!("metrics=absent reason={:?}", error.to_string()),
-        );
-    }
+    telemetry::start(&settings.metrics_address).await;
     let shell = Rc::new(Shell {
         client: Client {
             pool: Pool::default(),
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -9,15 +9,20 @@
 use crate::answer::{self, AnswerBody};
 use crate::error::Error;
 use crate::http::{Bounds, listen, serve};
+use crate::logs::{self, Importance};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves the metrics of the process in the background.
-///
-/// # Errors
-/// Fails if the recorder or the listener cannot be set up.
-pub async fn start(address: &Name) -> Result<(), Error> {
+/// Serves the metrics of the process in the background. The process goes on without them if that fails.
+pub async fn start(address: &Name) {
+    if let Err(error) = serve_metrics(address).await {
+        let text = format!("metrics=absent reason={:?}", error.to_string());
+        logs::line(Importance::Failure, "process", &text);
+    }
+}
+
+async fn serve_metrics(address: &Name) -> Result<(), Error> {
     let telemetry = Telemetry::install()?;
     let socket = listen("metrics", address).await?;
     let (sender, stop) = watch::channel(false);
