--- a/crates/mustardstack/tests/support/command.rs
+++ b/crates/mustardstack/tests/support/command.rs
@@ -102,8 +102,9 @@
     /// named instance knows is in force), `exit` (the process has ended), `idle` (no open exchanges), `voters` (the
     /// status of the instance shows all voters, no learner and no lost replica), `changed` (an engine has carried out
     /// an order), `received` (an engine has accepted an order), `executed` (a plain service has run a call),
-    /// `undrained` (no running instance drains the upstream), `drained` (every running instance drains the upstream,
-    /// and the upstream has no requests left).
+    /// `granted` (every running instance knows a holder of the engine's order gate), `undrained` (no running instance
+    /// drains the upstream), `drained` (every running instance drains the upstream, and the upstream has no requests
+    /// left).
     Wait {
         condition: String,
         #[arg(pos, many)]
--- a/crates/mustardstack/tests/support/condition.rs
+++ b/crates/mustardstack/tests/support/condition.rs
@@ -19,6 +19,7 @@
             "executed" => self.for_each(names, Self::wait_executed),
             "drained" => self.for_each(names, Self::wait_drained),
             "undrained" => self.for_each(names, |runner, name| runner.wait_draining(name, false)),
+            "granted" => self.for_each(names, Self::wait_granted),
             "idle" => self.for_each(names, Self::wait_idle),
             "exit" => self.wait_exit(names),
             other => Err(format!("there is no condition {other}").into()),
@@ -120,6 +121,22 @@
         })
     }
 
+    /// Waits until the status of every running instance shows a holder of the engine's order gate.
+    fn wait_granted(&mut self, upstream: &str) -> Result<()> {
+        wait::until("the holder of the order gate on all instances", || {
+            for instance in self.running_instances()? {
+                let status = self.status(&instance)?;
+                let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
+                let has_holder =
+                    |entry: &Value| entry["name"] == upstream && !entry["gate"].is_null();
+                if !upstreams.iter().any(has_holder) {
+                    return Ok(None);
+                }
+            }
+            Ok(Some(()))
+        })
+    }
+
     pub(super) fn wait_idle(&mut self, id: &str) -> Result<()> {
         wait::until("the end of open exchanges", || {
             Ok((self.status(id)?["open_exchanges"] == 0).then_some(()))
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -221,13 +221,16 @@
             let (status, body) = admin_request(&instance, "GET", "/metrics", "").await;
             assert_eq!(status, 200);
             if body.contains("parish-of-metrics") {
-                return body;
+                return;
             }
         }
     };
-    let body = tokio::time::timeout(support::WAIT_TIMEOUT, waiting)
+    tokio::time::timeout(support::WAIT_TIMEOUT, waiting)
         .await
         .unwrap();
+    // One response reads the counters before the histograms. The effect is counted before its sample is recorded, so
+    // that every response after one with the sample has both.
+    let (_, body) = admin_request(&instance, "GET", "/metrics", "").await;
     let bucket =
         r#"mustardstack_first_token_ms_bucket{tenant="parish-of-metrics",rank="urgent",le="50"} 1"#;
     assert!(body.contains(bucket), "{body}");
