Accept an answer only for the request that it names

On a kept connection, a second answer to an earlier request may arrive after the next request was written. The request id was checked for answers that are forwarded, but after the refusals: a late 503 or 421 of another request was taken as the promise that this one had not run, so that it could run twice. Handles of prefill calls were not checked at all, so that a request could go on from the KV cache of another one.

Ruled out: a second answer that reaches another caller, answers cut by length or in a chunk, a missing last chunk, streams that break off, heads without an end, and slow answers; each has a test that passed at once.

The id is checked first, for every task; on a connection that has carried other requests it must be there. Bodies are read into one buffer, so that a body of tiny chunks takes no more memory than its bytes; answers may have 4 MiB instead of 8, and those of prefill calls 64 KiB, so that a body without an end costs an entry less than 10 MB.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -12,16 +12,19 @@
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use crate::body;
 use crate::clock::Clock;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::pool::{Connection, Pool};
 
 /// Maximum size of an answer that is not a stream, in bytes. Such an answer is held in memory until it is complete.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of the answer to a prefill call, in bytes. It contains little more than a handle.
+const MAX_PREFILL_ANSWER_BYTES: usize = 64 * 1024;
 /// Timeout of the call that frees a handle.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Header in which the upstream states for how long it keeps an idle connection.
@@ -137,14 +140,18 @@
             .map_err(|reason| CallFailure::new(Outcome::Unreachable, reason))?;
         let request = self.build_request(call, forwarded, last_event_id);
         let (response, connection) = send_request(connection, request, head_deadline).await?;
-        self.validate_head(call, forwarded, &response)?;
+        self.validate_request_id(forwarded, &response, connection.is_reused)?;
+        self.validate_head(call, &response)?;
         if call.task != Task::Prefill && forwarded.is_stream && response.status().is_success() {
             return Ok(to_stream(response, connection, &call.address));
         }
         let (parts, body) = response.into_parts();
-        let collected = timeout_at(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
+        let limit_bytes = match call.task {
+            Task::Prefill => MAX_PREFILL_ANSWER_BYTES,
+            Task::Run | Task::Generate { .. } => MAX_ANSWER_BYTES,
+        };
+        let body = match timeout_at(deadline, body::read_whole(body, limit_bytes)).await {
+            Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(CallFailure::new(Outcome::Broken, error.to_string())),
             Err(_) => {
                 return Err(CallFailure::new(
@@ -222,11 +229,31 @@
         request
     }
 
-    /// Checks the head of an answer: the answer must belong to the request and come from the chosen upstream.
+    /// Checks that an answer belongs to the request. On a connection that has carried other requests, a second answer to
+    /// one of them may arrive late, and must not even count as a promise that this request has not run.
+    fn validate_request_id(
+        &self,
+        forwarded: &ForwardedRequest,
+        response: &Response<Incoming>,
+        is_reused: bool,
+    ) -> Result<(), CallFailure> {
+        let answered = response
+            .headers()
+            .get(&self.dialect.header_names().request_id);
+        match answered {
+            Some(id) if *id == forwarded.id => Ok(()),
+            None if !is_reused => Ok(()),
+            _ => Err(CallFailure::new(
+                Outcome::Broken,
+                "the answer belongs to another request",
+            )),
+        }
+    }
+
+    /// Checks the head of an answer: the answer must come from the chosen upstream.
     fn validate_head(
         &self,
         call: &UpstreamCall,
-        forwarded: &ForwardedRequest,
         response: &Response<Incoming>,
     ) -> Result<(), CallFailure> {
         let names = self.dialect.header_names();
@@ -253,10 +280,10 @@
                 )),
             };
         }
-        if headers.get(&names.request_id) != Some(&forwarded.id) {
+        if !headers.contains_key(&names.request_id) {
             return Err(CallFailure::new(
                 Outcome::Broken,
-                "the answer belongs to another request",
+                "the answer does not state its request",
             ));
         }
         if status.is_success() && !headers.contains_key(&names.signature) {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -12,11 +12,11 @@
 };
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 use crate::answer::{self, AnswerBody};
+use crate::body::{self, BodyError};
 use crate::call::{CallAnswer, ForwardedRequest, forwarded_headers};
 use crate::entry::EntryRuntime;
 use crate::logs::{self, Importance};
@@ -183,15 +183,15 @@
 }
 
 async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Response<AnswerBody>> {
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect());
-    match collected.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(answer::error(
+    let body = tokio::time::timeout(BODY_TIMEOUT, body::read_whole(body, limit_bytes));
+    match body.await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge { .. })) => Err(answer::error(
             StatusCode::PAYLOAD_TOO_LARGE,
             "body_too_large",
             "the body is larger than allowed",
         )),
-        Ok(Err(_)) => Err(answer::error(
+        Ok(Err(BodyError::Broken(_))) => Err(answer::error(
             StatusCode::BAD_REQUEST,
             "body_unreadable",
             "the body cannot be read",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,9 +3,10 @@
 #![forbid(unsafe_code)]
 
 mod answer;
-mod call;
+mod body;
+pub mod call;
 mod caller;
-mod clock;
+pub mod clock;
 pub mod compression;
 mod control;
 pub mod dialect;
@@ -16,7 +17,7 @@
 pub mod logs;
 mod orders;
 mod peers;
-mod pool;
+pub mod pool;
 pub mod settings;
 mod signals;
 mod stream;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -7,7 +7,7 @@
 use conf::{Map, Name};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -15,6 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
+use crate::body;
+
 /// Timeout of opening a connection. The kernel sends a lost SYN packet again after one second, so that the
 /// timeout allows for one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -106,10 +108,10 @@
             let sent = connection.sender.send_request(request).await;
             let response = sent.map_err(|error| error.to_string())?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            let body = body.collect().await.map_err(|error| error.to_string())?;
+            let body = body::read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|error| error.to_string())?;
             self.put(address, connection, None);
-            Ok((status, body.to_bytes()))
+            Ok((status, body))
         };
         let answer = timeout_at(deadline, call).await;
         answer.unwrap_or_else(|_| Err("the answer did not arrive in time".to_owned()))
