--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between instances. Any message may be lost, duplicated or reordered.
 
+use std::sync::{Arc, OnceLock};
+
 use bytes::Bytes;
 use conf::Name;
 use conf::service::Role;
@@ -52,12 +54,13 @@
     pub accepts_callers: bool,
     /// Version of the configuration document that the subscriber holds; 0 if it holds none.
     pub version: u64,
-    /// Version of the list of upstreams that the subscriber holds; 0 if it holds none.
+    /// Version of the list of upstreams that the subscriber holds; 0 if it holds none, and the highest value if it needs
+    /// none.
     pub listing: u64,
-    /// Unfinished work that the subscriber has sent to upstreams in its availability zone.
-    pub backlog: Vec<Backlog>,
-    /// Shared prompt parts that engines have computed or fetched since the subscriber's previous message.
-    pub parts: Vec<PartUse>,
+    /// Unfinished work that the subscriber has sent to upstreams.
+    pub loads: Vec<UpstreamLoad>,
+    /// Shared prompt prefixes that the subscriber has sent to engines since its previous message.
+    pub prefix_uses: Vec<PrefixUse>,
 }
 
 /// Reply of a replica to a subscriber.
@@ -73,36 +76,83 @@
     pub document: Option<Bytes>,
     /// Version of the list of upstreams that the replica holds.
     pub listing: u64,
-    /// The list of upstreams, if the subscriber holds another version of it.
-    pub upstreams: Option<Vec<UpstreamRecord>>,
-    /// Replicas that the sender knows.
+    /// Time since the platform confirmed that version, in milliseconds.
+    pub listing_age_ms: u64,
+    /// What the subscriber lacks of that version.
+    pub listing_update: Option<ListingUpdate>,
+    /// Replicas that the sender knows; empty in most replies.
     pub replicas: Vec<InstanceInfo>,
     /// Number of entry instances that the sender knows to be subscribed to any replica.
     pub entries: u32,
-    /// Unfinished work that the other entry instances of the subscriber's availability zone have sent.
-    pub backlog: Vec<Backlog>,
-    /// Shared prompt parts that engines have computed or fetched for requests of other entry instances.
-    pub parts: Vec<PartUse>,
+    /// Interval at which the subscriber is to send its messages, in milliseconds.
+    pub watch_interval_ms: u64,
+    /// Unfinished work that the other entry instances of the subscriber's availability zone have sent; none if the
+    /// message does not reply to a message of the subscriber.
+    pub loads: Option<Vec<UpstreamLoad>>,
+    /// Shared prompt prefixes that other entry instances have sent to engines.
+    pub prefix_uses: Vec<PrefixUse>,
 }
 
-/// A shared prompt part that an engine has computed or fetched.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PartUse {
-    /// Hash of the part's id.
+/// What a subscriber lacks of a version of the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListingUpdate {
+    /// The whole list.
+    Complete(Arc<UpstreamList>),
+    /// The changes since version `base`.
+    Changes {
+        base: u64,
+        /// Records that were added or changed.
+        changed: Vec<UpstreamRecord>,
+        /// Instance ids of the upstreams that were removed.
+        removed: Vec<Name>,
+    },
+}
+
+/// A whole list of upstreams. It is encoded once for all messages that carry it.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamList {
+    /// Records of the upstreams.
+    pub records: Vec<UpstreamRecord>,
+    /// Encoded records, once a message has been encoded.
+    pub encoded: OnceLock<Bytes>,
+}
+
+impl UpstreamList {
+    /// Creates a list that has not been encoded.
+    pub fn new(records: Vec<UpstreamRecord>) -> Self {
+        Self {
+            records,
+            encoded: OnceLock::new(),
+        }
+    }
+}
+
+impl PartialEq for UpstreamList {
+    fn eq(&self, other: &Self) -> bool {
+        self.records == other.records
+    }
+}
+
+impl Eq for UpstreamList {}
+
+/// Use of a shared prompt prefix at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixUse {
+    /// Hash of the prefix's id.
     pub key: u64,
-    /// Instance id of the engine.
-    pub upstream: Name,
+    /// Hash of the engine's instance id.
+    pub upstream_key: u64,
 }
 
 /// Unfinished work that has been sent to one upstream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Backlog {
-    /// Instance id of the upstream.
-    pub upstream: Name,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Hash of the upstream's instance id.
+    pub upstream_key: u64,
     /// Number of unfinished requests.
     pub running: u32,
-    /// Prompt tokens that were sent and that the engine has not prefilled yet, by rank.
-    pub prompt_tokens: Vec<u32>,
+    /// Prompt tokens that were sent and that the engine has not computed yet.
+    pub prompt_tokens: u32,
 }
 
 /// An upstream on the platform's list.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,16 +1,17 @@
 //! The reducer of a replica: the published document, the list of upstreams, and the subscribers to both.
 
 use std::collections::VecDeque;
-use std::hash::BuildHasher;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use conf::{Map, Name};
-use fleet::{Backlog, InstanceInfo, PartUse, PeerMessage, UpstreamRecord, Watch, WatchReply};
+use fleet::{InstanceInfo, PeerMessage, UpstreamRecord, Watch, WatchReply};
 use quorum::{
     EntryBody, Input, Output, RecoveredState, Replica, ReplicaId, ReplicaSettings, Write,
 };
 
+use crate::listing::{LISTING_NOT_NEEDED, Listing};
 use crate::stages::{RoleOrder, RolePlanner};
+use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
 
 /// Interval of the leader's heartbeats, in milliseconds. Several heartbeats fit into an election timeout, since a link
@@ -29,8 +30,9 @@
 const LISTING_MAX_AGE_MS: u64 = 2_500;
 /// Interval at which the platform's list is read, in milliseconds. The tightest bound on draining upstreams is 3 s.
 const LISTING_INTERVAL_MS: u64 = 1_000;
-/// Time without a message after which a subscriber is removed, in milliseconds: a few intervals of its messages.
-const SUBSCRIBER_TIMEOUT_MS: u64 = 3_000;
+/// Age of the list above which a replica that is not the leader reads the list itself, in milliseconds: two intervals of
+/// the leader's reads.
+const LISTING_FALLBACK_AGE_MS: u64 = 2_000;
 /// Interval of the subscription messages between replicas, in milliseconds.
 const REPLICA_WATCH_INTERVAL_MS: u64 = 500;
 /// Time after which an operator's call without a result is answered with `Unavailable`, in milliseconds.
@@ -40,13 +42,12 @@
 
 /// Time for which a new leader gives no orders, in addition to the lease of the previous leader, in milliseconds.
 const ORDER_HOLD_OFF_MARGIN_MS: u64 = 1_000;
+/// Divisor of the lease, which gives the time after a decision until which the order is sent. A leader that has lost its
+/// majority steps down within the rest of the lease, and its successor waits for the whole lease.
+const ORDER_VALIDITY_DIVISOR: u64 = 3;
 /// Interval between decisions on the roles of engines, in milliseconds.
 const ROLE_INTERVAL_MS: u64 = 500;
 
-/// Uses of shared prefixes kept for subscribers that have not received them yet. A subscriber that lags further behind
-/// misses some.
-const MAX_RECENT_PREFIX_USES: usize = 1_024;
-
 /// Settings of a replica.
 #[derive(Clone, Debug, Default)]
 pub struct ControlSettings {
@@ -136,8 +137,13 @@
     Answer { call: u64, answer: Answer },
     /// Reads the platform's list.
     ReadList,
-    /// Orders an engine to change its role, with the term as fencing token.
-    Order { term: u64, order: RoleOrder },
+    /// Orders an engine to change its role, with the term as fencing token. Nothing is to be sent after `valid_until_ms`,
+    /// since another leader may give orders by then.
+    Order {
+        term: u64,
+        order: RoleOrder,
+        valid_until_ms: u64,
+    },
     /// Writes a log line.
     Log { text: String },
 }
@@ -158,47 +164,6 @@
     Publish { version: u64, document: Bytes },
 }
 
-#[derive(Clone, Debug)]
-struct Subscriber {
-    info: InstanceInfo,
-    accepts_callers: bool,
-    last_message_ms: u64,
-    /// Sequence number of the subscriber's last message.
-    sequence: u64,
-    /// Version of the document that the subscriber has.
-    version: u64,
-    /// Hash of the listing that the subscriber has.
-    listing: u64,
-    backlog: Vec<Backlog>,
-    /// Sequence number of the first prefix use that the subscriber has not received.
-    next_prefix_use: u64,
-}
-
-/// Recent uses of shared prefixes at engines, in the order of their reports.
-#[derive(Debug, Default)]
-struct RecentPrefixUses {
-    /// Prefix uses, each with the subscriber that reported it.
-    uses: VecDeque<(Name, PartUse)>,
-    /// Sequence number of the next prefix use.
-    next: u64,
-}
-
-impl RecentPrefixUses {
-    fn push(&mut self, from: &Name, prefix_use: PartUse) {
-        self.uses.push_back((from.clone(), prefix_use));
-        self.next += 1;
-        if self.uses.len() > MAX_RECENT_PREFIX_USES {
-            self.uses.pop_front();
-        }
-    }
-
-    /// Returns the prefix uses from sequence number `first` on, each with the subscriber that reported it.
-    fn since(&self, first: u64) -> impl Iterator<Item = &(Name, PartUse)> {
-        let oldest = self.next - self.uses.len() as u64;
-        self.uses.iter().skip(first.saturating_sub(oldest) as usize)
-    }
-}
-
 /// A replica's state.
 #[derive(Debug)]
 pub struct Control {
@@ -207,20 +172,15 @@
     applied_index: u64,
     version: u64,
     document: Bytes,
-    /// Hash of the last complete listing.
-    listing: u64,
-    upstreams: Vec<UpstreamRecord>,
-    /// When the platform's list was last read in full.
+    listing: Listing,
+    /// When the platform's list was last read in full, by this replica or by the leader.
     listed_ms: Option<u64>,
     next_listing_ms: u64,
-    subscribers: Map<Name, Subscriber>,
-    /// Whether subscribed entries lack the newest document or listing.
+    subscribers: Subscribers,
+    /// Whether subscribers lack the newest document or listing.
     has_unsent_changes: bool,
     /// Other replicas by instance id, with the number of entries that subscribe to each.
     replicas: Map<Name, (InstanceInfo, u32)>,
-    recent_prefix_uses: RecentPrefixUses,
-    /// Sequence number of the first prefix use that has not been sent to the other replicas.
-    next_prefix_use: u64,
     next_watch_ms: u64,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
@@ -267,14 +227,11 @@
             applied_index: 0,
             version: 0,
             document: Bytes::new(),
-            listing: 0,
-            upstreams: Vec::new(),
+            listing: Listing::default(),
             listed_ms: None,
             next_listing_ms: now_ms,
-            subscribers: Map::default(),
+            subscribers: Subscribers::default(),
             has_unsent_changes: false,
-            recent_prefix_uses: RecentPrefixUses::default(),
-            next_prefix_use: 0,
             next_watch_ms: now_ms,
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
@@ -329,7 +286,7 @@
         self.run_replica(now_ms, effects);
         // After a restart many versions are applied at once, and subscribers need only the last one.
         if std::mem::take(&mut self.has_unsent_changes) {
-            self.update_outdated_entries(now_ms, effects);
+            self.notify_outdated_subscribers(now_ms, effects);
         }
     }
 
@@ -338,6 +295,11 @@
         self.replica.status()
     }
 
+    /// Returns the version of the list of upstreams on this replica.
+    pub fn listing(&self) -> u64 {
+        self.listing.version()
+    }
+
     /// Returns the version of the document in force on this replica.
     pub fn version(&self) -> u64 {
         self.version
@@ -360,14 +322,9 @@
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.queue_input(Input::Tick);
-        self.subscribers
-            .retain(|_, subscriber| now_ms - subscriber.last_message_ms <= SUBSCRIBER_TIMEOUT_MS);
+        self.subscribers.expire(now_ms);
         self.expire_calls(now_ms, effects);
-        let has_entries = self
-            .subscribers
-            .values()
-            .any(|subscriber| subscriber.accepts_callers);
-        if now_ms >= self.next_listing_ms && (has_entries || self.listed_ms.is_none()) {
+        if now_ms >= self.next_listing_ms && self.must_read_list(now_ms) {
             self.next_listing_ms = now_ms + LISTING_INTERVAL_MS;
             effects.push(ControlEffect::ReadList);
         }
@@ -385,6 +342,26 @@
         }
     }
 
+    /// Returns whether this replica reads the platform's list: the leader reads it for all replicas, which read it
+    /// themselves if the leader's list does not arrive.
+    fn must_read_list(&self, now_ms: u64) -> bool {
+        if self.listed_ms.is_none() {
+            return true;
+        }
+        match self.replica.status().is_leader {
+            true => self.subscribers.entries() + self.other_entries() > 0,
+            false => {
+                let is_outdated = self.listing_age_ms(now_ms) > LISTING_FALLBACK_AGE_MS;
+                is_outdated && self.subscribers.entries() > 0
+            }
+        }
+    }
+
+    /// Returns the number of entries that subscribe to other replicas.
+    fn other_entries(&self) -> u32 {
+        self.replicas.values().map(|(_, entries)| entries).sum()
+    }
+
     /// Orders engines to change their roles, once no order of an earlier leader can still be in transit.
     fn order_roles(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         let status = self.replica.status();
@@ -408,7 +385,10 @@
         {
             return;
         }
-        for order in self.role_planner.next_orders(now_ms, &self.upstreams) {
+        for order in self
+            .role_planner
+            .next_orders(now_ms, self.listing.records())
+        {
             log(
                 effects,
                 format!(
@@ -422,6 +402,7 @@
             effects.push(ControlEffect::Order {
                 term: status.term,
                 order,
+                valid_until_ms: now_ms + self.settings.order_lease_ms / ORDER_VALIDITY_DIVISOR,
             });
         }
     }
@@ -464,27 +445,25 @@
         let watch = Watch {
             info: self.settings.info.clone(),
             sequence: self.sequence,
-            // A replica takes the document from the log and reads the list itself.
+            // A replica takes the document from the log.
             version: u64::MAX,
-            listing: u64::MAX,
-            parts: self.entry_prefix_uses(),
+            prefix_uses: self.subscribers.take_unsent_prefix_uses(),
             ..Watch::default()
         };
-        self.next_prefix_use = self.recent_prefix_uses.next;
-        for (info, _) in self.replicas.values() {
-            effects.push(send(info, PeerMessage::Watch(watch.clone())));
+        let leader = self.replica.status().leader;
+        for (id, (info, _)) in &self.replicas {
+            let listing = match leader.as_ref() == Some(id) {
+                true => self.listing.version(),
+                false => LISTING_NOT_NEEDED,
+            };
+            let watch = Watch {
+                listing,
+                ..watch.clone()
+            };
+            effects.push(send(info, PeerMessage::Watch(watch)));
         }
     }
 
-    /// Returns the prefix uses that entries have reported to this replica since the last message to the other replicas.
-    fn entry_prefix_uses(&self) -> Vec<PartUse> {
-        self.recent_prefix_uses
-            .since(self.next_prefix_use)
-            .filter(|(from, _)| !self.replicas.contains_key(from))
-            .map(|(_, prefix_use)| prefix_use.clone())
-            .collect()
-    }
-
     fn on_peer(
         &mut self,
         now_ms: u64,
@@ -501,7 +480,7 @@
                 }
             }
             PeerMessage::Watch(watch) => self.on_watch(now_ms, watch, effects),
-            PeerMessage::WatchReply(reply) => self.on_watch_reply(&from, reply),
+            PeerMessage::WatchReply(reply) => self.on_watch_reply(now_ms, &from, reply, effects),
             _ => log(
                 effects,
                 format!("peer={from} message=unexpected outcome=dropped"),
@@ -522,36 +501,27 @@
                     .set_join_targets(self.replicas.keys().cloned().collect());
             }
         }
-        for prefix_use in watch.parts {
-            self.recent_prefix_uses.push(&id, prefix_use);
-        }
-        let next_prefix_use = self
-            .subscribers
-            .get(&id)
-            .map_or(self.recent_prefix_uses.next, |known| known.next_prefix_use);
-        let previous = self.subscribers.insert(
-            id.clone(),
-            Subscriber {
-                info: watch.info,
-                accepts_callers: watch.accepts_callers,
-                last_message_ms: now_ms,
-                sequence: watch.sequence,
-                version: watch.version,
-                listing: watch.listing,
-                backlog: watch.backlog,
-                next_prefix_use,
-            },
-        );
-        if previous.is_none() && watch.accepts_callers {
+        let accepts_callers = watch.accepts_callers;
+        let is_new = self.subscribers.on_watch(now_ms, watch);
+        if is_new && accepts_callers {
             log(effects, format!("entry={id} outcome=subscribed"));
         }
-        self.send_reply(now_ms, &id, effects);
+        self.send_update(now_ms, &id, Subscribers::reply, effects);
     }
 
-    fn on_watch_reply(&mut self, from: &Name, reply: WatchReply) {
+    fn on_watch_reply(
+        &mut self,
+        now_ms: u64,
+        from: &Name,
+        reply: WatchReply,
+        effects: &mut Vec<ControlEffect>,
+    ) {
         if let Some((_, entries)) = self.replicas.get_mut(from) {
             *entries = reply.entries;
         }
+        if self.replica.status().leader.as_ref() == Some(from) {
+            self.on_leader_listing(now_ms, &reply, effects);
+        }
         for info in reply.replicas {
             if info.id != self.settings.info.id {
                 self.replicas.entry(info.id.clone()).or_insert((info, 0));
@@ -559,92 +529,55 @@
         }
     }
 
-    /// Sends a subscriber the document, listing and prefix uses that it lacks, and records them as sent.
-    fn send_reply(&mut self, now_ms: u64, id: &Name, effects: &mut Vec<ControlEffect>) {
-        let is_current = self.is_current(now_ms);
-        let own_entries = self
-            .subscribers
-            .values()
-            .filter(|subscriber| subscriber.accepts_callers)
-            .count() as u32;
-        let other_entries: u32 = self.replicas.values().map(|(_, entries)| entries).sum();
-        let backlog = self.others_backlog(id);
-        let mut replicas: Vec<InstanceInfo> = self
-            .replicas
-            .values()
-            .map(|(info, _)| info.clone())
-            .collect();
-        replicas.push(self.settings.info.clone());
-        let Some(subscriber) = self.subscribers.get_mut(id) else {
+    /// Takes over the list that the leader has read, unless this replica has read a newer one itself.
+    fn on_leader_listing(
+        &mut self,
+        now_ms: u64,
+        reply: &WatchReply,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        if reply.listing_age_ms >= self.listing_age_ms(now_ms) {
             return;
+        }
+        let previous = self.listing.version();
+        let has_version = match &reply.listing_update {
+            Some(update) => self.listing.apply(reply.listing, update),
+            None => reply.listing == previous,
         };
-        let lacks_document = subscriber.version < self.version;
-        let lacks_listing = subscriber.listing != self.listing
-            && subscriber.listing != u64::MAX
-            && self.listed_ms.is_some();
-        let reply = WatchReply {
-            sequence: subscriber.sequence,
-            is_current,
-            version: self.version,
-            document: lacks_document.then(|| self.document.clone()),
-            listing: self.listing,
-            upstreams: lacks_listing.then(|| self.upstreams.clone()),
-            replicas,
-            entries: match subscriber.accepts_callers {
-                true => own_entries + other_entries,
-                false => own_entries,
-            },
-            backlog,
-            parts: match subscriber.accepts_callers {
-                true => self
-                    .recent_prefix_uses
-                    .since(subscriber.next_prefix_use)
-                    .filter(|(from, _)| from != id)
-                    .map(|(_, prefix_use)| prefix_use.clone())
-                    .collect(),
-                false => Vec::new(),
-            },
-        };
-        subscriber.next_prefix_use = self.recent_prefix_uses.next;
-        subscriber.version = subscriber.version.max(self.version);
-        if lacks_listing {
-            subscriber.listing = self.listing;
+        if has_version {
+            self.listed_ms = Some(now_ms.saturating_sub(reply.listing_age_ms));
+        }
+        if self.listing.version() != previous {
+            self.on_listing_changed(effects);
         }
-        let info = subscriber.info.clone();
-        effects.push(send(&info, PeerMessage::WatchReply(reply)));
     }
 
-    /// Returns the total backlog of the other entries in the subscriber's availability zone, by upstream.
-    fn others_backlog(&self, id: &Name) -> Vec<Backlog> {
-        let Some(subscriber) = self.subscribers.get(id) else {
-            return Vec::new();
+    /// Sends a subscriber what it lacks.
+    fn send_update(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        next_reply: impl FnOnce(
+            &mut Subscribers,
+            &Name,
+            &Published<'_>,
+        ) -> Option<(InstanceInfo, WatchReply)>,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        let infos = self.replicas.values().map(|(info, _)| info.clone());
+        let replicas: Vec<InstanceInfo> = infos.chain([self.settings.info.clone()]).collect();
+        let published = Published {
+            is_current: self.is_current(now_ms),
+            version: self.version,
+            document: &self.document,
+            listing: &self.listing,
+            listing_age_ms: self.listing_age_ms(now_ms),
+            replicas: &replicas,
+            other_entries: self.other_entries(),
         };
-        if !subscriber.accepts_callers {
-            return Vec::new();
-        }
-        let zone = &subscriber.info.availability_zone;
-        let mut sums: Map<Name, Backlog> = Map::default();
-        let others = self
-            .subscribers
-            .values()
-            .filter(|subscriber| subscriber.accepts_callers && subscriber.info.id != *id)
-            .filter(|subscriber| subscriber.info.availability_zone == *zone);
-        for backlog in others.flat_map(|subscriber| &subscriber.backlog) {
-            let sum = sums
-                .entry(backlog.upstream.clone())
-                .or_insert_with(|| Backlog {
-                    upstream: backlog.upstream.clone(),
-                    ..Backlog::default()
-                });
-            sum.running += backlog.running;
-            if sum.prompt_tokens.len() < backlog.prompt_tokens.len() {
-                sum.prompt_tokens.resize(backlog.prompt_tokens.len(), 0);
-            }
-            for (total, tokens) in sum.prompt_tokens.iter_mut().zip(&backlog.prompt_tokens) {
-                *total += tokens;
-            }
+        if let Some((info, reply)) = next_reply(&mut self.subscribers, id, &published) {
+            effects.push(send(&info, PeerMessage::WatchReply(reply)));
         }
-        sums.into_values().collect()
     }
 
     fn is_current(&self, now_ms: u64) -> bool {
@@ -664,10 +597,13 @@
         effects: &mut Vec<ControlEffect>,
     ) {
         self.listed_ms = Some(now_ms);
-        let listing = listing_hash(&upstreams);
-        if listing == self.listing {
-            return;
+        if self.listing.replace(upstreams) {
+            self.on_listing_changed(effects);
         }
+    }
+
+    fn on_listing_changed(&mut self, effects: &mut Vec<ControlEffect>) {
+        let upstreams = self.listing.records();
         let draining = upstreams
             .iter()
             .filter(|upstream| upstream.draining)
@@ -675,26 +611,20 @@
         log(
             effects,
             format!(
-                "list=changed listing={listing:x} upstreams={} draining={draining}",
+                "list=changed listing={:x} upstreams={} draining={draining}",
+                self.listing.version(),
                 upstreams.len()
             ),
         );
-        self.listing = listing;
-        self.upstreams = upstreams;
         self.has_unsent_changes = true;
     }
 
-    fn update_outdated_entries(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
-        let (version, listing) = (self.version, self.listing);
-        let outdated: Vec<Name> = self
+    fn notify_outdated_subscribers(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
+        let outdated = self
             .subscribers
-            .values()
-            .filter(|subscriber| subscriber.accepts_callers)
-            .filter(|subscriber| subscriber.version < version || subscriber.listing != listing)
-            .map(|subscriber| subscriber.info.id.clone())
-            .collect();
+            .outdated(self.version, self.listing.version());
         for id in outdated {
-            self.send_reply(now_ms, &id, effects);
+            self.send_update(now_ms, &id, Subscribers::notification, effects);
         }
     }
 
@@ -942,30 +872,6 @@
     effects.push(ControlEffect::Log { text });
 }
 
-/// Returns a hash of a listing, which is equal on all replicas that have read the same listing.
-fn listing_hash(upstreams: &[UpstreamRecord]) -> u64 {
-    let mut sorted: Vec<&UpstreamRecord> = upstreams.iter().collect();
-    sorted.sort_by(|a, b| a.id.cmp(&b.id).then(a.address.cmp(&b.address)));
-    let fields: Vec<_> = sorted
-        .iter()
-        .map(|upstream| {
-            let role = upstream.role.map(|role| role as u8);
-            (
-                &upstream.id,
-                &upstream.service,
-                &upstream.address,
-                upstream.draining,
-                upstream.born_ms,
-                role,
-            )
-        })
-        .collect();
-    // The value 0 means that a subscriber has no listing, and the highest value means that the subscriber needs none.
-    foldhash::fast::FixedState::default()
-        .hash_one(fields)
-        .clamp(1, u64::MAX - 1)
-}
-
 /// Encodes a document with its version, as a log entry and as the state in a snapshot.
 fn encode(version: u64, document: &Bytes) -> Bytes {
     let mut bytes = BytesMut::with_capacity(8 + document.len());
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -3,14 +3,17 @@
 use std::hash::BuildHasher;
 use std::sync::Arc;
 
-use conf::{Map, Name};
-use fleet::{InstanceInfo, PartUse, PeerMessage, UpstreamRecord, WatchReply};
+use conf::{Map, Name, Set};
+use fleet::{
+    InstanceInfo, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad, UpstreamRecord, WatchReply,
+};
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
-use crate::config::Config;
+use crate::config::{Config, RequestKind};
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, Task, UpstreamCall,
 };
+use crate::listing::{self, NO_LISTING};
 use crate::place::{self, Choice, PlacementContext};
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
@@ -43,6 +46,10 @@
 const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Largest number of calls to upstreams for one request, whatever their outcomes.
 const MAX_CALLS: u32 = 5;
+/// Weight of the latest stream in the moving average of the duration of streams.
+const STREAM_TIME_WEIGHT: f64 = 0.05;
+/// Multiple of the average duration for which a stream may last that a stopping process still begins.
+const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -70,6 +77,8 @@
     },
     /// The settings have been read again and may name other replicas.
     Contacts(Vec<InstanceInfo>),
+    /// The process ends at `ends_ms` at the latest. Until then, it answers the requests that still arrive.
+    Stopping { ends_ms: u64 },
     /// A request has been read in full.
     Arrived { exchange: u64, request: Request },
     /// An engine has computed a prompt and keeps its KV cache under a handle.
@@ -145,21 +154,29 @@
     settings: EntrySettings,
     subscription: Subscription,
     config: Option<Arc<Config>>,
-    /// Hash of the current list of upstreams; 0 if the entry has no list.
+    /// Version of the list of upstreams, or [`NO_LISTING`].
     listing: u64,
     has_listing: bool,
     /// Number of entries in the whole system, as the replica last reported.
     entry_count: u32,
     upstreams: Map<Name, Upstream>,
     /// Instance ids of the upstreams of each service.
-    services: Map<Name, Vec<Name>>,
+    services: Map<Name, ServiceUpstreams>,
+    /// Instance ids of the upstreams by the keys that stand for them in load messages.
+    upstream_ids: Map<u64, Name>,
+    /// Upstreams to which other entries have sent load.
+    loaded_by_others: Vec<Name>,
     exchanges: Map<u64, ExchangeState>,
     /// Requests queued for an engine, by service.
     queues: Map<Name, Vec<u64>>,
     retry_budgets: Map<Name, RetryBudget>,
     /// Shared prefixes that this entry has sent to engines since the last message to the replica.
-    prefix_uses: Vec<PartUse>,
+    prefix_uses: Vec<PrefixUse>,
     next_dispatch_ms: u64,
+    /// When the process ends, if it is stopping.
+    ends_ms: Option<u64>,
+    /// Moving average of the time from the first event of a stream to its end, in milliseconds.
+    stream_ms: f64,
 }
 
 impl Entry {
@@ -170,16 +187,20 @@
             subscription: Subscription::new(settings.info.clone(), contacts),
             settings,
             config: None,
-            listing: 0,
+            listing: NO_LISTING,
             has_listing: false,
             entry_count: 0,
             upstreams: Map::default(),
             services: Map::default(),
+            upstream_ids: Map::default(),
+            loaded_by_others: Vec::new(),
             exchanges: Map::default(),
             queues: Map::default(),
             retry_budgets: Map::default(),
             prefix_uses: Vec::new(),
             next_dispatch_ms: 0,
+            ends_ms: None,
+            stream_ms: 0.0,
         }
     }
 
@@ -193,6 +214,11 @@
         self.config.is_some() && self.has_listing
     }
 
+    /// Returns the version of the list of upstreams.
+    pub fn listing(&self) -> u64 {
+        self.listing
+    }
+
     /// Returns the number of open exchanges.
     pub fn open_exchanges(&self) -> usize {
         self.exchanges.len()
@@ -214,6 +240,7 @@
                 config,
             } => self.on_watch_reply(now_ms, &from, *reply, config, effects),
             EntryEvent::Contacts(contacts) => self.subscription.add_contacts(contacts),
+            EntryEvent::Stopping { ends_ms } => self.ends_ms = Some(ends_ms),
             EntryEvent::Arrived { exchange, request } => {
                 self.on_arrived(now_ms, exchange, request, effects);
             }
@@ -236,16 +263,12 @@
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
         if self.subscription.is_due(now_ms) {
             let version = self.config.as_ref().map_or(0, |config| config.version());
-            let backlog = self
-                .upstreams
-                .values()
-                .filter_map(Upstream::backlog)
-                .collect();
+            let loads = self.own_loads();
             let due = self.subscription.watch(
                 now_ms,
                 version,
                 self.listing,
-                backlog,
+                loads,
                 std::mem::take(&mut self.prefix_uses),
             );
             if let Some((to, watch)) = due {
@@ -277,26 +300,53 @@
             return;
         }
         self.entry_count = reply.entries;
-        if let Some(upstreams) = reply.upstreams {
-            self.apply_listing(reply.listing, upstreams, from, effects);
+        if let Some(update) = reply.listing_update {
+            self.apply_listing(reply.listing, update, from, effects);
         }
-        let others_backlog: Map<&Name, _> = reply
-            .backlog
-            .iter()
-            .map(|backlog| (&backlog.upstream, backlog))
-            .collect();
-        for (id, upstream) in &mut self.upstreams {
-            upstream.set_others_backlog(others_backlog.get(id).copied());
+        if let Some(loads) = &reply.loads {
+            self.set_others_loads(loads);
         }
-        for prefix_use in reply.parts {
-            if let Some(upstream) = self.upstreams.get_mut(&prefix_use.upstream) {
-                upstream.record_shared_prefix(prefix_use.key, now_ms);
+        for prefix_use in reply.prefix_uses {
+            if let Some(id) = self.upstream_ids.get(&prefix_use.upstream_key)
+                && let Some(upstream) = self.upstreams.get_mut(id)
+            {
+                upstream.on_reported_prefix(prefix_use.key, now_ms);
             }
         }
         self.subscription.switch_to_preferred(now_ms);
         self.dispatch_all_queues(now_ms, effects);
     }
 
+    /// Returns the load that this entry has sent to upstreams.
+    fn own_loads(&self) -> Vec<UpstreamLoad> {
+        let assigned_work = self
+            .exchanges
+            .values()
+            .filter_map(|state| state.assigned_work.as_ref());
+        let busy: Set<&Name> = assigned_work.map(|work| &work.upstream).collect();
+        busy.into_iter()
+            .filter_map(|id| self.upstreams.get(id)?.own_load())
+            .collect()
+    }
+
+    /// Replaces the load that other entries have sent to upstreams.
+    fn set_others_loads(&mut self, loads: &[UpstreamLoad]) {
+        let unloaded = UpstreamLoad::default();
+        for id in std::mem::take(&mut self.loaded_by_others) {
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.set_others_load(&unloaded);
+            }
+        }
+        for load in loads {
+            if let Some(id) = self.upstream_ids.get(&load.upstream_key)
+                && let Some(upstream) = self.upstreams.get_mut(id)
+            {
+                upstream.set_others_load(load);
+                self.loaded_by_others.push(id.clone());
+            }
+        }
+    }
+
     /// Puts a configuration in force unless the entry already has the same or a newer version.
     fn apply_config(&mut self, config: Arc<Config>, from: &Name, effects: &mut Vec<EntryEffect>) {
         let current_version = self.config.as_ref().map_or(0, |config| config.version());
@@ -310,47 +360,106 @@
         log(effects, Importance::StateChange, text);
     }
 
+    /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
-        listing: u64,
-        records: Vec<UpstreamRecord>,
+        version: u64,
+        update: ListingUpdate,
         from: &Name,
         effects: &mut Vec<EntryEffect>,
     ) {
-        self.listing = listing;
-        self.has_listing = true;
-        let mut previous = std::mem::take(&mut self.upstreams);
-        self.services.clear();
-        for record in records {
-            let id = record.id.clone();
-            let same_process = previous
-                .remove(&id)
-                .filter(|known| known.record.born_ms == record.born_ms);
-            let mut upstream = same_process.unwrap_or_else(|| Upstream::new(record.clone()));
-            // A draining upstream never becomes ready again under the same id and start time.
-            let draining = upstream.record.draining || record.draining;
-            if draining != upstream.record.draining || record.role != upstream.record.role {
-                let role = record.role;
-                let text = format!("upstream={id} draining={draining} role={role:?} source={from}");
-                log(effects, Importance::StateChange, text);
+        match update {
+            ListingUpdate::Complete(list) => {
+                let listed: Set<&Name> = list.records.iter().map(|record| &record.id).collect();
+                self.upstreams.retain(|id, _| listed.contains(id));
+                for record in &list.records {
+                    self.update_upstream(record.clone(), from, effects);
+                }
+            }
+            // The changes do not apply to the list that this entry has, whose version the next message states.
+            ListingUpdate::Changes { base, .. } if base != self.listing => return,
+            ListingUpdate::Changes {
+                changed, removed, ..
+            } => {
+                for id in removed {
+                    self.upstreams.remove(&id);
+                }
+                for record in changed {
+                    self.update_upstream(record, from, effects);
+                }
             }
-            upstream.record = UpstreamRecord { draining, ..record };
-            let service = upstream.record.service.clone();
-            self.services.entry(service).or_default().push(id.clone());
-            self.upstreams.insert(id, upstream);
         }
+        self.index_upstreams();
+        let hashes = self.upstreams.values().map(|upstream| upstream.record_hash);
+        self.listing = match listing::version(hashes) == version {
+            true => version,
+            false => NO_LISTING,
+        };
+        self.has_listing = true;
         let count = self.upstreams.len();
-        let text = format!("listing=changed listing={listing:x} upstreams={count} source={from}");
+        let text = format!(
+            "listing=changed listing={:x} upstreams={count} source={from}",
+            self.listing
+        );
         log(effects, Importance::StateChange, text);
     }
 
+    /// Adds an upstream, or updates the record of a known one.
+    fn update_upstream(
+        &mut self,
+        record: UpstreamRecord,
+        from: &Name,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let id = record.id.clone();
+        let known = self.upstreams.get_mut(&id);
+        let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
+            self.upstreams.insert(id, Upstream::new(record));
+            return;
+        };
+        upstream.record_hash = listing::record_hash(&record);
+        // A draining upstream never becomes ready again under the same id and start time.
+        let draining = upstream.record.draining || record.draining;
+        if draining != upstream.record.draining || record.role != upstream.record.role {
+            let role = record.role;
+            let text = format!("upstream={id} draining={draining} role={role:?} source={from}");
+            log(effects, Importance::StateChange, text);
+        }
+        upstream.record = UpstreamRecord { draining, ..record };
+    }
+
+    fn index_upstreams(&mut self) {
+        self.services.clear();
+        self.upstream_ids.clear();
+        for (id, upstream) in &self.upstreams {
+            let service = upstream.record.service.clone();
+            let service = self.services.entry(service).or_default();
+            let zone = upstream.record.availability_zone.clone();
+            match zone == self.settings.info.availability_zone {
+                true => service.own_zone.push(id.clone()),
+                false => service.other_zones.push(id.clone()),
+            }
+            service.zones.insert(zone);
+            self.upstream_ids.insert(upstream.key, id.clone());
+        }
+    }
+
     fn on_arrived(
         &mut self,
         now_ms: u64,
         exchange: u64,
-        request: Request,
+        mut request: Request,
         effects: &mut Vec<EntryEffect>,
     ) {
+        if let Some(ends_ms) = self.ends_ms {
+            request.deadline_ms = request.deadline_ms.min(ends_ms);
+            let stream_ms = match request.kind {
+                RequestKind::Stream { .. } => (self.stream_ms * STREAM_TIME_MARGIN) as u64,
+                RequestKind::Idempotent | RequestKind::NonIdempotent => 0,
+            };
+            let begin_ms = ends_ms.saturating_sub(stream_ms);
+            request.begin_deadline_ms = request.begin_deadline_ms.min(begin_ms);
+        }
         let budget = self
             .retry_budgets
             .entry(request.service.clone())
@@ -376,6 +485,11 @@
         self.place(now_ms, exchange, effects);
     }
 
+    /// Returns whether the answer to a request cannot begin, or end before this process, in time.
+    fn is_too_late(&self, now_ms: u64, request: &Request, expected_ms: f64) -> bool {
+        now_ms + expected_ms as u64 + CALLER_MARGIN_MS > request.begin_deadline_ms
+    }
+
     /// Sends a request to an upstream, queues it, or refuses it.
     fn place(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let Some(state) = self.exchanges.get(&exchange) else {
@@ -411,6 +525,11 @@
         };
         let request = &self.exchanges[&exchange].request;
         let (service, rank) = (request.service.clone(), request.rank);
+        // A request that waits is checked while it waits; one that arrives late at a stopping process is not sent.
+        let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
+        if self.ends_ms.is_some() && self.is_too_late(now_ms, request, expected_ms) {
+            return self.refuse(now_ms, exchange, RefusalReason::TooLate, 0, effects);
+        }
         if self.has_more_urgent_queued(&service, exchange) || choice.wait_ms > max_backlog_ms(rank)
         {
             return self.enqueue(now_ms, exchange, &choice, effects);
@@ -422,10 +541,14 @@
         let state = &self.exchanges[&exchange];
         let prompt = state.request.prompt.as_ref()?;
         let context = self.placement_context(now_ms, state);
-        let upstreams = self
-            .service_upstreams(&state.request.service)
-            .filter(|upstream| !state.excludes_prefill_engines || !upstream.is_prefill());
-        place::choose_engine(&context, prompt, state.request.rank, upstreams)
+        let service = self.services.get(&state.request.service)?;
+        let engines = |ids| {
+            self.known_upstreams(ids)
+                .filter(|upstream| !state.excludes_prefill_engines || !upstream.is_prefill())
+        };
+        let own_zone = engines(&service.own_zone);
+        let other_zones = engines(&service.other_zones);
+        place::choose_engine(&context, prompt, state.request.rank, own_zone, other_zones)
     }
 
     fn send_to_choice(
@@ -472,8 +595,8 @@
         let request = &self.exchanges[&exchange].request;
         let service = request.service.clone();
         let queue_ms = self.queue_ms(&service, request.rank);
-        let expected_ms = (choice.first_token_ms() + queue_ms + FIRST_EVENT_MS) as u64;
-        if now_ms + expected_ms + CALLER_MARGIN_MS > request.begin_deadline_ms {
+        let expected_ms = choice.first_token_ms() + queue_ms + FIRST_EVENT_MS;
+        if self.is_too_late(now_ms, request, expected_ms) {
             let reason = RefusalReason::TooLate;
             return self.refuse(now_ms, exchange, reason, queue_ms as u64, effects);
         }
@@ -499,19 +622,14 @@
             .filter_map(|request| request.prompt.as_ref())
             .map(|prompt| prompt.tokens - prompt.shared_prefix().map_or(0, |(_, tokens)| tokens))
             .sum();
-        let zone = &self.settings.info.availability_zone;
-        let mut zones: Vec<&Name> = Vec::new();
-        let mut tokens_per_ms = 0.0;
-        for upstream in self.service_upstreams(service) {
-            let upstream_zone = &upstream.record.availability_zone;
-            if !zones.contains(&upstream_zone) {
-                zones.push(upstream_zone);
-            }
-            if upstream_zone == zone {
-                tokens_per_ms += place::prefill_tokens_per_ms(upstream);
-            }
-        }
-        let entries = f64::from(self.entry_count.max(1)) / zones.len().max(1) as f64;
+        let Some(service) = self.services.get(service) else {
+            return 0.0;
+        };
+        let tokens_per_ms: f64 = self
+            .known_upstreams(&service.own_zone)
+            .map(place::prefill_tokens_per_ms)
+            .sum();
+        let entries = f64::from(self.entry_count.max(1)) / service.zones.len().max(1) as f64;
         f64::from(tokens) * entries.max(1.0) / tokens_per_ms.max(place::PREFILL_TOKENS_PER_MS)
     }
 
@@ -543,12 +661,13 @@
         let mut remaining = Vec::new();
         for exchange in queue {
             let request = &self.exchanges[&exchange].request;
-            let (begin_deadline_ms, rank) = (request.begin_deadline_ms, request.rank);
+            let rank = request.rank;
             match self.choose(now_ms, exchange) {
                 None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
                 Some(choice) => {
-                    let expected_ms = (choice.first_token_ms() + FIRST_EVENT_MS) as u64;
-                    if now_ms + expected_ms + CALLER_MARGIN_MS > begin_deadline_ms {
+                    let request = &self.exchanges[&exchange].request;
+                    let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
+                    if self.is_too_late(now_ms, request, expected_ms) {
                         let wait_ms = choice.wait_ms as u64;
                         let reason = RefusalReason::TooLate;
                         self.refuse(now_ms, exchange, reason, wait_ms, effects);
@@ -587,11 +706,10 @@
             return;
         };
         let request = &state.request;
-        target.add_request(tokens, request.rank);
+        target.add_request(tokens);
         state.assigned_work = Some(AssignedWork {
             upstream: upstream.clone(),
             tokens,
-            rank: request.rank,
         });
         state.calls += 1;
         match task {
@@ -603,10 +721,10 @@
         let computes_prompt = !matches!(task, Task::Generate { .. });
         let shared_prefix = request.prompt.as_ref().and_then(Prompt::shared_prefix);
         if let Some((key, tokens)) = shared_prefix.filter(|_| computes_prompt) {
-            target.record_shared_prefix(key, now_ms);
-            if tokens >= place::FETCH_MIN_TOKENS {
-                let upstream = upstream.clone();
-                self.prefix_uses.push(PartUse { key, upstream });
+            let is_due = target.use_shared_prefix(key, now_ms);
+            if is_due && tokens >= place::FETCH_MIN_TOKENS {
+                let upstream_key = target.key;
+                self.prefix_uses.push(PrefixUse { key, upstream_key });
             }
         }
         let first_event_ms = now_ms + expected_ms.map_or(0, |ms| (ms + FIRST_EVENT_MS) as u64);
@@ -884,6 +1002,10 @@
             }
         }
         let started_ms = state.started_ms.unwrap_or(now_ms);
+        if is_complete && matches!(state.request.kind, RequestKind::Stream { .. }) {
+            let stream_ms = (now_ms - started_ms) as f64;
+            self.stream_ms += (stream_ms - self.stream_ms) * STREAM_TIME_WEIGHT;
+        }
         let in_objective = started_ms <= state.request.objective_ms;
         let (importance, outcome) = match is_complete {
             true => (Importance::Step, "answered"),
@@ -955,12 +1077,30 @@
         }
     }
 
-    fn service_upstreams(&self, service: &Name) -> impl Iterator<Item = &Upstream> + Clone {
-        let ids = self.services.get(service).map_or(&[][..], Vec::as_slice);
+    fn service_upstreams(&self, service: &Name) -> impl Iterator<Item = &Upstream> {
+        let service = self.services.get(service);
+        let ids = |ids: fn(&ServiceUpstreams) -> &[Name]| service.map_or(&[][..], ids);
+        let own_zone = self.known_upstreams(ids(|service| &service.own_zone));
+        own_zone.chain(self.known_upstreams(ids(|service| &service.other_zones)))
+    }
+
+    fn known_upstreams<'a>(
+        &'a self,
+        ids: &'a [Name],
+    ) -> impl Iterator<Item = &'a Upstream> + Clone {
         ids.iter().filter_map(|id| self.upstreams.get(id))
     }
 }
 
+/// Instance ids of the upstreams of a service, by whether they are in the entry's availability zone.
+#[derive(Clone, Debug, Default)]
+struct ServiceUpstreams {
+    own_zone: Vec<Name>,
+    other_zones: Vec<Name>,
+    /// Availability zones of the upstreams.
+    zones: Set<Name>,
+}
+
 /// The properties of a call to an upstream that has been chosen.
 struct CallPlan {
     task: Task,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -96,7 +96,7 @@
     /// Returns a pseudorandom number from 0 to 1, derived from the request and the upstream.
     fn jitter(&self, upstream: &Upstream) -> f64 {
         let hasher = foldhash::fast::FixedState::default();
-        let hash = hasher.hash_one((self.request_hash, &upstream.record.id));
+        let hash = hasher.hash_one((self.request_hash, upstream.key));
         hash as f64 / u64::MAX as f64
     }
 
@@ -131,42 +131,93 @@
 }
 
 /// Chooses the engine that computes the prompt, and possibly runs the request.
+///
+/// Engines in other zones are considered only if every engine in this entry's zone costs more than the difference
+/// between zones, so that the time for a choice does not grow with the number of zones.
 pub fn choose_engine<'a>(
     context: &PlacementContext<'_>,
     prompt: &Prompt,
     rank: u8,
-    upstreams: impl Iterator<Item = &'a Upstream> + Clone,
+    own_zone: impl Iterator<Item = &'a Upstream>,
+    other_zones: impl Iterator<Item = &'a Upstream> + Clone,
 ) -> Option<Choice> {
-    let candidates = upstreams.filter(|upstream| context.is_candidate(upstream));
+    let own_zone: Vec<&Upstream> = own_zone
+        .filter(|upstream| context.is_candidate(upstream))
+        .collect();
+    let other_zones = other_zones.filter(|upstream| context.is_candidate(upstream));
     let reserved_ids = match rank {
         0 => Vec::new(),
-        _ => reserved_engines(context, candidates.clone()),
+        _ => reserved_engines(&own_zone),
+    };
+    let chooser = EngineChooser {
+        context,
+        prompt,
+        rank,
+        reserved_ids,
+        affinity: affinity_engine(prompt, &own_zone),
+        fetch_source: fetch_source(context, prompt, own_zone.iter().copied())
+            .or_else(|| fetch_source(context, prompt, other_zones.clone())),
     };
-    let zones_with_decoders = zones_with_decoders(candidates.clone());
-    let affinity = affinity_engine(context, prompt, candidates.clone());
-    let fetch_source = fetch_source(context, prompt, candidates.clone());
-    let mut best: Option<(f64, Choice)> = None;
-    for upstream in candidates.clone() {
+    let own_zone = chooser.choose(&own_zone);
+    if let Some((cost_ms, choice)) = &own_zone
+        && *cost_ms <= CROSS_ZONE_COST_MS
+    {
+        return Some(choice.clone());
+    }
+    let other_zones: Vec<&Upstream> = other_zones.collect();
+    let best = own_zone
+        .into_iter()
+        .chain(chooser.choose(&other_zones))
+        .min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, choice)| choice)
+}
+
+/// The properties of a request that the cost of an engine depends on.
+struct EngineChooser<'a> {
+    context: &'a PlacementContext<'a>,
+    prompt: &'a Prompt,
+    rank: u8,
+    /// Engines that are reserved for more urgent ranks.
+    reserved_ids: Vec<&'a Name>,
+    /// Engine that all entries of the zone prefer for the shared prefix.
+    affinity: Option<&'a Upstream>,
+    /// Engine from which the shared prefix can be fetched.
+    fetch_source: Option<&'a Upstream>,
+}
+
+impl EngineChooser<'_> {
+    /// Returns the cheapest of some engines and its cost, in milliseconds.
+    fn choose(&self, candidates: &[&Upstream]) -> Option<(f64, Choice)> {
+        let zones_with_decoders = zones_with_decoders(candidates);
+        candidates
+            .iter()
+            .filter(|upstream| {
+                !upstream.is_prefill()
+                    || zones_with_decoders.contains(&&upstream.record.availability_zone)
+            })
+            .filter_map(|upstream| self.assess(upstream))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+    }
+
+    /// Returns the cost of an engine, in milliseconds, or none if the engine cannot take the request.
+    fn assess(&self, upstream: &Upstream) -> Option<(f64, Choice)> {
         if is_full(upstream) {
-            continue;
-        }
-        let is_prefill = upstream.is_prefill();
-        if is_prefill && !zones_with_decoders.contains(&&upstream.record.availability_zone) {
-            continue;
+            return None;
         }
+        let (context, prompt) = (self.context, self.prompt);
         let is_cached = is_cached(context, prompt, upstream);
-        let source = fetch_source.filter(|_| !is_cached);
+        let source = self.fetch_source.filter(|_| !is_cached);
         let tokens = match (is_cached || source.is_some(), prompt.shared_prefix()) {
             (true, Some((_, shared_tokens))) => prompt.tokens - shared_tokens,
-            _ => uncached_tokens(prompt, upstream, affinity),
+            _ => uncached_tokens(prompt, upstream, self.affinity),
         };
         let tokens_per_ms = prefill_tokens_per_ms(upstream);
         let wait_ms = f64::from(upstream.tokens_ahead()) / tokens_per_ms;
         let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
         let work_ms = f64::from(tokens) / tokens_per_ms + fetch_ms;
-        let is_reserved = reserved_ids.contains(&&upstream.record.id);
-        if is_reserved && (rank > 1 || work_ms > RESERVED_MAX_WORK_MS) {
-            continue;
+        let is_reserved = self.reserved_ids.contains(&&upstream.record.id);
+        if is_reserved && (self.rank > 1 || work_ms > RESERVED_MAX_WORK_MS) {
+            return None;
         }
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_COST_MS,
@@ -180,44 +231,38 @@
             + context.zone_cost_ms(upstream)
             + context.jitter(upstream) * JITTER_MS
             + upstream.failure_rate(context.now_ms) * FAILURE_COST_MS;
-        if best.as_ref().is_none_or(|(least, _)| cost_ms < *least) {
-            let choice = Choice {
-                upstream: upstream.record.id.clone(),
-                is_prefill,
-                tokens,
-                fetch_from: source.map(|source| source.record.address.clone()),
-                shared_age_ms: is_cached
-                    .then_some(upstream)
-                    .or(source)
-                    .zip(prompt.shared_prefix())
-                    .map(|(engine, (key, _))| context.now_ms - engine.shared_prefix_used_ms(key)),
-                wait_ms,
-                work_ms,
-            };
-            best = Some((cost_ms, choice));
-        }
+        let choice = Choice {
+            upstream: upstream.record.id.clone(),
+            is_prefill: upstream.is_prefill(),
+            tokens,
+            fetch_from: source.map(|source| source.record.address.clone()),
+            shared_age_ms: is_cached
+                .then_some(upstream)
+                .or(source)
+                .zip(prompt.shared_prefix())
+                .map(|(engine, (key, _))| context.now_ms - engine.shared_prefix_used_ms(key)),
+            wait_ms,
+            work_ms,
+        };
+        Some((cost_ms, choice))
     }
-    best.map(|(_, choice)| choice)
 }
 
 /// Returns the prefill engines of this entry's zone that are reserved for the most urgent rank. All entries of the zone
 /// reserve the same engines.
-fn reserved_engines<'a>(
-    context: &PlacementContext<'_>,
-    candidates: impl Iterator<Item = &'a Upstream>,
-) -> Vec<&'a Name> {
-    let hasher = foldhash::fast::FixedState::default();
-    let mut engines: Vec<&Name> = candidates
-        .filter(|upstream| upstream.is_prefill() && context.zone_cost_ms(upstream) == 0.0)
-        .map(|upstream| &upstream.record.id)
+fn reserved_engines<'a>(own_zone: &[&'a Upstream]) -> Vec<&'a Name> {
+    let mut engines: Vec<&Upstream> = own_zone
+        .iter()
+        .copied()
+        .filter(|upstream| upstream.is_prefill())
         .collect();
     let count = match engines.len() {
         0..RESERVED_MIN_ENGINES => 0,
         engines => (engines as f64 * RESERVED_SHARE) as usize,
     };
-    engines.sort_by_cached_key(|id| hasher.hash_one(id));
+    engines.sort_unstable_by_key(|engine| engine.key);
     engines.truncate(count);
-    engines
+    engines.iter().map(|engine| &engine.record.id).collect()
 }
 
 /// Chooses the engine that generates from a computed prompt: the least loaded one in the zone of the prefill engine.
@@ -239,9 +284,9 @@
 }
 
 /// Returns the availability zones in which at least one engine can generate.
-fn zones_with_decoders<'a>(candidates: impl Iterator<Item = &'a Upstream>) -> Vec<&'a Name> {
+fn zones_with_decoders<'a>(candidates: &[&'a Upstream]) -> Vec<&'a Name> {
     let mut zones = Vec::new();
-    for upstream in candidates.filter(|upstream| can_generate(upstream)) {
+    for upstream in candidates.iter().filter(|upstream| can_generate(upstream)) {
         let zone = &upstream.record.availability_zone;
         if !zones.contains(&zone) {
             zones.push(zone);
@@ -272,7 +317,7 @@
 }
 
 /// Returns an engine that is expected to have the prompt's shared prefix cached, if the prefix is worth a transfer.
-/// Engines in this entry's zone come first, then the engine that used the prefix last.
+/// The engine that used the prefix last comes first.
 fn fetch_source<'a>(
     context: &PlacementContext<'_>,
     prompt: &Prompt,
@@ -284,10 +329,7 @@
     }
     candidates
         .filter(|upstream| upstream.can_export(key, context.now_ms))
-        .max_by_key(|upstream| {
-            let is_same_zone = context.zone_cost_ms(upstream) == 0.0;
-            (is_same_zone, upstream.shared_prefix_used_ms(key))
-        })
+        .max_by_key(|upstream| upstream.shared_prefix_used_ms(key))
 }
 
 fn fetch_ms(prompt: &Prompt, upstream: &Upstream, source: &Upstream) -> f64 {
@@ -313,17 +355,11 @@
 
 /// Returns the engine of this entry's zone that all entries of the zone prefer for the prompt's shared prefix, by
 /// rendezvous hashing. Prefill engines come first, as their memory holds no KV cache of running requests.
-fn affinity_engine<'a>(
-    context: &PlacementContext<'_>,
-    prompt: &Prompt,
-    candidates: impl Iterator<Item = &'a Upstream>,
-) -> Option<&'a Upstream> {
+fn affinity_engine<'a>(prompt: &Prompt, own_zone: &[&'a Upstream]) -> Option<&'a Upstream> {
     let (key, _) = prompt.shared_prefix()?;
     let hasher = foldhash::fast::FixedState::default();
-    candidates
-        .filter(|upstream| context.zone_cost_ms(upstream) == 0.0)
-        .max_by_key(|upstream| {
-            let hash = hasher.hash_one((key, &upstream.record.id));
-            (upstream.is_prefill(), hash)
-        })
+    own_zone.iter().copied().max_by_key(|upstream| {
+        let hash = hasher.hash_one((key, upstream.key));
+        (upstream.is_prefill(), hash)
+    })
 }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,11 +1,19 @@
 //! An entry's subscription to a replica: the choice of the replica, and the age of its last reply.
 
+use std::hash::BuildHasher;
+
 use conf::{Map, Name};
-use fleet::{Backlog, InstanceInfo, PartUse, Watch, WatchReply};
+use fleet::{InstanceInfo, PrefixUse, UpstreamLoad, Watch, WatchReply};
+
+use crate::listing::LISTING_NOT_NEEDED;
 
-/// Interval of the subscription's messages, in milliseconds. The messages also carry the backlog to the other entries,
-/// which changes quickly: a prompt is computed within 20 to 300 ms.
-const WATCH_INTERVAL_MS: u64 = 100;
+/// Interval of the subscription's messages until the replica has stated one, in milliseconds.
+const INITIAL_INTERVAL_MS: u64 = 100;
+/// Longest interval that an entry accepts, in milliseconds. Replicas remove subscribers after a few seconds.
+const MAX_INTERVAL_MS: u64 = 1_000;
+/// Time after which a message without a reply counts as lost, in milliseconds. Until then no further message is sent, so
+/// that a replica or a link that is slow does not get more of them.
+const UNANSWERED_MS: u64 = 300;
 /// Time without a current reply after which the entry switches to another replica, in milliseconds: two messages and
 /// the time for their replies.
 const REPLY_TIMEOUT_MS: u64 = 900;
@@ -22,6 +30,13 @@
     /// When the current replica was chosen, or last confirmed that its state is current.
     confirmed_ms: u64,
     next_watch_ms: u64,
+    /// Interval that the replica has stated, in milliseconds.
+    interval_ms: u64,
+    /// Until when the next message waits for the reply to the last one.
+    awaits_reply_until_ms: u64,
+    /// Whether a replica has sent the known replicas with their availability zones. Until then, the entry asks for no
+    /// document or list, which a replica of its own zone sends.
+    knows_zones: bool,
     sequence: u64,
 }
 
@@ -37,6 +52,9 @@
             current: None,
             confirmed_ms: 0,
             next_watch_ms: 0,
+            interval_ms: INITIAL_INTERVAL_MS,
+            awaits_reply_until_ms: 0,
+            knows_zones: false,
             sequence: 0,
         }
     }
@@ -64,7 +82,7 @@
         if self.current.is_none() || self.age_ms(now_ms) > REPLY_TIMEOUT_MS {
             self.switch_replica(now_ms);
         }
-        self.current.is_some() && now_ms >= self.next_watch_ms
+        self.current.is_some() && now_ms >= self.next_watch_ms.max(self.awaits_reply_until_ms)
     }
 
     /// Returns the message that is due and its receiver.
@@ -73,20 +91,25 @@
         now_ms: u64,
         version: u64,
         listing: u64,
-        backlog: Vec<Backlog>,
-        parts: Vec<PartUse>,
+        loads: Vec<UpstreamLoad>,
+        prefix_uses: Vec<PrefixUse>,
     ) -> Option<(InstanceInfo, Watch)> {
         let (to, _) = self.replicas.get(self.current.as_ref()?)?;
-        self.next_watch_ms = now_ms + WATCH_INTERVAL_MS;
+        self.next_watch_ms = now_ms + self.interval_ms;
+        self.awaits_reply_until_ms = now_ms + UNANSWERED_MS;
         self.sequence += 1;
+        let (version, listing) = match self.knows_zones {
+            true => (version, listing),
+            false => (u64::MAX, LISTING_NOT_NEEDED),
+        };
         let watch = Watch {
             info: self.info.clone(),
             sequence: self.sequence,
             accepts_callers: true,
             version,
             listing,
-            backlog,
-            parts,
+            loads,
+            prefix_uses,
         };
         Some((to.clone(), watch))
     }
@@ -103,6 +126,16 @@
         if self.current.as_ref() != Some(from) {
             return false;
         }
+        if !self.knows_zones && !reply.replicas.is_empty() {
+            self.knows_zones = true;
+            self.next_watch_ms = now_ms;
+        }
+        if reply.sequence == self.sequence {
+            self.awaits_reply_until_ms = 0;
+        }
+        if reply.watch_interval_ms > 0 {
+            self.interval_ms = reply.watch_interval_ms.min(MAX_INTERVAL_MS);
+        }
         if reply.is_current {
             self.confirmed_ms = now_ms;
         }
@@ -114,8 +147,7 @@
         let preferred = self.preferred_replica(now_ms);
         if preferred.is_some() && preferred != self.current {
             self.current = preferred;
-            self.confirmed_ms = now_ms;
-            self.next_watch_ms = now_ms;
+            self.subscribe_again(now_ms);
         }
     }
 
@@ -126,20 +158,37 @@
             *avoid_until_ms = now_ms + AVOIDANCE_MS;
         }
         self.current = self.preferred_replica(now_ms);
+        self.subscribe_again(now_ms);
+    }
+
+    fn subscribe_again(&mut self, now_ms: u64) {
         self.confirmed_ms = now_ms;
         self.next_watch_ms = now_ms;
+        self.awaits_reply_until_ms = 0;
     }
 
-    /// Returns the preferred replica: one that has not failed recently, in the entry's availability zone, with the
-    /// lowest id, so that the entries of a zone share one replica and, through the replica, their backlog.
+    /// Returns the preferred replica: one that has not failed recently, in the entry's availability zone. The entries of
+    /// a zone prefer the same one, so that they share their load through it. Entries of different zones, and those that
+    /// do not know the zones yet, prefer different ones.
     fn preferred_replica(&self, now_ms: u64) -> Option<Name> {
+        let hasher = foldhash::fast::FixedState::default();
         let zone = &self.info.availability_zone;
+        let spread_by = if self.knows_zones {
+            zone
+        } else {
+            &self.info.id
+        };
         let sort_key = |(info, avoid_until_ms): &(InstanceInfo, u64)| {
             let avoided_ms = match *avoid_until_ms > now_ms {
                 true => *avoid_until_ms,
                 false => 0,
             };
-            (avoided_ms, info.availability_zone != *zone, info.id.clone())
+            let is_other_zone = info.availability_zone != *zone;
+            (
+                avoided_ms,
+                is_other_zone,
+                hasher.hash_one((spread_by, &info.id)),
+            )
         };
         let preferred = self
             .replicas
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,10 +1,9 @@
 //! The load and health of one upstream, as an entry knows them.
 
 use conf::{Map, Name, Role};
-use fleet::{Backlog, UpstreamRecord};
+use fleet::{UpstreamLoad, UpstreamRecord};
 
-/// Number of ranks whose load is counted separately. Less urgent ranks count as the last one.
-pub const RANK_COUNT: usize = 4;
+use crate::listing;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
 const CIRCUIT_FAILURES: u32 = 2;
@@ -23,6 +22,9 @@
 /// Time after the first use of a prompt prefix at an engine from which the prefix counts as computed there, in
 /// milliseconds: the time for a usual backlog and a long prompt.
 const EXPORT_MIN_AGE_MS: u64 = 400;
+/// Interval at which the use of a prefix at an engine is reported to the other entries, in milliseconds. It is short
+/// beside the time after which the prefix counts as evicted.
+const PREFIX_REPORT_INTERVAL_MS: u64 = 2_000;
 /// Prompt prefixes recorded for each upstream; the cache of an engine holds fewer long ones.
 const MAX_SHARED_PREFIXES: usize = 256;
 
@@ -34,8 +36,6 @@
     pub upstream: Name,
     /// Prompt tokens that the upstream still has to compute.
     pub tokens: u32,
-    /// Rank of the request.
-    pub rank: u8,
 }
 
 /// One upstream, with the load that this entry and other entries have sent to it.
@@ -43,14 +43,18 @@
 pub struct Upstream {
     /// The upstream's record in the platform's list.
     pub record: UpstreamRecord,
+    /// Hash of the record as the list shows it.
+    pub record_hash: u64,
+    /// Key that stands for the upstream in load messages.
+    pub key: u64,
     /// Requests of this entry that run or wait at the upstream.
     pub running: u32,
-    /// Prompt tokens of this entry that the upstream has not computed, by rank.
-    pub prompt_tokens: [u32; RANK_COUNT],
+    /// Prompt tokens of this entry that the upstream has not computed.
+    pub prompt_tokens: u32,
     /// Requests of the other entries in the availability zone that run or wait at the upstream.
     pub others_running: u32,
-    /// Prompt tokens of those entries that the upstream has not computed, by rank.
-    pub others_prompt_tokens: [u32; RANK_COUNT],
+    /// Prompt tokens of those entries that the upstream has not computed.
+    pub others_prompt_tokens: u32,
     consecutive_failures: u32,
     failure_rate: f64,
     /// When the failure rate was last changed.
@@ -67,12 +71,16 @@
     first_used_ms: u64,
     /// Time of the latest use.
     last_used_ms: u64,
+    /// Time of the latest use that this entry or another one has reported to the other entries.
+    reported_ms: u64,
 }
 
 impl Upstream {
     /// Creates an upstream without load.
     pub fn new(record: UpstreamRecord) -> Self {
         Self {
+            record_hash: listing::record_hash(&record),
+            key: listing::upstream_key(&record.id),
             record,
             ..Self::default()
         }
@@ -101,9 +109,7 @@
     /// Returns the prompt tokens that are computed before those of a further request. Ranks do not matter: an engine
     /// admits requests by priority, but computes the prompts that it has admitted in the order of their arrival.
     pub fn tokens_ahead(&self) -> u32 {
-        let own: u32 = self.prompt_tokens.iter().sum();
-        let others: u32 = self.others_prompt_tokens.iter().sum();
-        own + others
+        self.prompt_tokens + self.others_prompt_tokens
     }
 
     /// Returns the moving average of the share of failed requests, from 0 to 1.
@@ -113,15 +119,14 @@
     }
 
     /// Adds a request and its prompt tokens to the load.
-    pub fn add_request(&mut self, tokens: u32, rank: u8) {
+    pub fn add_request(&mut self, tokens: u32) {
         self.running += 1;
-        self.prompt_tokens[rank_index(rank)] += tokens;
+        self.prompt_tokens += tokens;
     }
 
     /// Removes the prompt tokens of a request from the load, since they have been computed.
     pub fn remove_prompt_tokens(&mut self, assigned_work: &mut AssignedWork) {
-        let tokens = &mut self.prompt_tokens[rank_index(assigned_work.rank)];
-        *tokens = tokens.saturating_sub(assigned_work.tokens);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(assigned_work.tokens);
         assigned_work.tokens = 0;
     }
 
@@ -131,22 +136,18 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Sets the backlog of the other entries at this upstream.
-    pub fn set_others_backlog(&mut self, backlog: Option<&Backlog>) {
-        self.others_running = backlog.map_or(0, |backlog| backlog.running);
-        self.others_prompt_tokens = [0; RANK_COUNT];
-        let tokens = backlog.map_or(&[][..], |backlog| &backlog.prompt_tokens);
-        for (rank, tokens) in tokens.iter().enumerate() {
-            self.others_prompt_tokens[rank.min(RANK_COUNT - 1)] += tokens;
-        }
+    /// Sets the load of the other entries at this upstream.
+    pub fn set_others_load(&mut self, load: &UpstreamLoad) {
+        self.others_running = load.running;
+        self.others_prompt_tokens = load.prompt_tokens;
     }
 
-    /// Returns the backlog of this entry at the upstream, if there is any.
-    pub fn backlog(&self) -> Option<Backlog> {
-        (self.running > 0).then(|| Backlog {
-            upstream: self.record.id.clone(),
+    /// Returns the load of this entry at the upstream, if there is any.
+    pub fn own_load(&self) -> Option<UpstreamLoad> {
+        (self.running > 0).then_some(UpstreamLoad {
+            upstream_key: self.key,
             running: self.running,
-            prompt_tokens: self.prompt_tokens.to_vec(),
+            prompt_tokens: self.prompt_tokens,
         })
     }
 
@@ -169,19 +170,30 @@
             .map_or(0, |prefix_use| prefix_use.last_used_ms)
     }
 
-    /// Records the use of a shared prefix at the upstream.
-    pub fn record_shared_prefix(&mut self, key: u64, now_ms: u64) {
-        let first_used_ms = self
-            .shared_prefix_use(key, now_ms)
-            .map_or(now_ms, |prefix_use| prefix_use.first_used_ms);
-        let last_used_ms = now_ms;
-        self.shared_prefixes.insert(
-            key,
-            SharedPrefixUse {
-                first_used_ms,
-                last_used_ms,
-            },
-        );
+    /// Records a use of a shared prefix at the upstream by this entry. Returns whether the use is to be reported to the
+    /// other entries.
+    pub fn use_shared_prefix(&mut self, key: u64, now_ms: u64) -> bool {
+        let previous = self.shared_prefix_use(key, now_ms);
+        let reported_ms = previous.map_or(0, |prefix_use| prefix_use.reported_ms);
+        let is_due = reported_ms == 0 || now_ms - reported_ms >= PREFIX_REPORT_INTERVAL_MS;
+        let reported_ms = if is_due { now_ms } else { reported_ms };
+        self.record_shared_prefix(key, now_ms, reported_ms);
+        is_due
+    }
+
+    /// Records a use of a shared prefix at the upstream that another entry has reported.
+    pub fn on_reported_prefix(&mut self, key: u64, now_ms: u64) {
+        self.record_shared_prefix(key, now_ms, now_ms);
+    }
+
+    fn record_shared_prefix(&mut self, key: u64, now_ms: u64, reported_ms: u64) {
+        let previous = self.shared_prefix_use(key, now_ms);
+        let prefix_use = SharedPrefixUse {
+            first_used_ms: previous.map_or(now_ms, |prefix_use| prefix_use.first_used_ms),
+            last_used_ms: now_ms,
+            reported_ms,
+        };
+        self.shared_prefixes.insert(key, prefix_use);
         if self.shared_prefixes.len() > MAX_SHARED_PREFIXES
             && let Some(oldest) = self
                 .shared_prefixes
@@ -221,7 +233,3 @@
         true
     }
 }
-
-fn rank_index(rank: u8) -> usize {
-    usize::from(rank).min(RANK_COUNT - 1)
-}
--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -257,3 +257,36 @@
     let is_freed = |effect: &EntryEffect| matches!(effect, EntryEffect::FreeHandle { handle, .. } if handle == "handle");
     assert!(effects.iter().any(is_freed), "{effects:?}");
 }
+
+/// Guards against a request that a stopping entry sends to an engine although its answer would be cut off, and against
+/// the refusal of one that can end in time.
+#[test]
+fn a_stopping_entry_refuses_what_it_cannot_finish() {
+    let mut driver = Driver::new(vec![
+        engine("read", ZONE, Role::Prefill),
+        engine("write", ZONE, Role::Decode),
+    ]);
+    // Streams have lasted for half a second.
+    for _ in 0..100 {
+        let (exchange, directive) = driver.arrive(driver.prompt(0, (1, 0), 100));
+        expect_call(directive);
+        driver.step(EntryEvent::Started { exchange });
+        driver.now_ms += 500;
+        driver.step(EntryEvent::Closed {
+            exchange,
+            is_complete: true,
+        });
+    }
+    let ends_ms = driver.now_ms + 4_000;
+    driver.step(EntryEvent::Stopping { ends_ms });
+    let (exchange, directive) = driver.arrive(driver.prompt(0, (1, 0), 100));
+    let call = expect_call(directive);
+    assert!(call.deadline_ms <= ends_ms);
+    driver.step(EntryEvent::Closed {
+        exchange,
+        is_complete: true,
+    });
+    driver.now_ms += 3_000;
+    let refusal = expect_refusal(driver.arrive(driver.prompt(0, (1, 0), 100)).1);
+    assert!(refusal.reason.is_not_run(), "{refusal:?}");
+}
--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -6,9 +6,13 @@
 use std::sync::Arc;
 
 use conf::{Name, Role};
-use fleet::{Backlog, InstanceInfo, PartUse, PeerMessage, UpstreamRecord, WatchReply};
+use fleet::{
+    InstanceInfo, ListingUpdate, PeerMessage, PrefixUse, UpstreamList, UpstreamLoad,
+    UpstreamRecord, WatchReply,
+};
 use gateway::config::{Config, EngineTraits, Limits, RequestKind, Route, Service};
 use gateway::entry::{Entry, EntryEffect, EntryEvent, EntrySettings};
+use gateway::listing::upstream_key;
 use gateway::{Directive, Outcome, Prompt, Refusal, Request, UpstreamCall};
 
 pub const REPLICA: &str = "10.0.0.9";
@@ -21,6 +25,8 @@
     pub now_ms: u64,
     next_exchange: u64,
     next_listing: u64,
+    /// Number of the entry's last message to the replica.
+    last_watch: u64,
 }
 
 impl Driver {
@@ -47,6 +53,7 @@
             now_ms: 1_000,
             next_exchange: 0,
             next_listing: 0,
+            last_watch: 0,
         };
         driver.step(EntryEvent::Tick);
         driver.configure(1);
@@ -57,6 +64,13 @@
     pub fn step(&mut self, event: EntryEvent) -> Vec<EntryEffect> {
         let mut effects = Vec::new();
         self.entry.step(self.now_ms, event, &mut effects);
+        for effect in &effects {
+            if let EntryEffect::Send { message, .. } = effect
+                && let PeerMessage::Watch(watch) = &**message
+            {
+                self.last_watch = watch.sequence;
+            }
+        }
         effects
     }
 
@@ -64,6 +78,7 @@
         self.step(EntryEvent::WatchReply {
             from: REPLICA.into(),
             reply: Box::new(WatchReply {
+                sequence: self.last_watch,
                 is_current: true,
                 entries: 2,
                 ..reply
@@ -82,21 +97,23 @@
         self.next_listing += 1;
         let reply = WatchReply {
             listing: self.next_listing,
-            upstreams: Some(upstreams),
+            listing_update: Some(ListingUpdate::Complete(Arc::new(UpstreamList::new(
+                upstreams,
+            )))),
             ..WatchReply::default()
         };
         self.reply(reply, None);
     }
 
-    /// Gives the entry the backlog of other entries and the shared prefixes that they have sent to engines.
+    /// Gives the entry the load of other entries and the shared prefixes that they have sent to engines.
     pub fn receive_others_load(
         &mut self,
-        backlog: Vec<Backlog>,
-        parts: Vec<PartUse>,
+        loads: Vec<UpstreamLoad>,
+        prefix_uses: Vec<PrefixUse>,
     ) -> Vec<EntryEffect> {
         let reply = WatchReply {
-            backlog,
-            parts,
+            loads: Some(loads),
+            prefix_uses,
             ..WatchReply::default()
         };
         self.reply(reply, None)
@@ -117,17 +134,17 @@
     }
 
     /// Returns the shared prefixes that the entry reports to its replica.
-    pub fn reported_prefix_uses(&mut self) -> Vec<PartUse> {
+    pub fn reported_prefix_uses(&mut self) -> Vec<PrefixUse> {
         self.now_ms += 200;
         let effects = self.step(EntryEvent::Tick);
-        let parts = effects.into_iter().find_map(|effect| match effect {
+        let prefix_uses = effects.into_iter().find_map(|effect| match effect {
             EntryEffect::Send { message, .. } => match *message {
-                PeerMessage::Watch(watch) => Some(watch.parts),
+                PeerMessage::Watch(watch) => Some(watch.prefix_uses),
                 _ => None,
             },
             _ => None,
         });
-        parts.unwrap_or_default()
+        prefix_uses.unwrap_or_default()
     }
 
     /// Returns a request that arrives now.
@@ -187,6 +204,15 @@
     }
 }
 
+/// Returns the load that other entries have sent to an upstream.
+pub fn others_load(id: &'static str, prompt_tokens: u32) -> UpstreamLoad {
+    UpstreamLoad {
+        upstream_key: upstream_key(&id.into()),
+        running: 10,
+        prompt_tokens,
+    }
+}
+
 pub fn plain(id: &'static str, zone: &'static str) -> UpstreamRecord {
     UpstreamRecord {
         id: id.into(),
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -7,10 +7,11 @@
 use std::collections::VecDeque;
 
 use conf::{Map, Name, Role};
-use entry_support::{Driver, OTHER_ZONE, ZONE, engine, expect_call, expect_refusal};
-use fleet::{Backlog, PartUse};
+use entry_support::{Driver, OTHER_ZONE, ZONE, engine, expect_call, expect_refusal, others_load};
+use fleet::PrefixUse;
 use gateway::entry::{EntryEffect, EntryEvent};
 use gateway::exchange::Task;
+use gateway::listing::upstream_key;
 use gateway::{Directive, RefusalReason};
 
 const TOKENS_PER_MS: u32 = 50;
@@ -248,11 +249,7 @@
 #[test]
 fn a_request_that_cannot_begin_in_time_is_refused_at_once() {
     let mut driver = Driver::new(zone_engines());
-    let busy = |id: &'static str| Backlog {
-        upstream: id.into(),
-        running: 10,
-        prompt_tokens: vec![0, 0, 400_000],
-    };
+    let busy = |id| others_load(id, 400_000);
     driver.receive_others_load(
         vec![busy("read-1"), busy("read-2"), busy("write-1")],
         Vec::new(),
@@ -270,9 +267,9 @@
     let mut upstreams = zone_engines();
     upstreams.push(engine("read-far", OTHER_ZONE, Role::Prefill));
     let mut driver = Driver::new(upstreams);
-    let prefix_use = PartUse {
+    let prefix_use = PrefixUse {
         key: 1,
-        upstream: "read-far".into(),
+        upstream_key: upstream_key(&"read-far".into()),
     };
     driver.receive_others_load(Vec::new(), vec![prefix_use]);
     driver.now_ms += COMPUTED_MS;
@@ -289,9 +286,9 @@
     let mut upstreams = zone_engines();
     upstreams.push(engine("read-far", OTHER_ZONE, Role::Prefill));
     let mut driver = Driver::new(upstreams);
-    let prefix_use = PartUse {
+    let prefix_use = PrefixUse {
         key: 1,
-        upstream: "read-far".into(),
+        upstream_key: upstream_key(&"read-far".into()),
     };
     driver.receive_others_load(Vec::new(), vec![prefix_use]);
     let request = driver.prompt(1, (1, 13_000), 3_700);
@@ -317,16 +314,15 @@
     assert!(
         prefix_uses
             .iter()
-            .all(|prefix_use| prefix_use.upstream == prefill_engine),
+            .all(|prefix_use| prefix_use.upstream_key == upstream_key(&prefill_engine)),
         "{prefix_uses:?}"
     );
     finish(&mut driver, exchange);
     driver.now_ms += COMPUTED_MS;
     // The backlog of the engine that has the prefix cached is so long that another engine is chosen.
-    let busy = Backlog {
-        upstream: prefill_engine.clone(),
-        running: 10,
-        prompt_tokens: vec![0, 0, 400_000],
+    let busy = fleet::UpstreamLoad {
+        upstream_key: upstream_key(&prefill_engine),
+        ..others_load("", 400_000)
     };
     driver.receive_others_load(vec![busy], Vec::new());
     let request = driver.prompt(1, (1, 13_000), 3_700);
@@ -345,11 +341,8 @@
     let (exchange, directive) = driver.arrive(request);
     let first = expect_call(directive);
     let prefix_uses = driver.reported_prefix_uses();
-    assert!(
-        prefix_uses
-            .iter()
-            .any(|prefix_use| prefix_use.key == 1 && prefix_use.upstream == first.upstream)
-    );
+    assert!(prefix_uses.iter().any(|prefix_use| prefix_use.key == 1
+        && prefix_use.upstream_key == upstream_key(&first.upstream)));
     let handle = "handle".into();
     driver.step(EntryEvent::Prefilled { exchange, handle });
     let request = driver.prompt(1, (1, 13_000), 500);
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -46,7 +46,9 @@
     for rank in [0, 2] {
         let visits = Cell::new(0);
         let counted_engines = engines.iter().inspect(|_| visits.set(visits.get() + 1));
-        assert!(place::choose_engine(&context, &prompt, rank, counted_engines).is_some());
+        let other_zones = std::iter::empty();
+        let choice = place::choose_engine(&context, &prompt, rank, counted_engines, other_zones);
+        assert!(choice.is_some());
         assert!(visits.get() <= MAX_VISITS * ENGINES, "{}", visits.get());
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Simulated disks and a simulated network around replicas, with a virtual clock.
 
+// Each test file uses only some of the functions.
+#![allow(dead_code)]
+
 use std::collections::VecDeque;
 
 use bytes::Bytes;
@@ -12,14 +15,18 @@
 const CALL_TIMEOUT_MS: u64 = 3_000;
 const ENTRY: &str = "entry";
 
+/// A simulated disk, on which every write is synced at once.
 #[derive(Default)]
-struct Disk {
-    storage_id: u64,
-    recovered: RecoveredState,
+pub struct Disk {
+    /// Identity of the storage.
+    pub storage_id: u64,
+    /// State that a replica finds when it starts.
+    pub recovered: RecoveredState,
 }
 
 impl Disk {
-    fn write(&mut self, write: Write) {
+    /// Carries out a write.
+    pub fn write(&mut self, write: Write) {
         let recovered = &mut self.recovered;
         match write {
             Write::Term { term, voted_for } => {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -15,7 +15,6 @@
 use gateway::stages::RoleOrder;
 use http::header::LOCATION;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use node::persist::{self, TicketedWrite};
 use reducer::Event;
@@ -23,14 +22,16 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::answer::{self, AnswerBody};
+use crate::body;
 use crate::clock::Clock;
 use crate::compression::{self, MAX_DOCUMENT_BYTES};
 use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::http::{ConnectionLimits, listen, serve};
+use crate::inbox::Inbox;
 use crate::listing;
 use crate::logs::{self, Importance};
-use crate::orders;
+use crate::orders::OrderSender;
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -76,6 +77,18 @@
         self.effects.replace(effects);
     }
 
+    fn step_received(&self, event: Event) {
+        match event {
+            Event::Peer { from, message } => self.step(ControlEvent::Peer { from, message }),
+            Event::Persisted { ticket } => self.step(ControlEvent::Persisted { ticket }),
+            _ => logs::write(
+                Importance::StateChange,
+                "control",
+                "event=unexpected outcome=dropped",
+            ),
+        }
+    }
+
     fn perform(&self, effect: ControlEffect) {
         match effect {
             ControlEffect::Persist { ticket, write } => {
@@ -96,7 +109,11 @@
                 }
             }
             ControlEffect::ReadList => self.read_list(),
-            ControlEffect::Order { term, order } => self.send_order(term, order),
+            ControlEffect::Order {
+                term,
+                order,
+                valid_until_ms,
+            } => self.send_order(term, order, valid_until_ms),
             ControlEffect::Log { text } => logs::write(Importance::StateChange, "control", &text),
         }
     }
@@ -120,14 +137,19 @@
         });
     }
 
-    fn send_order(&self, term: u64, order: RoleOrder) {
+    fn send_order(&self, term: u64, order: RoleOrder, valid_until_ms: u64) {
         let Some(runtime) = self.weak_self.borrow().upgrade() else {
             return;
         };
         tokio::task::spawn_local(async move {
             let holder = &runtime.settings.info.id;
-            let result =
-                orders::order_role(&runtime.pool, &runtime.dialect, holder, term, &order).await;
+            let sender = OrderSender {
+                pool: &runtime.pool,
+                dialect: &runtime.dialect,
+                clock: runtime.clock,
+                holder,
+            };
+            let result = sender.send(term, &order, valid_until_ms).await;
             let outcome = result.unwrap_or_else(|reason| {
                 let text = format!(
                     "upstream={} order=unanswered reason={reason:?}",
@@ -283,15 +305,22 @@
 async fn process_events(runtime: Rc<ControlRuntime>, mut queue: mpsc::Receiver<Event>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut inbox = Inbox::default();
     loop {
         tokio::select! {
+            biased;
+            _ = ticks.tick() => runtime.step(ControlEvent::Tick),
             event = queue.recv() => match event {
-                Some(Event::Peer { from, message }) => runtime.step(ControlEvent::Peer { from, message }),
-                Some(Event::Persisted { ticket }) => runtime.step(ControlEvent::Persisted { ticket }),
-                Some(_) => logs::write(Importance::StateChange, "control", "event=unexpected outcome=dropped"),
+                Some(event) => inbox.push(event),
                 None => return,
             },
-            _ = ticks.tick() => runtime.step(ControlEvent::Tick),
+            () = std::future::ready(()), if !inbox.is_empty() => {
+                if let Some(event) = inbox.pop() {
+                    runtime.step_received(event);
+                }
+                // Lets the connections receive messages that may be more urgent than the waiting ones.
+                tokio::task::yield_now().await;
+            }
         }
     }
 }
@@ -311,9 +340,9 @@
 
 async fn publish(runtime: &ControlRuntime, request: Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_DOCUMENT_BYTES).collect();
+    let body = body::read_whole(request.into_body(), MAX_DOCUMENT_BYTES);
     let document = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(_)) => {
             return answer::error(
                 StatusCode::BAD_REQUEST,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -9,7 +9,8 @@
 use fleet::{PeerMessage, WatchReply};
 use gateway::entry::{EntryEffect, EntryEvent, EntrySettings};
 use gateway::{Config, Directive, Entry};
-use http::{Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Response, StatusCode};
 use reducer::Event;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -177,7 +178,12 @@
     runtime.weak_self.replace(Rc::downgrade(&runtime));
     let (shutdown_sender, shutdown) = watch::channel(false);
     let (stopping_sender, stopping) = watch::channel(false);
-    tokio::task::spawn_local(serve_callers(runtime.clone(), callers, shutdown.clone()));
+    tokio::task::spawn_local(serve_callers(
+        runtime.clone(),
+        callers,
+        stopping.clone(),
+        shutdown.clone(),
+    ));
     tokio::task::spawn_local(serve_readiness(
         runtime.clone(),
         readiness,
@@ -206,8 +212,9 @@
     Ok(())
 }
 
-/// Makes the readiness checks fail, waits until the load balancer reacts, then closes idle connections and waits for
-/// the open exchanges until shortly before the end of the grace period.
+/// Makes the readiness checks fail and lets answers close their connections, waits until the load balancer reacts, then
+/// accepts no further connections, closes idle ones and waits for the open exchanges until shortly before the end of the
+/// grace period.
 async fn finish_exchanges(
     runtime: &EntryRuntime,
     settings: &Settings,
@@ -223,6 +230,9 @@
         &format!("outcome=stopping open_exchanges={}", open_exchanges()),
     );
     let _ = stopping_sender.send(true);
+    runtime.step(EntryEvent::Stopping {
+        ends_ms: wait_until_ms,
+    });
     tokio::time::sleep(DEREGISTRATION_DELAY).await;
     let _ = shutdown_sender.send(true);
     // The answers of exchanges that have just ended are still being written, so that the loop waits for several ticks
@@ -248,6 +258,7 @@
 async fn serve_callers(
     runtime: Rc<EntryRuntime>,
     socket: tokio::net::TcpListener,
+    stopping: watch::Receiver<bool>,
     shutdown: watch::Receiver<bool>,
 ) {
     let limits_runtime = runtime.clone();
@@ -259,7 +270,18 @@
                 head_timeout: Duration::from_millis(config.limits().idle_timeout_ms),
             })
     };
-    let handle = move |request| caller::handle(runtime.clone(), request);
+    let handle = move |request| {
+        let (runtime, stopping) = (runtime.clone(), stopping.clone());
+        async move {
+            let mut response = caller::handle(runtime, request).await;
+            if *stopping.borrow() {
+                // The caller's next request goes to another instance.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
+        }
+    };
     serve(socket, limits, handle, shutdown).await;
 }
 
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -58,7 +58,7 @@
         })
 }
 
-/// Serves connections until the task is dropped. `limits` is called for each connection.
+/// Accepts and serves connections until shutdown, then closes the listener. `limits` is called for each connection.
 pub async fn serve<H, F>(
     socket: TcpListener,
     limits: impl Fn() -> ConnectionLimits,
@@ -69,8 +69,13 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let handle = Rc::new(handle);
+    let mut shutdown_begins = shutdown.clone();
     loop {
-        match socket.accept().await {
+        let accepted = tokio::select! {
+            accepted = socket.accept() => accepted,
+            _ = shutdown_begins.wait_for(|is_shutdown| *is_shutdown) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection =
                     serve_connection(stream, limits(), handle.clone(), shutdown.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,7 +2,7 @@
 //! around the reducers of `gateway`.
 #![forbid(unsafe_code)]
 
-mod answer;
+pub mod answer;
 mod body;
 pub mod call;
 mod caller;
@@ -12,10 +12,11 @@
 pub mod dialect;
 mod entry;
 mod error;
-mod http;
+pub mod http;
+pub mod inbox;
 mod listing;
 pub mod logs;
-mod orders;
+pub mod orders;
 mod peers;
 pub mod pool;
 pub mod settings;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -55,14 +55,14 @@
   acceptsCallers @2 :Bool;
   version @3 :UInt64;
   listing @4 :UInt64;
-  backlog @5 :List(Backlog);
-  parts @6 :List(PartUse);
+  loads @5 :List(UpstreamLoad);
+  prefixUses @6 :List(PrefixUse);
 }
 
-# A shared prompt part that an engine has computed or fetched.
-struct PartUse {
+# Use of a shared prompt prefix at an engine.
+struct PrefixUse {
   key @0 :UInt64;
-  upstream @1 :Text;
+  upstreamKey @1 :UInt64;
 }
 
 struct WatchReply {
@@ -71,18 +71,32 @@
   version @2 :UInt64;
   document @3 :Data;
   listing @4 :UInt64;
-  hasUpstreams @5 :Bool;
-  upstreams @6 :List(UpstreamRecord);
-  replicas @7 :List(InstanceInfo);
-  entries @8 :UInt32;
-  backlog @9 :List(Backlog);
-  parts @10 :List(PartUse);
+  listingAgeMs @5 :UInt64;
+  replicas @6 :List(InstanceInfo);
+  entries @7 :UInt32;
+  watchIntervalMs @8 :UInt64;
+  loads @9 :List(UpstreamLoad);
+  prefixUses @10 :List(PrefixUse);
+  listingUpdate :union {
+    none @11 :Void;
+    # An UpstreamList, compressed.
+    complete @12 :Data;
+    changes :group {
+      base @13 :UInt64;
+      changed @14 :List(UpstreamRecord);
+      removed @15 :List(Text);
+    }
+  }
 }
 
-struct Backlog {
-  upstream @0 :Text;
+struct UpstreamLoad {
+  upstreamKey @0 :UInt64;
   running @1 :UInt32;
-  promptTokens @2 :List(UInt32);
+  promptTokens @2 :UInt32;
+}
+
+struct UpstreamList {
+  upstreams @0 :List(UpstreamRecord);
 }
 
 struct UpstreamRecord {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -3,11 +3,14 @@
 use thiserror::Error;
 
 /// Reason why a value cannot be encoded.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Debug, Error)]
 pub enum EncodeError {
     /// The encoded value is larger than receivers accept.
     #[error("encoded value of {bytes} bytes exceeds the limit of {limit_bytes} bytes")]
     TooLarge { bytes: usize, limit_bytes: usize },
+    /// A part of the value cannot be compressed.
+    #[error("cannot compress: {0}")]
+    Compression(#[from] std::io::Error),
 }
 
 /// Reason why bytes cannot be decoded.
@@ -28,6 +31,9 @@
     /// A SHA-256 digest does not have 32 bytes.
     #[error("SHA-256 digest has {bytes} bytes instead of 32")]
     DigestLength { bytes: usize },
+    /// A part of the input cannot be decompressed.
+    #[error("cannot decompress: {0}")]
+    Compression(#[from] std::io::Error),
 }
 
 /// Error of encoding or decoding.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 #![forbid(unsafe_code)]
 
 mod command;
+pub mod compression;
 mod config;
 mod control;
 mod encoding;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -19,10 +19,10 @@
 /// Encodes a message for another instance.
 ///
 /// # Errors
-/// Fails if the encoding exceeds [`crate::MAX_ENCODED_BYTES`].
+/// Fails if the encoding exceeds [`crate::MAX_ENCODED_BYTES`] or a part of it cannot be compressed.
 pub fn encode_message(message: &PeerMessage) -> Result<Bytes, EncodeError> {
     let mut builder = capnp::message::Builder::new_default();
-    write_peer_message(message, builder.init_root());
+    write_peer_message(message, builder.init_root())?;
     encoding::to_bytes(&builder, encoding::MAX_ENCODED_BYTES)
 }
 
@@ -34,7 +34,10 @@
     read_peer_message(encoding::from_bytes(data, encoding::MAX_ENCODED_BYTES)?.get_root()?)
 }
 
-fn write_peer_message(message: &PeerMessage, root: schema::peer_message::Builder<'_>) {
+fn write_peer_message(
+    message: &PeerMessage,
+    root: schema::peer_message::Builder<'_>,
+) -> Result<(), EncodeError> {
     match message {
         PeerMessage::Quorum { from, to, message } => {
             let mut builder = root.init_quorum();
@@ -74,8 +77,9 @@
             }
         }
         PeerMessage::Watch(watch) => write_watch(watch, root.init_watch()),
-        PeerMessage::WatchReply(reply) => write_watch_reply(reply, root.init_watch_reply()),
+        PeerMessage::WatchReply(reply) => write_watch_reply(reply, root.init_watch_reply())?,
     }
+    Ok(())
 }
 
 fn read_peer_message(reader: schema::peer_message::Reader<'_>) -> Result<PeerMessage, DecodeError> {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -4966,23 +4966,24 @@
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_backlog(
+        pub fn get_loads(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::backlog::Owned>>
-        {
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_load::Owned>,
+        > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_backlog(&self) -> bool {
+        pub fn has_loads(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_parts(
+        pub fn get_prefix_uses(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_use::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::prefix_use::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(2),
@@ -4990,7 +4991,7 @@
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_prefix_uses(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
     }
@@ -5143,19 +5144,20 @@
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_backlog(
+        pub fn get_loads(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned>>
-        {
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_load::Owned>,
+        > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_backlog(
+        pub fn set_loads(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::backlog::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::upstream_load::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -5164,23 +5166,23 @@
             )
         }
         #[inline]
-        pub fn init_backlog(
+        pub fn init_loads(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_load::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(1),
                 size,
             )
         }
         #[inline]
-        pub fn has_backlog(&self) -> bool {
+        pub fn has_loads(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_parts(
+        pub fn get_prefix_uses(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(2),
@@ -5188,9 +5190,9 @@
             )
         }
         #[inline]
-        pub fn set_parts(
+        pub fn set_prefix_uses(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_use::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::prefix_use::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(2),
@@ -5199,17 +5201,17 @@
             )
         }
         #[inline]
-        pub fn init_parts(
+        pub fn init_prefix_uses(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(2),
                 size,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_prefix_uses(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
     }
@@ -5230,7 +5232,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 133] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -5286,17 +5288,17 @@
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -5339,25 +5341,26 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
+            ::capnp::word(33, 232, 24, 223, 186, 131, 84, 219),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 85, 115),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
+            ::capnp::word(249, 128, 117, 59, 88, 51, 193, 207),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -5371,8 +5374,8 @@
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::part_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5393,12 +5396,12 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 0, 4, 6, 1, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 4, 5, 6, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
     }
 }
 
-pub mod part_use {
+pub mod prefix_use {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -5493,7 +5496,7 @@
         }
     }
 
-    impl<'a> Reader<'a> {
+    impl Reader<'_> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -5506,15 +5509,8 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_upstream(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
@@ -5524,8 +5520,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 1,
+                data: 2,
+                pointers: 0,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5616,31 +5612,12 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_upstream(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_upstream(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_upstream(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
         }
     }
 
@@ -5658,20 +5635,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(249, 128, 117, 59, 88, 51, 193, 207),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 85),
-            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 114, 101, 102, 105),
+            ::capnp::word(120, 85, 115, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5681,10 +5658,10 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
@@ -5697,19 +5674,19 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5731,7 +5708,7 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xf3ea_d2f6_04fa_3ec4;
+        pub(crate) const TYPE_ID: u64 = 0xcfc1_3358_3b75_80f9;
     }
 }
 
@@ -5866,14 +5843,14 @@
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_has_upstreams(self) -> bool {
-            self.reader.get_bool_field(65)
+        pub fn get_listing_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_upstreams(
+        pub fn get_replicas(
             self,
         ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_record::Owned>,
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::instance_info::Owned>,
         > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
@@ -5881,14 +5858,22 @@
             )
         }
         #[inline]
-        pub fn has_upstreams(&self) -> bool {
+        pub fn has_replicas(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_replicas(
+        pub fn get_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_watch_interval_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_loads(
             self,
         ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::peer_capnp::instance_info::Owned>,
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_load::Owned>,
         > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(2),
@@ -5896,17 +5881,13 @@
             )
         }
         #[inline]
-        pub fn has_replicas(&self) -> bool {
+        pub fn has_loads(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_entries(self) -> u32 {
-            self.reader.get_data_field::<u32>(3)
-        }
-        #[inline]
-        pub fn get_backlog(
+        pub fn get_prefix_uses(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::backlog::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::prefix_use::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(3),
@@ -5914,22 +5895,14 @@
             )
         }
         #[inline]
-        pub fn has_backlog(&self) -> bool {
+        pub fn has_prefix_uses(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_parts(
+        pub fn get_listing_update(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_use::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(4),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_parts(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        ) -> crate::peer_capnp::watch_reply::listing_update::Reader<'a> {
+            self.reader.into()
         }
     }
 
@@ -5939,8 +5912,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
-                pointers: 5,
+                data: 7,
+                pointers: 6,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -6074,18 +6047,18 @@
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_has_upstreams(self) -> bool {
-            self.builder.get_bool_field(65)
+        pub fn get_listing_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn set_has_upstreams(&mut self, value: bool) {
-            self.builder.set_bool_field(65, value);
+        pub fn set_listing_age_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_upstreams(
+        pub fn get_replicas(
             self,
         ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned>,
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned>,
         > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
@@ -6093,9 +6066,9 @@
             )
         }
         #[inline]
-        pub fn set_upstreams(
+        pub fn set_replicas(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::upstream_record::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::instance_info::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -6104,24 +6077,40 @@
             )
         }
         #[inline]
-        pub fn init_upstreams(
+        pub fn init_replicas(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(1),
                 size,
             )
         }
         #[inline]
-        pub fn has_upstreams(&self) -> bool {
+        pub fn has_replicas(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_replicas(
+        pub fn get_entries(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_watch_interval_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_watch_interval_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_loads(
             self,
         ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned>,
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_load::Owned>,
         > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(2),
@@ -6129,9 +6118,9 @@
             )
         }
         #[inline]
-        pub fn set_replicas(
+        pub fn set_loads(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::instance_info::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::upstream_load::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(2),
@@ -6140,31 +6129,23 @@
             )
         }
         #[inline]
-        pub fn init_replicas(
+        pub fn init_loads(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::instance_info::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_load::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(2),
                 size,
             )
         }
         #[inline]
-        pub fn has_replicas(&self) -> bool {
+        pub fn has_loads(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_entries(self) -> u32 {
-            self.builder.get_data_field::<u32>(3)
-        }
-        #[inline]
-        pub fn set_entries(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(3, value);
-        }
-        #[inline]
-        pub fn get_backlog(
+        pub fn get_prefix_uses(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(3),
@@ -6172,9 +6153,9 @@
             )
         }
         #[inline]
-        pub fn set_backlog(
+        pub fn set_prefix_uses(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::backlog::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::prefix_use::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(3),
@@ -6183,53 +6164,35 @@
             )
         }
         #[inline]
-        pub fn init_backlog(
+        pub fn init_prefix_uses(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::backlog::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(3),
                 size,
             )
         }
         #[inline]
-        pub fn has_backlog(&self) -> bool {
+        pub fn has_prefix_uses(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_parts(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned>>
-        {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(4),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_parts(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_use::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(4),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_parts(
+        pub fn get_listing_update(
             self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_use::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(4),
-                size,
-            )
+        ) -> crate::peer_capnp::watch_reply::listing_update::Builder<'a> {
+            self.builder.into()
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn init_listing_update(
+            mut self,
+        ) -> crate::peer_capnp::watch_reply::listing_update::Builder<'a> {
+            self.builder.set_data_field::<u16>(5, 0);
+            self.builder.reborrow().get_pointer_field(4).clear();
+            self.builder.set_data_field::<u64>(6, 0u64);
+            self.builder.reborrow().get_pointer_field(4).clear();
+            self.builder.reborrow().get_pointer_field(5).clear();
+            self.builder.into()
         }
     }
 
@@ -6243,103 +6206,116 @@
             }
         }
     }
-    impl Pipeline {}
+    impl Pipeline {
+        pub fn get_listing_update(
+            &self,
+        ) -> crate::peer_capnp::watch_reply::listing_update::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 204] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 210] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
+            ::capnp::word(185, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6383,26 +6359,13 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 85, 112, 115, 116, 114),
-            ::capnp::word(101, 97, 109, 115, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 115),
@@ -6426,30 +6389,42 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(119, 97, 116, 99, 104, 73, 110, 116),
+            ::capnp::word(101, 114, 118, 97, 108, 77, 115, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
+            ::capnp::word(33, 232, 24, 223, 186, 131, 84, 219),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 85, 115),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 62, 250, 4, 246, 210, 234, 243),
+            ::capnp::word(249, 128, 117, 59, 88, 51, 193, 207),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 85),
+            ::capnp::word(112, 100, 97, 116, 101, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6458,12 +6433,13 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::struct_list::Owned<crate::peer_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                10 => <::capnp::struct_list::Owned<crate::peer_capnp::part_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::instance_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::peer_capnp::watch_reply::listing_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6482,43 +6458,1198 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 3, 8, 5, 1, 4, 10, 7, 0, 6, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 7, 1, 4, 5, 11, 9, 10, 6, 0, 2, 8];
         pub(crate) const TYPE_ID: u64 = 0xc761_f241_21bd_b018;
     }
-}
 
-pub mod backlog {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
-                generic: &_private::RAW_SCHEMA,
-                field_types: _private::get_field_types,
-                annotation_types: _private::get_annotation_types,
-                type_id: ::core::any::TypeId::of::<Owned>(),
-            })
-            .into()
-        }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::OwnedStruct for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Pipeline;
-    }
+    pub mod listing_update {
+        pub use self::Which::{Changes, Complete, None};
 
-    pub struct Reader<'a> {
-        reader: ::capnp::private::layout::StructReader<'a>,
-    }
-    impl ::core::marker::Copy for Reader<'_> {}
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn has_complete(&self) -> bool {
+                if self.reader.get_data_field::<u16>(5) != 1 {
+                    return false;
+                }
+                !self.reader.get_pointer_field(4).is_null()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(5) {
+                    0 => ::core::result::Result::Ok(None(())),
+                    1 => ::core::result::Result::Ok(Complete(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(
+                            &self.reader.get_pointer_field(4),
+                            ::core::option::Option::None,
+                        ),
+                    )),
+                    2 => ::core::result::Result::Ok(Changes(self.reader.into())),
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+                }
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 7,
+                    pointers: 6,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_none(&mut self, _value: ()) {
+                self.builder.set_data_field::<u16>(5, 0);
+            }
+            #[inline]
+            pub fn set_complete(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.set_data_field::<u16>(5, 1);
+                self.builder.reborrow().get_pointer_field(4).set_data(value);
+            }
+            #[inline]
+            pub fn init_complete(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.set_data_field::<u16>(5, 1);
+                self.builder.get_pointer_field(4).init_data(size)
+            }
+            #[inline]
+            pub fn has_complete(&self) -> bool {
+                if self.builder.get_data_field::<u16>(5) != 1 {
+                    return false;
+                }
+                !self.builder.is_pointer_field_null(4)
+            }
+            #[inline]
+            pub fn init_changes(
+                mut self,
+            ) -> crate::peer_capnp::watch_reply::listing_update::changes::Builder<'a> {
+                self.builder.set_data_field::<u16>(5, 2);
+                self.builder.set_data_field::<u64>(6, 0u64);
+                self.builder.reborrow().get_pointer_field(4).clear();
+                self.builder.reborrow().get_pointer_field(5).clear();
+                self.builder.into()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(5) {
+                    0 => ::core::result::Result::Ok(None(())),
+                    1 => ::core::result::Result::Ok(Complete(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                            self.builder.get_pointer_field(4),
+                            ::core::option::Option::None,
+                        ),
+                    )),
+                    2 => ::core::result::Result::Ok(Changes(self.builder.into())),
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+                }
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
+                ::capnp::word(6, 0, 7, 0, 1, 0, 3, 0),
+                ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
+                ::capnp::word(82, 101, 112, 108, 121, 46, 108, 105),
+                ::capnp::word(115, 116, 105, 110, 103, 85, 112, 100),
+                ::capnp::word(97, 116, 101, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 28, 248, 225, 189, 90, 218, 227),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 110, 101, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::peer_capnp::watch_reply::listing_update::changes::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xe843_81d7_1ff7_59a5;
+        }
+        pub enum Which<A0, A1> {
+            None(()),
+            Complete(A0),
+            Changes(A1),
+        }
+        pub type WhichReader<'a> = Which<
+            ::capnp::Result<::capnp::data::Reader<'a>>,
+            crate::peer_capnp::watch_reply::listing_update::changes::Reader<'a>,
+        >;
+        pub type WhichBuilder<'a> = Which<
+            ::capnp::Result<::capnp::data::Builder<'a>>,
+            crate::peer_capnp::watch_reply::listing_update::changes::Builder<'a>,
+        >;
+
+        pub mod changes {
+            #[derive(Copy, Clone)]
+            pub struct Owned(());
+            impl ::capnp::introspect::Introspect for Owned {
+                fn introspect() -> ::capnp::introspect::Type {
+                    ::capnp::introspect::TypeVariant::Struct(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    )
+                    .into()
+                }
+            }
+            impl ::capnp::traits::Owned for Owned {
+                type Reader<'a> = Reader<'a>;
+                type Builder<'a> = Builder<'a>;
+            }
+            impl ::capnp::traits::OwnedStruct for Owned {
+                type Reader<'a> = Reader<'a>;
+                type Builder<'a> = Builder<'a>;
+            }
+            impl ::capnp::traits::Pipelined for Owned {
+                type Pipeline = Pipeline;
+            }
+
+            pub struct Reader<'a> {
+                reader: ::capnp::private::layout::StructReader<'a>,
+            }
+            impl ::core::marker::Copy for Reader<'_> {}
+            impl ::core::clone::Clone for Reader<'_> {
+                fn clone(&self) -> Self {
+                    *self
+                }
+            }
+
+            impl ::capnp::traits::HasTypeId for Reader<'_> {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+                fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                    Self { reader }
+                }
+            }
+
+            impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+                fn from(reader: Reader<'a>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Reader::new(
+                        reader.reader,
+                        ::capnp::schema::StructSchema::new(
+                            ::capnp::introspect::RawBrandedStructSchema {
+                                generic: &_private::RAW_SCHEMA,
+                                field_types: _private::get_field_types,
+                                annotation_types: _private::get_annotation_types,
+                                type_id: ::core::any::TypeId::of::<Owned>(),
+                            },
+                        ),
+                    ))
+                }
+            }
+
+            impl ::core::fmt::Debug for Reader<'_> {
+                fn fmt(
+                    &self,
+                    f: &mut ::core::fmt::Formatter<'_>,
+                ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                    core::fmt::Debug::fmt(
+                        &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                        f,
+                    )
+                }
+            }
+
+            impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+                fn get_from_pointer(
+                    reader: &::capnp::private::layout::PointerReader<'a>,
+                    default: ::core::option::Option<&'a [::capnp::Word]>,
+                ) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(reader.get_struct(default)?.into())
+                }
+            }
+
+            impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+                fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                    self.reader
+                }
+            }
+
+            impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+                fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                    self.reader
+                        .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                            cap_table,
+                        ))
+                }
+            }
+
+            impl<'a> Reader<'a> {
+                pub fn reborrow(&self) -> Reader<'_> {
+                    Self { ..*self }
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.reader.total_size()
+                }
+                #[inline]
+                pub fn get_base(self) -> u64 {
+                    self.reader.get_data_field::<u64>(6)
+                }
+                #[inline]
+                pub fn get_changed(
+                    self,
+                ) -> ::capnp::Result<
+                    ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_record::Owned>,
+                > {
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(4),
+                        ::core::option::Option::None,
+                    )
+                }
+                #[inline]
+                pub fn has_changed(&self) -> bool {
+                    !self.reader.get_pointer_field(4).is_null()
+                }
+                #[inline]
+                pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(5),
+                        ::core::option::Option::None,
+                    )
+                }
+                #[inline]
+                pub fn has_removed(&self) -> bool {
+                    !self.reader.get_pointer_field(5).is_null()
+                }
+            }
+
+            pub struct Builder<'a> {
+                builder: ::capnp::private::layout::StructBuilder<'a>,
+            }
+            impl ::capnp::traits::HasStructSize for Builder<'_> {
+                const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                    ::capnp::private::layout::StructSize {
+                        data: 7,
+                        pointers: 6,
+                    };
+            }
+            impl ::capnp::traits::HasTypeId for Builder<'_> {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+                fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                    Self { builder }
+                }
+            }
+
+            impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+                fn from(builder: Builder<'a>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Builder::new(
+                        builder.builder,
+                        ::capnp::schema::StructSchema::new(
+                            ::capnp::introspect::RawBrandedStructSchema {
+                                generic: &_private::RAW_SCHEMA,
+                                field_types: _private::get_field_types,
+                                annotation_types: _private::get_annotation_types,
+                                type_id: ::core::any::TypeId::of::<Owned>(),
+                            },
+                        ),
+                    ))
+                }
+            }
+
+            impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+                fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                    self.builder
+                        .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                            cap_table,
+                        ))
+                }
+            }
+
+            impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+                fn init_pointer(
+                    builder: ::capnp::private::layout::PointerBuilder<'a>,
+                    _size: u32,
+                ) -> Self {
+                    builder
+                        .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                        .into()
+                }
+                fn get_from_pointer(
+                    builder: ::capnp::private::layout::PointerBuilder<'a>,
+                    default: ::core::option::Option<&'a [::capnp::Word]>,
+                ) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(
+                        builder
+                            .get_struct(
+                                <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                                default,
+                            )?
+                            .into(),
+                    )
+                }
+            }
+
+            impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+                fn set_pointer_builder(
+                    mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                    value: Self,
+                    canonicalize: bool,
+                ) -> ::capnp::Result<()> {
+                    pointer.set_struct(&value.reader, canonicalize)
+                }
+            }
+
+            impl<'a> Builder<'a> {
+                pub fn into_reader(self) -> Reader<'a> {
+                    self.builder.into_reader().into()
+                }
+                pub fn reborrow(&mut self) -> Builder<'_> {
+                    Builder {
+                        builder: self.builder.reborrow(),
+                    }
+                }
+                pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                    self.builder.as_reader().into()
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.builder.as_reader().total_size()
+                }
+                #[inline]
+                pub fn get_base(self) -> u64 {
+                    self.builder.get_data_field::<u64>(6)
+                }
+                #[inline]
+                pub fn set_base(&mut self, value: u64) {
+                    self.builder.set_data_field::<u64>(6, value);
+                }
+                #[inline]
+                pub fn get_changed(
+                    self,
+                ) -> ::capnp::Result<
+                    ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned>,
+                > {
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(4),
+                        ::core::option::Option::None,
+                    )
+                }
+                #[inline]
+                pub fn set_changed(
+                    &mut self,
+                    value: ::capnp::struct_list::Reader<
+                        '_,
+                        crate::peer_capnp::upstream_record::Owned,
+                    >,
+                ) -> ::capnp::Result<()> {
+                    ::capnp::traits::SetterInput::set_pointer_builder(
+                        self.builder.reborrow().get_pointer_field(4),
+                        value,
+                        false,
+                    )
+                }
+                #[inline]
+                pub fn init_changed(
+                    self,
+                    size: u32,
+                ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned>
+                {
+                    ::capnp::traits::FromPointerBuilder::init_pointer(
+                        self.builder.get_pointer_field(4),
+                        size,
+                    )
+                }
+                #[inline]
+                pub fn has_changed(&self) -> bool {
+                    !self.builder.is_pointer_field_null(4)
+                }
+                #[inline]
+                pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(5),
+                        ::core::option::Option::None,
+                    )
+                }
+                #[inline]
+                pub fn set_removed(
+                    &mut self,
+                    value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+                ) -> ::capnp::Result<()> {
+                    ::capnp::traits::SetterInput::set_pointer_builder(
+                        self.builder.reborrow().get_pointer_field(5),
+                        value,
+                        false,
+                    )
+                }
+                #[inline]
+                pub fn init_removed(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                    ::capnp::traits::FromPointerBuilder::init_pointer(
+                        self.builder.get_pointer_field(5),
+                        size,
+                    )
+                }
+                #[inline]
+                pub fn has_removed(&self) -> bool {
+                    !self.builder.is_pointer_field_null(5)
+                }
+            }
+
+            pub struct Pipeline {
+                _typeless: ::capnp::any_pointer::Pipeline,
+            }
+            impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+                fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                    Self {
+                        _typeless: typeless,
+                    }
+                }
+            }
+            impl Pipeline {}
+            mod _private {
+                pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
+                    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                    ::capnp::word(120, 28, 248, 225, 189, 90, 218, 227),
+                    ::capnp::word(36, 0, 0, 0, 1, 0, 7, 0),
+                    ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
+                    ::capnp::word(6, 0, 7, 0, 1, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                    ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
+                    ::capnp::word(82, 101, 112, 108, 121, 46, 108, 105),
+                    ::capnp::word(115, 116, 105, 110, 103, 85, 112, 100),
+                    ::capnp::word(97, 116, 101, 46, 99, 104, 97, 110),
+                    ::capnp::word(103, 101, 115, 0, 0, 0, 0, 0),
+                    ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                    ::capnp::word(0, 0, 0, 0, 6, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(99, 104, 97, 110, 103, 101, 100, 0),
+                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ];
+                pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                    match index {
+                        0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                        1 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                        2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                        _ => ::capnp::introspect::panic_invalid_field_index(index),
+                    }
+                }
+                pub(crate) fn get_annotation_types(
+                    child_index: Option<u16>,
+                    index: u32,
+                ) -> ::capnp::introspect::Type {
+                    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+                }
+                pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                    ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+                pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                    ::capnp::introspect::RawStructSchema::new(
+                        &ARENA,
+                        NONUNION_MEMBERS,
+                        MEMBERS_BY_DISCRIMINANT,
+                        MEMBERS_BY_NAME,
+                    );
+                pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+                pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+                pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
+                pub(crate) const TYPE_ID: u64 = 0xe3da_5abd_e1f8_1c78;
+            }
+        }
+    }
+}
+
+pub mod upstream_load {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_prompt_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_prompt_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_prompt_tokens(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(33, 232, 24, 223, 186, 131, 84, 219),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 85, 112, 115, 116, 114),
+            ::capnp::word(101, 97, 109, 76, 111, 97, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xdb54_83ba_df18_e821;
+    }
+}
+
+pub mod upstream_list {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
     impl ::core::clone::Clone for Reader<'_> {
         fn clone(&self) -> Self {
             *self
@@ -6593,33 +7724,20 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_upstreams(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::upstream_record::Owned>,
+        > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_upstream(&self) -> bool {
+        pub fn has_upstreams(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
-        #[inline]
-        pub fn get_running(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_prompt_tokens(
-            self,
-        ) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_prompt_tokens(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
     }
 
     pub struct Builder<'a> {
@@ -6628,8 +7746,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 2,
+                data: 0,
+                pointers: 1,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -6712,70 +7830,40 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_upstream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_upstreams(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned>,
+        > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_upstream(
+        pub fn set_upstreams(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::upstream_record::Owned>,
+        ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_upstream(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_upstream(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_running(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_running(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_prompt_tokens(
+        pub fn init_upstreams(
             self,
-        ) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_prompt_tokens(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_prompt_tokens(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::upstream_record::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(1),
+                self.builder.get_pointer_field(0),
                 size,
             )
         }
         #[inline]
-        pub fn has_prompt_tokens(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn has_upstreams(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
     }
 
