@@ -6791,70 +7879,39 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(76, 232, 165, 119, 116, 177, 93, 196),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(166, 231, 120, 227, 204, 56, 46, 151),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 66, 97, 99, 107, 108),
-            ::capnp::word(111, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 85, 112, 115, 116, 114),
+            ::capnp::word(101, 97, 109, 76, 105, 115, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
-            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6863,9 +7920,7 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6884,10 +7939,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xc45d_b174_77a5_e84c;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0x972e_38cc_e378_e7a6;
     }
 }
 
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -1,12 +1,19 @@
 //! Encoding of subscriptions to a replica and of the replica's replies.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use fleet::{Backlog, PartUse, UpstreamRecord, Watch, WatchReply};
+use fleet::{
+    ListingUpdate, PrefixUse, UpstreamList, UpstreamLoad, UpstreamRecord, Watch, WatchReply,
+};
 
+use crate::compression;
 use crate::config::{read_name, read_role, write_role};
-use crate::error::DecodeError;
+use crate::encoding::{self, MAX_ENCODED_BYTES};
+use crate::error::{DecodeError, EncodeError};
 use crate::membership::{read_instance_info, write_instance_info};
 use crate::peer_capnp as schema;
+use crate::peer_capnp::watch_reply::listing_update::Which;
 
 pub fn write_watch(watch: &Watch, mut builder: schema::watch::Builder<'_>) {
     write_instance_info(&watch.info, builder.reborrow().init_info());
@@ -14,14 +21,14 @@
     builder.set_accepts_callers(watch.accepts_callers);
     builder.set_version(watch.version);
     builder.set_listing(watch.listing);
-    let mut list = builder.reborrow().init_backlog(watch.backlog.len() as u32);
-    for (index, backlog) in (0..).zip(&watch.backlog) {
-        write_backlog(backlog, list.reborrow().get(index));
-    }
-    let mut list = builder.init_parts(watch.parts.len() as u32);
-    for (index, part) in (0..).zip(&watch.parts) {
-        write_part_use(part, list.reborrow().get(index));
-    }
+    write_loads(
+        &watch.loads,
+        builder.reborrow().init_loads(watch.loads.len() as u32),
+    );
+    write_prefix_uses(
+        &watch.prefix_uses,
+        builder.init_prefix_uses(watch.prefix_uses.len() as u32),
+    );
 }
 
 pub fn read_watch(reader: schema::watch::Reader<'_>) -> Result<Watch, DecodeError> {
@@ -31,49 +38,47 @@
         accepts_callers: reader.get_accepts_callers(),
         version: reader.get_version(),
         listing: reader.get_listing(),
-        backlog: reader
-            .get_backlog()?
+        loads: reader.get_loads()?.iter().map(read_load).collect(),
+        prefix_uses: reader
+            .get_prefix_uses()?
             .iter()
-            .map(read_backlog)
-            .collect::<Result<_, _>>()?,
-        parts: reader
-            .get_parts()?
-            .iter()
-            .map(read_part_use)
-            .collect::<Result<_, _>>()?,
+            .map(read_prefix_use)
+            .collect(),
     })
 }
 
-pub fn write_watch_reply(reply: &WatchReply, mut builder: schema::watch_reply::Builder<'_>) {
+pub fn write_watch_reply(
+    reply: &WatchReply,
+    mut builder: schema::watch_reply::Builder<'_>,
+) -> Result<(), EncodeError> {
     builder.set_sequence(reply.sequence);
     builder.set_is_current(reply.is_current);
     builder.set_version(reply.version);
     builder.set_listing(reply.listing);
+    builder.set_listing_age_ms(reply.listing_age_ms);
     builder.set_entries(reply.entries);
+    builder.set_watch_interval_ms(reply.watch_interval_ms);
     if let Some(document) = &reply.document {
         builder.set_document(document);
     }
-    if let Some(upstreams) = &reply.upstreams {
-        builder.set_has_upstreams(true);
-        let mut list = builder.reborrow().init_upstreams(upstreams.len() as u32);
-        for (index, upstream) in (0..).zip(upstreams) {
-            write_upstream_record(upstream, list.reborrow().get(index));
-        }
-    }
+    write_listing_update(
+        reply.listing_update.as_ref(),
+        builder.reborrow().init_listing_update(),
+    )?;
     let mut list = builder
         .reborrow()
         .init_replicas(reply.replicas.len() as u32);
     for (index, info) in (0..).zip(&reply.replicas) {
         write_instance_info(info, list.reborrow().get(index));
     }
-    let mut list = builder.reborrow().init_backlog(reply.backlog.len() as u32);
-    for (index, backlog) in (0..).zip(&reply.backlog) {
-        write_backlog(backlog, list.reborrow().get(index));
-    }
-    let mut list = builder.init_parts(reply.parts.len() as u32);
-    for (index, part) in (0..).zip(&reply.parts) {
-        write_part_use(part, list.reborrow().get(index));
+    if let Some(loads) = &reply.loads {
+        write_loads(loads, builder.reborrow().init_loads(loads.len() as u32));
     }
+    write_prefix_uses(
+        &reply.prefix_uses,
+        builder.init_prefix_uses(reply.prefix_uses.len() as u32),
+    );
+    Ok(())
 }
 
 pub fn read_watch_reply(
@@ -83,14 +88,8 @@
         true => Some(Bytes::copy_from_slice(reader.get_document()?)),
         false => None,
     };
-    let upstreams = match reader.get_has_upstreams() {
-        true => Some(
-            reader
-                .get_upstreams()?
-                .iter()
-                .map(read_upstream_record)
-                .collect::<Result<_, _>>()?,
-        ),
+    let loads = match reader.has_loads() {
+        true => Some(reader.get_loads()?.iter().map(read_load).collect()),
         false => None,
     };
     Ok(WatchReply {
@@ -99,53 +98,142 @@
         version: reader.get_version(),
         document,
         listing: reader.get_listing(),
-        upstreams,
+        listing_age_ms: reader.get_listing_age_ms(),
+        listing_update: read_listing_update(reader.get_listing_update())?,
         replicas: reader
             .get_replicas()?
             .iter()
             .map(read_instance_info)
             .collect::<Result<_, _>>()?,
         entries: reader.get_entries(),
-        backlog: reader
-            .get_backlog()?
-            .iter()
-            .map(read_backlog)
-            .collect::<Result<_, _>>()?,
-        parts: reader
-            .get_parts()?
+        watch_interval_ms: reader.get_watch_interval_ms(),
+        loads,
+        prefix_uses: reader
+            .get_prefix_uses()?
             .iter()
-            .map(read_part_use)
-            .collect::<Result<_, _>>()?,
+            .map(read_prefix_use)
+            .collect(),
     })
 }
 
-fn write_part_use(part: &PartUse, mut builder: schema::part_use::Builder<'_>) {
-    builder.set_key(part.key);
-    builder.set_upstream(part.upstream.as_str());
+fn write_listing_update(
+    update: Option<&ListingUpdate>,
+    mut builder: schema::watch_reply::listing_update::Builder<'_>,
+) -> Result<(), EncodeError> {
+    match update {
+        None => builder.set_none(()),
+        Some(ListingUpdate::Complete(list)) => builder.set_complete(&encode_list(list)?),
+        Some(ListingUpdate::Changes {
+            base,
+            changed,
+            removed,
+        }) => {
+            let mut builder = builder.init_changes();
+            builder.set_base(*base);
+            write_upstream_records(
+                changed,
+                builder.reborrow().init_changed(changed.len() as u32),
+            );
+            let mut list = builder.init_removed(removed.len() as u32);
+            for (index, id) in (0..).zip(removed) {
+                list.set(index, id.as_str());
+            }
+        }
+    }
+    Ok(())
 }
 
-fn read_part_use(reader: schema::part_use::Reader<'_>) -> Result<PartUse, DecodeError> {
-    Ok(PartUse {
-        key: reader.get_key(),
-        upstream: read_name(reader.get_upstream())?,
+fn read_listing_update(
+    reader: schema::watch_reply::listing_update::Reader<'_>,
+) -> Result<Option<ListingUpdate>, DecodeError> {
+    Ok(match reader.which()? {
+        Which::None(()) => None,
+        Which::Complete(data) => Some(ListingUpdate::Complete(Arc::new(decode_list(data?)?))),
+        Which::Changes(changes) => Some(ListingUpdate::Changes {
+            base: changes.get_base(),
+            changed: changes
+                .get_changed()?
+                .iter()
+                .map(read_upstream_record)
+                .collect::<Result<_, _>>()?,
+            removed: changes
+                .get_removed()?
+                .iter()
+                .map(read_name)
+                .collect::<Result<_, _>>()?,
+        }),
     })
 }
 
-fn write_backlog(backlog: &Backlog, mut builder: schema::backlog::Builder<'_>) {
-    builder.set_upstream(backlog.upstream.as_str());
-    builder.set_running(backlog.running);
-    let mut list = builder.init_prompt_tokens(backlog.prompt_tokens.len() as u32);
-    for (index, tokens) in (0..).zip(&backlog.prompt_tokens) {
-        list.set(index, *tokens);
+/// Returns the encoded and compressed list, which is computed by the first message that carries the list.
+fn encode_list(list: &UpstreamList) -> Result<Bytes, EncodeError> {
+    if let Some(encoded) = list.encoded.get() {
+        return Ok(encoded.clone());
     }
+    let mut builder = capnp::message::Builder::new_default();
+    let root: schema::upstream_list::Builder<'_> = builder.init_root();
+    write_upstream_records(
+        &list.records,
+        root.init_upstreams(list.records.len() as u32),
+    );
+    let bytes = encoding::to_bytes(&builder, MAX_ENCODED_BYTES)?;
+    let compressed = compression::compress(&bytes)?;
+    Ok(list.encoded.get_or_init(|| compressed).clone())
+}
+
+fn decode_list(data: &[u8]) -> Result<UpstreamList, DecodeError> {
+    let bytes = compression::decompress(data, MAX_ENCODED_BYTES)?;
+    let message = encoding::from_bytes(&bytes, MAX_ENCODED_BYTES)?;
+    let root: schema::upstream_list::Reader<'_> = message.get_root()?;
+    let records = root.get_upstreams()?.iter().map(read_upstream_record);
+    Ok(UpstreamList::new(records.collect::<Result<_, _>>()?))
 }
 
-fn read_backlog(reader: schema::backlog::Reader<'_>) -> Result<Backlog, DecodeError> {
-    Ok(Backlog {
-        upstream: read_name(reader.get_upstream())?,
+fn write_loads(
+    loads: &[UpstreamLoad],
+    mut list: capnp::struct_list::Builder<'_, schema::upstream_load::Owned>,
+) {
+    for (index, load) in (0..).zip(loads) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_upstream_key(load.upstream_key);
+        builder.set_running(load.running);
+        builder.set_prompt_tokens(load.prompt_tokens);
+    }
+}
+
+fn read_load(reader: schema::upstream_load::Reader<'_>) -> UpstreamLoad {
+    UpstreamLoad {
+        upstream_key: reader.get_upstream_key(),
         running: reader.get_running(),
-        prompt_tokens: reader.get_prompt_tokens()?.iter().collect(),
-    })
+        prompt_tokens: reader.get_prompt_tokens(),
+    }
+}
+
+fn write_prefix_uses(
+    prefix_uses: &[PrefixUse],
+    mut list: capnp::struct_list::Builder<'_, schema::prefix_use::Owned>,
+) {
+    for (index, prefix_use) in (0..).zip(prefix_uses) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_key(prefix_use.key);
+        builder.set_upstream_key(prefix_use.upstream_key);
+    }
+}
+
+fn read_prefix_use(reader: schema::prefix_use::Reader<'_>) -> PrefixUse {
+    PrefixUse {
+        key: reader.get_key(),
+        upstream_key: reader.get_upstream_key(),
+    }
+}
+
+fn write_upstream_records(
+    records: &[UpstreamRecord],
+    mut list: capnp::struct_list::Builder<'_, schema::upstream_record::Owned>,
+) {
+    for (index, record) in (0..).zip(records) {
+        write_upstream_record(record, list.reborrow().get(index));
+    }
 }
 
 fn write_upstream_record(
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -1,5 +1,7 @@
 //! Generators of arbitrary values of the domain types.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use conf::admin::{DrainTarget, FileText};
 use conf::{Name, Role};
@@ -114,8 +116,8 @@
         accepts_callers: flag(g),
         version: number(g),
         listing: number(g),
-        backlog: list(g, backlog),
-        parts: list(g, part_use),
+        loads: list(g, upstream_load),
+        prefix_uses: list(g, prefix_use),
     }
 }
 
@@ -126,26 +128,39 @@
         version: number(g),
         document: option(g, bytes),
         listing: number(g),
-        upstreams: option(g, |g| list(g, upstream_record)),
+        listing_age_ms: number(g),
+        listing_update: option(g, listing_update),
         replicas: list(g, instance_info),
         entries: u32::arbitrary(g),
-        backlog: list(g, backlog),
-        parts: list(g, part_use),
+        watch_interval_ms: number(g),
+        loads: option(g, |g| list(g, upstream_load)),
+        prefix_uses: list(g, prefix_use),
     }
 }
 
-fn part_use(g: &mut Gen) -> PartUse {
-    PartUse {
+fn listing_update(g: &mut Gen) -> ListingUpdate {
+    match flag(g) {
+        true => ListingUpdate::Complete(Arc::new(UpstreamList::new(list(g, upstream_record)))),
+        false => ListingUpdate::Changes {
+            base: number(g),
+            changed: list(g, upstream_record),
+            removed: list(g, name),
+        },
+    }
+}
+
+fn prefix_use(g: &mut Gen) -> PrefixUse {
+    PrefixUse {
         key: number(g),
-        upstream: name(g),
+        upstream_key: number(g),
     }
 }
 
-fn backlog(g: &mut Gen) -> Backlog {
-    Backlog {
-        upstream: name(g),
+fn upstream_load(g: &mut Gen) -> UpstreamLoad {
+    UpstreamLoad {
+        upstream_key: number(g),
         running: u32::arbitrary(g),
-        prompt_tokens: Vec::arbitrary(g),
+        prompt_tokens: u32::arbitrary(g),
     }
 }
 
