Weigh a prefill at an engine that generates by the pause it causes

The cost is the share that the prefill takes of the pause that the route allows between two events, 400 ms at most.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1074,6 +1074,7 @@
             zone: &self.settings.info.availability_zone,
             failed_upstreams: &state.failed_upstreams,
             request_hash: state.request_hash,
+            gap_ms: state.request.gap_ms,
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,6 +49,8 @@
     pub begin_deadline_ms: u64,
     /// When an answer, or the first event of a stream, has missed its latency objective.
     pub objective_ms: u64,
+    /// Objective for the gap between two events of the answer, in milliseconds; 0 if there is none.
+    pub gap_ms: u64,
     /// Largest number of upstreams on which the request may run.
     pub max_runs: u32,
     /// Prompt of a request to a model; none for a request to a plain service.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,7 +15,9 @@
 const HANDOFF_COST_MS: f64 = 25.0;
 /// Cost of an upstream in another availability zone, in milliseconds. Traffic between zones is expensive.
 const CROSS_ZONE_COST_MS: f64 = 400.0;
-/// Cost of a decode engine's own prefill, in milliseconds: the prefill delays the events of all streams that run there.
+/// Cost of a decode engine's own prefill that takes as long as a stream may pause, in milliseconds. The prefill delays
+/// the events of all streams that run there. A shorter one costs in proportion, a longer one no more: the streams are
+/// late then anyway.
 const INTERFERENCE_COST_MS: f64 = 400.0;
 /// Tokens of a shared prefix from which a transfer from another engine is worth its cost: fewer tokens are computed in
 /// less than 40 ms.
@@ -86,6 +88,8 @@
     pub failed_upstreams: &'a [Name],
     /// Hash of the request id, which spreads requests over upstreams of equal cost.
     pub request_hash: u64,
+    /// Objective for the gap between two events of a stream, in milliseconds; 0 if there is none.
+    pub gap_ms: u64,
 }
 
 impl PlacementContext<'_> {
@@ -221,7 +225,7 @@
         }
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_COST_MS,
-            Some(Role::Decode) => INTERFERENCE_COST_MS,
+            Some(Role::Decode) => interference_cost_ms(context, work_ms),
             _ => 0.0,
         };
         let cost_ms = wait_ms
@@ -248,6 +252,14 @@
     }
 }
 
+/// Returns the cost of a prefill at an engine that generates, in milliseconds.
+fn interference_cost_ms(context: &PlacementContext<'_>, work_ms: f64) -> f64 {
+    match context.gap_ms {
+        0 => INTERFERENCE_COST_MS,
+        gap_ms => INTERFERENCE_COST_MS * (work_ms / gap_ms as f64).min(1.0),
+    }
+}
+
 /// Returns the prefill engines of this entry's zone that are reserved for the most urgent rank. All entries of the zone
 /// reserve the same engines.
 fn reserved_engines<'a>(own_zone: &[&'a Upstream]) -> Vec<&'a Name> {
--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -158,6 +158,7 @@
             deadline_ms: self.now_ms + 5_000,
             begin_deadline_ms: self.now_ms + 2_000,
             objective_ms: self.now_ms + 400,
+            gap_ms: 200,
             max_runs: 2,
             prompt: None,
         }
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -60,7 +60,15 @@
 
 /// Simulates arrivals at one entry with two prefill engines and one decode engine.
 fn simulate(arrivals: Vec<Arrival>) -> [RankOutcomes; 3] {
-    let mut driver = Driver::new(zone_engines());
+    simulate_with(zone_engines(), arrivals)
+}
+
+/// Simulates arrivals at one entry.
+fn simulate_with(
+    upstreams: Vec<fleet::UpstreamRecord>,
+    arrivals: Vec<Arrival>,
+) -> [RankOutcomes; 3] {
+    let mut driver = Driver::new(upstreams);
     let start_ms = driver.now_ms;
     let mut outcomes = [RankOutcomes::default(); 3];
     let mut open_exchanges: Map<u64, (u8, u64, u64)> = Map::default();
@@ -211,6 +219,44 @@
     assert_eq!(urgent.refused, 0, "{outcomes:?}");
 }
 
+/// Returns many short prompts with a tight objective beside long ones with a loose one: 62 tokens per millisecond, while
+/// the only prefill engine computes 50 and the engine that generates 25.
+fn short_prompts_beside_long_ones() -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for tick in 0..1_000_u64 {
+        let at_ms = tick * 20;
+        arrivals.push(Arrival {
+            at_ms,
+            rank: 2,
+            own_tokens: 380,
+            objective_ms: 250,
+            begin_timeout_ms: 2_000,
+        });
+        if tick % 20 == 0 {
+            arrivals.push(Arrival {
+                at_ms,
+                rank: 2,
+                own_tokens: 17_000,
+                objective_ms: 1_000,
+                begin_timeout_ms: 4_000,
+            });
+        }
+    }
+    arrivals
+}
+
+/// Guards against short prompts that wait behind long ones at the only prefill engine of a small zone, although the
+/// engine that generates computes them without a noticeable pause of its streams.
+#[test]
+fn short_prompts_are_in_time_beside_long_ones_in_a_zone_of_two() {
+    let upstreams = vec![
+        engine("read", ZONE, Role::Prefill),
+        engine("write", ZONE, Role::Decode),
+    ];
+    let outcomes = simulate_with(upstreams, short_prompts_beside_long_ones());
+    assert!(outcomes[2].share_in_time() >= 0.9, "{outcomes:?}");
+}
+
 /// Guards against a burst of long prompts that occupies all engines of a large zone, so that urgent prompts which
 /// arrive shortly afterwards wait until a long prompt has been computed.
 #[test]
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -37,6 +37,7 @@
         zone: ZONE,
         failed_upstreams: &[],
         request_hash: 7,
+        gap_ms: 150,
     };
     let prompt = Prompt {
         parts: vec![(1, 13_000), (2, 4_000)],
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -523,6 +523,7 @@
         deadline_ms: now_ms + 6_000,
         begin_deadline_ms: now_ms + 6_000,
         objective_ms: now_ms + 1_200,
+        gap_ms: 150,
         max_runs: 1,
         prompt: Some(Prompt {
             parts: vec![shared, (exchange + 1_000_000, 3_700)],
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -166,6 +166,7 @@
         deadline_ms: arrived_ms + remaining_ms,
         begin_deadline_ms: arrived_ms + remaining_ms.min(route.begin_timeout_ms()),
         objective_ms: arrived_ms + route.objective_ms,
+        gap_ms: route.gap_ms,
         max_runs: route.max_runs,
         prompt,
     };
