Weigh the pause of a prefill by the streams that it stops

The cost is the pause of each stream that runs at the engine, weighed by its share of the pause that the route allows, 400 ms at most; nothing if no stream runs there.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,10 +15,11 @@
 const HANDOFF_COST_MS: f64 = 25.0;
 /// Cost of an upstream in another availability zone, in milliseconds. Traffic between zones is expensive.
 const CROSS_ZONE_COST_MS: f64 = 400.0;
-/// Cost of a decode engine's own prefill that takes as long as a stream may pause, in milliseconds. The prefill delays
-/// the events of all streams that run there. A shorter one costs in proportion, a longer one no more: the streams are
-/// late then anyway.
-const INTERFERENCE_COST_MS: f64 = 400.0;
+/// Largest cost of a decode engine's own prefill, in milliseconds, which delays the events of all streams that run there.
+const MAX_INTERFERENCE_COST_MS: f64 = 400.0;
+/// Weight of the time for which streams pause against the time that a request waits. A stream that pauses too long loses
+/// most of its worth, as one that begins too late does, and its remaining events come later.
+const PAUSE_WEIGHT: f64 = 2.0;
 /// Tokens of a shared prefix from which a transfer from another engine is worth its cost: fewer tokens are computed in
 /// less than 40 ms.
 pub const FETCH_MIN_TOKENS: u32 = 2_000;
@@ -225,7 +226,7 @@
         }
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) => HANDOFF_COST_MS,
-            Some(Role::Decode) => interference_cost_ms(context, work_ms),
+            Some(Role::Decode) => interference_cost_ms(context, upstream, work_ms),
             _ => 0.0,
         };
         let cost_ms = wait_ms
@@ -252,12 +253,14 @@
     }
 }
 
-/// Returns the cost of a prefill at an engine that generates, in milliseconds.
-fn interference_cost_ms(context: &PlacementContext<'_>, work_ms: f64) -> f64 {
-    match context.gap_ms {
-        0 => INTERFERENCE_COST_MS,
-        gap_ms => INTERFERENCE_COST_MS * (work_ms / gap_ms as f64).min(1.0),
+/// Returns the cost of a prefill at an engine that generates, in milliseconds: the time for which it pauses each of the
+/// streams there, weighed by its share of the pause that a stream may make.
+fn interference_cost_ms(context: &PlacementContext<'_>, upstream: &Upstream, pause_ms: f64) -> f64 {
+    if context.gap_ms == 0 {
+        return MAX_INTERFERENCE_COST_MS;
     }
+    let paused_ms = f64::from(upstream.total_running()) * pause_ms;
+    (PAUSE_WEIGHT * paused_ms * pause_ms / context.gap_ms as f64).min(MAX_INTERFERENCE_COST_MS)
 }
 
 /// Returns the prefill engines of this entry's zone that are reserved for the most urgent rank. All entries of the zone
