Let the prompts of a test take the prefill engine

Its prompts are long now, and its rejected request ends, which would occupy the prefill engine. What it checks of the rejecting engine is as before.

--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -146,7 +146,8 @@
     let mut driver = Driver::new(upstreams);
     let mut rejecting = None;
     for _ in 0..20 {
-        let request = driver.prompt(0, (1, 100), 500);
+        // So long that the prompt goes through the prefill engine.
+        let request = driver.prompt(0, (1, 100), 16_000);
         let (exchange, directive) = driver.arrive(request);
         let call = expect_call(directive);
         assert_eq!(call.task, Task::Prefill);
@@ -157,6 +158,11 @@
             None => {
                 rejecting = Some(call.upstream.clone());
                 driver.fail_call(exchange, Outcome::Rejected);
+                let is_complete = false;
+                driver.step(EntryEvent::Closed {
+                    exchange,
+                    is_complete,
+                });
             }
             Some(id) => assert_ne!(call.upstream, *id),
         }
