--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -598,7 +598,7 @@
         let expected_ms = choice.first_token_ms() + queue_ms + FIRST_EVENT_MS;
         if self.is_too_late(now_ms, request, expected_ms) {
             let reason = RefusalReason::TooLate;
-            return self.refuse(now_ms, exchange, reason, queue_ms as u64, effects);
+            return self.refuse(now_ms, exchange, reason, expected_ms as u64, effects);
         }
         let id = request.id.clone();
         let text = format!(
@@ -668,9 +668,8 @@
                     let request = &self.exchanges[&exchange].request;
                     let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
                     if self.is_too_late(now_ms, request, expected_ms) {
-                        let wait_ms = choice.wait_ms as u64;
                         let reason = RefusalReason::TooLate;
-                        self.refuse(now_ms, exchange, reason, wait_ms, effects);
+                        self.refuse(now_ms, exchange, reason, expected_ms as u64, effects);
                     } else if choice.wait_ms > max_backlog_ms(rank) {
                         remaining.push(exchange);
                     } else {
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -305,6 +305,8 @@
     assert_eq!(refusal.reason, RefusalReason::TooLate);
     assert!(refusal.reason.is_not_run());
     assert!(refusal.retry_after_ms <= 5_000 / 3);
+    // The engines need eight seconds for what they have, so that a caller that returns sooner is refused again.
+    assert!(refusal.retry_after_ms >= 1_600, "{refusal:?}");
 }
 
 /// Guards against a zone that computes a prefix again which an engine of another zone has cached.
