Apply reloaded settings at a replica and log why a resumed stream failed

The contacts of reloaded settings become targets for joining; the reason is logged as for other calls. Test: a_replica_joins_through_the_contacts_of_reloaded_settings.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -84,6 +84,8 @@
     },
     /// An operator reads the newest document.
     Describe { call: u64 },
+    /// The settings have been read again and may name other instances that run replicas.
+    Contacts(Vec<InstanceInfo>),
     /// The platform's list has been read in full.
     Listed { upstreams: Vec<UpstreamRecord> },
     /// The platform's list could not be read.
@@ -261,6 +263,7 @@
             ControlEvent::Describe { call } => {
                 self.confirm_read(now_ms, call, Read::Describe);
             }
+            ControlEvent::Contacts(contacts) => self.add_contacts(contacts),
             ControlEvent::Listed { upstreams } => self.on_listed(now_ms, upstreams, effects),
             ControlEvent::OrderEnded {
                 upstream,
@@ -464,6 +467,17 @@
         }
     }
 
+    fn add_contacts(&mut self, contacts: Vec<InstanceInfo>) {
+        for contact in contacts {
+            if contact.id != self.settings.info.id {
+                let id = contact.id.clone();
+                self.replicas.entry(id).or_insert((contact, 0));
+            }
+        }
+        self.replica
+            .set_join_targets(self.replicas.keys().cloned().collect());
+    }
+
     fn on_peer(
         &mut self,
         now_ms: u64,
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -158,3 +158,18 @@
         .collect();
     assert_eq!(versions, [10]);
 }
+
+/// Guards against a replica that keeps to the instances of its first settings after the settings have changed.
+#[test]
+fn a_replica_joins_through_the_contacts_of_reloaded_settings() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.run(3_000);
+    cluster.publish(3, "three");
+    let new = cluster.add_without_contacts();
+    cluster.run(3_000);
+    assert_eq!(cluster.versions()[new], 0);
+    cluster.reload_contacts(new);
+    cluster.partition(2);
+    cluster.run(6_000);
+    assert_eq!(cluster.versions()[new], 3);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -272,6 +272,20 @@
         index
     }
 
+    /// Adds an instance with an empty disk whose settings name no other instances, and returns its index.
+    pub fn add_without_contacts(&mut self) -> usize {
+        let founders = std::mem::take(&mut self.founders);
+        let index = self.add();
+        self.founders = founders;
+        index
+    }
+
+    /// Gives a replica the contacts of its reloaded settings.
+    pub fn reload_contacts(&mut self, index: usize) {
+        let contacts = self.founders.clone();
+        self.step(index, ControlEvent::Contacts(contacts));
+    }
+
     /// Subscribes an entry to a replica.
     pub fn subscribe(&mut self, index: usize) {
         let watch = Watch {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -275,7 +275,8 @@
     })
 }
 
-fn log_call_failure(
+/// Logs why a call to an upstream failed.
+pub fn log_call_failure(
     exchange: &Exchange,
     forwarded: &ForwardedRequest,
     call: &UpstreamCall,
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -279,7 +279,11 @@
                 SignalAction::Stop => break,
                 SignalAction::Reload => {
                     let outcome = match reload() {
-                        Ok(_) => "outcome=reloaded".to_owned(),
+                        Ok(settings) => {
+                            let contacts = settings.contacts.len();
+                            runtime.step(ControlEvent::Contacts(settings.contacts));
+                            format!("outcome=reloaded contacts={contacts}")
+                        }
                         Err(reason) => format!("outcome=not_reloaded reason={reason:?}"),
                     };
                     logs::write(Importance::StateChange, "process", &outcome);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,7 +11,7 @@
 
 use crate::answer::StreamAborted;
 use crate::call::{CallAnswer, ForwardedRequest, UpstreamStream};
-use crate::caller::Exchange;
+use crate::caller::{self, Exchange};
 
 /// Capacity of the channel to a caller. Each of its items holds one or more complete events.
 pub const EVENT_CHANNEL_CAPACITY: usize = 16;
@@ -141,7 +141,10 @@
             Ok(CallAnswer::Stream(_, upstream_stream)) => return Some(upstream_stream),
             Ok(CallAnswer::Prefilled(handle)) => exchange.prefilled(handle),
             Ok(CallAnswer::Complete(_)) => exchange.call_failed(Outcome::Broken),
-            Err(failure) => exchange.call_failed(failure.outcome),
+            Err(failure) => {
+                caller::log_call_failure(exchange, forwarded, &call, &failure.reason);
+                exchange.call_failed(failure.outcome);
+            }
         }
     }
 }
