Bound the answers that an instance fetches from an engine

Cause. serve read the answer of an engine's export into memory without a bound, until the deadline of the request; an answer without an end occupied the memory and delayed the request.

At most 1 MiB; beyond it the connection is closed, and the decode engine computes the prompt.

Test an_export_without_an_end_is_abandoned: failed before (no answer within 20 s), passes now.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -27,6 +27,10 @@
 /// connection is not read.
 const EVENT_BUFFER_CAPACITY: usize = 16;
 
+/// Largest answer that is fetched, in bytes. The KV cache of a prompt stays at its engine, and its export names only the
+/// chunks.
+const MAX_FETCHED_BYTES: usize = 1024 * 1024;
+
 /// Time limit for connecting to an upstream. A host that is gone sends no answer, and another upstream can run the
 /// request.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -148,7 +152,8 @@
     answer.await
 }
 
-/// Sends a request and reads the complete answer. Returns `None` if the connection failed.
+/// Sends a request and reads the complete answer. Returns `None` if the connection failed or the answer is larger than
+/// [`MAX_FETCHED_BYTES`].
 pub async fn fetch(
     clock: Clock,
     target: &Target,
@@ -169,6 +174,10 @@
                 AttemptEvent::Data(bytes) => data.extend_from_slice(&bytes),
                 AttemptEvent::Finished | AttemptEvent::NotSent | AttemptEvent::Broken => {}
             }
+            if data.len() > MAX_FETCHED_BYTES {
+                // The receiver is dropped, which ends the reading and closes the connection.
+                break;
+            }
         }
         (status, data)
     };
--- a/crates/node/tests/chat.rs
+++ b/crates/node/tests/chat.rs
@@ -453,24 +453,70 @@
     answer.abort();
 }
 
-/// Guards against a prompt that is computed again on the decode engine after the prefill engine computed it, and
-/// against an answer that is lost because the prefill engine fails.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_prompt_is_computed_on_one_engine_and_transferred_to_another() {
-    let (prefill, decode) = (Upstream::start().await, Upstream::start().await);
-    let (prefill_address, address) = (prefill.address.clone(), decode.address.clone());
-    let script: support::Script = Box::new(move |now_ms, event, effects| {
+/// Returns a reducer that has each prompt computed by one engine and generated from by another.
+fn disaggregated(prefill: conf::Name, decode: conf::Name) -> support::Script {
+    Box::new(move |now_ms, event, effects| {
         if let Event::Arrived(arrival) = event {
-            let mut effect = dispatch(now_ms, arrival.exchange, 1, &address);
-            if let Effect::Dispatch { prefill, .. } = &mut effect {
-                *prefill = Some(reducer::Prefill {
+            let mut effect = dispatch(now_ms, arrival.exchange, 1, &decode);
+            if let Effect::Dispatch { prefill: stage, .. } = &mut effect {
+                *stage = Some(reducer::Prefill {
                     upstream: "prefill".into(),
-                    address: prefill_address.clone(),
+                    address: prefill.clone(),
                 });
             }
             effects.push(effect);
         }
+    })
+}
+
+/// Guards against an export without an end that occupies the instance's memory and delays the request for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_export_without_an_end_is_abandoned() {
+    let (prefill, decode) = (Upstream::start().await, Upstream::start().await);
+    let script = disaggregated(prefill.address.clone(), decode.address.clone());
+    let instance = TestInstance::start(script).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let answer = tokio::spawn(async move {
+        read_text(
+            &mut support::send(&address, chat_request(true))
+                .await
+                .into_body(),
+        )
+        .await
     });
+    let mut connection = prefill.accept_request().await;
+    connection.begin_events().await;
+    connection.end_events("p", "length").await;
+    let mut export = prefill.accept_request().await;
+    let endless = tokio::spawn(async move {
+        export.begin_events().await;
+        let piece = "x".repeat(16 * 1024);
+        let mut written = 0;
+        while export
+            .try_write(&format!("4000\r\n{piece}\r\n"))
+            .await
+            .is_ok()
+        {
+            written += piece.len();
+        }
+        written
+    });
+    let mut connection = decode.accept_request().await;
+    assert!(!connection.body.contains("kv_import"));
+    connection.begin_events().await;
+    connection.send_token("a", "Hello").await;
+    connection.end_events("a", "stop").await;
+    assert!(answer.await.unwrap().unwrap().contains("Hello"));
+    // The kernel buffers some megabytes beyond what the instance has read.
+    assert!(endless.await.unwrap() < 32 * 1024 * 1024);
+}
+
+/// Guards against a prompt that is computed again on the decode engine after the prefill engine computed it, and
+/// against an answer that is lost because the prefill engine fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_is_computed_on_one_engine_and_transferred_to_another() {
+    let (prefill, decode) = (Upstream::start().await, Upstream::start().await);
+    let script = disaggregated(prefill.address.clone(), decode.address.clone());
     let instance = TestInstance::start(script).await;
     let address = instance.settings.instance.caller_address.clone();
     let send_chat = move |address: conf::Name| {
