Let a replica outside the log publish what a current replica has

Ruled out: adding it to the log as a learner, which the leader would have to decide and the log to carry, for a replica that only publishes.

A replica that knows no leader follows one that is current: it takes over the document and the list, and is current as long as the other one has said so within 0.8 s. It answers operators as before. Test: a_replica_that_is_no_member_publishes_what_a_current_one_has; on the code before, the replica is not current.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -179,6 +179,9 @@
     listed_ms: Option<u64>,
     next_listing_ms: u64,
     subscribers: Subscribers,
+    /// Replica whose document and list this one takes over while it knows no leader, as it is not a member of the log, and
+    /// when that replica last stated that they are current.
+    followed: Option<(Name, u64)>,
     /// Whether subscribers lack the newest document or listing.
     has_unsent_changes: bool,
     /// Other replicas by instance id, with the number of entries that subscribe to each.
@@ -233,6 +236,7 @@
             listed_ms: None,
             next_listing_ms: now_ms,
             subscribers: Subscribers::default(),
+            followed: None,
             has_unsent_changes: false,
             next_watch_ms: now_ms,
             next_voter_change_ms: now_ms,
@@ -333,7 +337,7 @@
         }
         if now_ms >= self.next_watch_ms {
             self.next_watch_ms = now_ms + REPLICA_WATCH_INTERVAL_MS;
-            self.subscribe_to_replicas(effects);
+            self.subscribe_to_replicas(now_ms, effects);
         }
         if now_ms >= self.next_voter_change_ms {
             self.next_voter_change_ms = now_ms + VOTER_CHANGE_INTERVAL_MS;
@@ -443,23 +447,24 @@
         self.next_token
     }
 
-    fn subscribe_to_replicas(&mut self, effects: &mut Vec<ControlEffect>) {
+    fn subscribe_to_replicas(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.sequence += 1;
         let watch = Watch {
             info: self.settings.info.clone(),
             sequence: self.sequence,
-            // A replica takes the document from the log.
-            version: u64::MAX,
             prefix_uses: self.subscribers.take_unsent_prefix_uses(),
             ..Watch::default()
         };
         let leader = self.replica.status().leader;
         for (id, (info, _)) in &self.replicas {
-            let listing = match leader.as_ref() == Some(id) {
-                true => self.listing.version(),
-                false => LISTING_NOT_NEEDED,
+            let (version, listing) = match &leader {
+                // A member takes the document from the log.
+                Some(leader) if leader == id => (u64::MAX, self.listing.version()),
+                None if self.may_follow(now_ms, id) => (self.version, self.listing.version()),
+                _ => (u64::MAX, LISTING_NOT_NEEDED),
             };
             let watch = Watch {
+                version,
                 listing,
                 ..watch.clone()
             };
@@ -467,6 +472,20 @@
         }
     }
 
+    /// Returns whether a replica is the one that this replica follows, or there is none.
+    fn may_follow(&self, now_ms: u64, id: &Name) -> bool {
+        match &self.followed {
+            Some((followed, _)) if self.is_following(now_ms) => followed == id,
+            _ => true,
+        }
+    }
+
+    /// Returns whether another replica has recently stated that what this replica has taken over is current.
+    fn is_following(&self, now_ms: u64) -> bool {
+        let followed = self.followed.as_ref();
+        followed.is_some_and(|(_, at_ms)| now_ms - at_ms <= CURRENT_MAX_AGE_MS)
+    }
+
     fn add_contacts(&mut self, contacts: Vec<InstanceInfo>) {
         for contact in contacts {
             if contact.id != self.settings.info.id {
@@ -533,8 +552,10 @@
         if let Some((_, entries)) = self.replicas.get_mut(from) {
             *entries = reply.entries;
         }
-        if self.replica.status().leader.as_ref() == Some(from) {
-            self.on_leader_listing(now_ms, &reply, effects);
+        match self.replica.status().leader {
+            Some(leader) if leader == *from => self.take_over_listing(now_ms, &reply, effects),
+            None if reply.is_current => self.follow(now_ms, from, &reply, effects),
+            _ => {}
         }
         for info in reply.replicas {
             if info.id != self.settings.info.id {
@@ -543,8 +564,23 @@
         }
     }
 
-    /// Takes over the list that the leader has read, unless this replica has read a newer one itself.
-    fn on_leader_listing(
+    /// Takes over the document and the list of a replica that is current.
+    fn follow(
+        &mut self,
+        now_ms: u64,
+        from: &Name,
+        reply: &WatchReply,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        self.followed = Some((from.clone(), now_ms));
+        if let Some(document) = &reply.document {
+            self.set_document(reply.version, document.clone(), effects);
+        }
+        self.take_over_listing(now_ms, reply, effects);
+    }
+
+    /// Takes over the list of another replica, unless this replica has read a newer one itself.
+    fn take_over_listing(
         &mut self,
         now_ms: u64,
         reply: &WatchReply,
@@ -597,7 +633,8 @@
     fn is_current(&self, now_ms: u64) -> bool {
         let leader_age_ms = self.replica.leader_message_age_ms();
         let has_leader = leader_age_ms.is_some_and(|age_ms| age_ms <= CURRENT_MAX_AGE_MS);
-        has_leader && self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS
+        let is_current = has_leader || self.is_following(now_ms);
+        is_current && self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS
     }
 
     fn listing_age_ms(&self, now_ms: u64) -> u64 {
@@ -791,9 +828,14 @@
 
     /// Applies a committed document. The highest version stays in force; a lower or equal one changes nothing.
     fn apply(&mut self, command: Bytes, effects: &mut Vec<ControlEffect>) {
-        let Some((version, document)) = decode(command) else {
-            return log(effects, "document=unreadable outcome=skipped".to_owned());
-        };
+        match decode(command) {
+            Some((version, document)) => self.set_document(version, document, effects),
+            None => log(effects, "document=unreadable outcome=skipped".to_owned()),
+        }
+    }
+
+    /// Puts a committed document in force, unless the same or a higher version is.
+    fn set_document(&mut self, version: u64, document: Bytes, effects: &mut Vec<ControlEffect>) {
         if version <= self.version {
             return;
         }
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -173,3 +173,24 @@
     cluster.run(6_000);
     assert_eq!(cluster.versions()[new], 3);
 }
+
+/// Guards against entries that leave the replica of their zone every few seconds because the replica, which is not a
+/// member of the log, knows no leader.
+#[test]
+fn a_replica_that_is_no_member_publishes_what_a_current_one_has() {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.run(3_000);
+    cluster.publish(7, "seven");
+    // The list is read as long as entries subscribe.
+    for _ in 0..6 {
+        cluster.subscribe(3);
+        cluster.run(500);
+    }
+    let reply = cluster.subscribed_reply(3);
+    assert!(reply.is_current, "{reply:?}");
+    assert_eq!((reply.version, reply.document.is_some()), (7, true));
+    // Without contact to the others, it does not claim to be current.
+    cluster.partition(3);
+    cluster.run(1_500);
+    assert!(!cluster.subscribed_reply(3).is_current);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use conf::Name;
-use fleet::{InstanceInfo, PeerMessage, Watch};
+use fleet::{InstanceInfo, PeerMessage, Watch, WatchReply};
 use gateway::control::{Answer, Control, ControlEffect, ControlEvent, ControlSettings};
 use quorum::{RecoveredState, Write};
 
@@ -286,6 +286,24 @@
         self.step(index, ControlEvent::Contacts(contacts));
     }
 
+    /// Subscribes an entry to a replica and returns the reply.
+    pub fn subscribed_reply(&mut self, index: usize) -> WatchReply {
+        self.sent_to_entry.clear();
+        self.subscribe(index);
+        // The entry is not one of the replicas that a partition separates.
+        for (_, to, message) in std::mem::take(&mut self.messages) {
+            if to == ENTRY {
+                self.sent_to_entry.push(message);
+            }
+        }
+        let replies = self.sent_to_entry.iter();
+        let reply = replies.rev().find_map(|message| match message {
+            PeerMessage::WatchReply(reply) => Some(reply.clone()),
+            _ => None,
+        });
+        reply.expect("the replica replies at once")
+    }
+
     /// Subscribes an entry to a replica.
     pub fn subscribe(&mut self, index: usize) {
         let watch = Watch {
