Send nothing to engines that are changing their roles

In one zone the engines rejected 245 calls within four seconds; the retry budget ran out, and 175 requests were refused as not run.

The leader marks the engines that have accepted an order in the list until the platform's list shows the role, and entries do not use them. An engine that has not answered its order is not marked, as it works on. Tests: an_engine_with_an_accepted_order_is_changing_until_the_list_shows_its_role, an_engine_that_changes_its_role_gets_no_requests; both need the new mark.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -174,6 +174,8 @@
     pub born_ms: u64,
     /// Role of an engine; `None` for plain services.
     pub role: Option<Role>,
+    /// Whether the engine has been ordered to change its role and takes no requests until it has.
+    pub is_changing: bool,
 }
 
 /// Reply of a voter to a proposal.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -277,6 +277,10 @@
                 if outcome == OrderOutcome::Fenced {
                     self.fenced_term = self.fenced_term.max(term);
                 }
+                if outcome == OrderOutcome::Accepted {
+                    self.role_planner.on_accepted(&upstream);
+                    self.mark_changing_engines(effects);
+                }
                 log(
                     effects,
                     format!("upstream={upstream} term={term} order={outcome:?}"),
@@ -648,6 +652,23 @@
         effects: &mut Vec<ControlEffect>,
     ) {
         self.listed_ms = Some(now_ms);
+        self.set_listing(upstreams, effects);
+    }
+
+    /// Marks the engines that are changing their roles by an order of this leader, so that entries send them nothing.
+    fn mark_changing_engines(&mut self, effects: &mut Vec<ControlEffect>) {
+        let records = self.listing.records().to_vec();
+        self.set_listing(records, effects);
+    }
+
+    fn set_listing(
+        &mut self,
+        mut upstreams: Vec<UpstreamRecord>,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for upstream in &mut upstreams {
+            upstream.is_changing = self.role_planner.is_changing(upstream);
+        }
         if self.listing.replace(upstreams) {
             self.on_listing_changed(effects);
         }
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -145,6 +145,7 @@
         (&record.id, &record.service, &record.address),
         &record.availability_zone,
         (record.slots, record.draining, record.born_ms, role),
+        record.is_changing,
     ))
 }
 
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -32,11 +32,19 @@
     pub role: Role,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct OrderedRole {
+    role: Role,
+    at_ms: u64,
+    /// Whether the engine has accepted the order. An engine that does not answer works on in its present role.
+    is_accepted: bool,
+}
+
 /// Plans the roles of engines and keeps the state between two decisions.
 #[derive(Clone, Debug, Default)]
 pub struct RolePlanner {
-    /// Role last ordered of each engine, and when, in milliseconds.
-    ordered_roles: Map<Name, (Role, u64)>,
+    /// Latest order to each engine.
+    ordered_roles: Map<Name, OrderedRole>,
     /// When the engines of each service and zone last got an order.
     last_order_ms: Map<(Name, Name), u64>,
     /// Number of engines of each service and zone, and since when the number is constant.
@@ -49,7 +57,7 @@
     /// Returns the orders that are due.
     pub fn next_orders(&mut self, now_ms: u64, upstreams: &[UpstreamRecord]) -> Vec<RoleOrder> {
         self.ordered_roles
-            .retain(|_, (_, at_ms)| now_ms - *at_ms < ORDER_IN_EFFECT_MS);
+            .retain(|_, ordered| now_ms - ordered.at_ms < ORDER_IN_EFFECT_MS);
         let mut zones: Map<(Name, Name), Vec<&UpstreamRecord>> = Map::default();
         for upstream in upstreams {
             if upstream.role.is_some() && !upstream.draining {
@@ -127,7 +135,12 @@
         self.last_order_ms.insert(key.clone(), now_ms);
         let mut orders = Vec::new();
         for engine in candidates.into_iter().take(count) {
-            self.ordered_roles.insert(engine.id.clone(), (role, now_ms));
+            let ordered = OrderedRole {
+                role,
+                at_ms: now_ms,
+                is_accepted: false,
+            };
+            self.ordered_roles.insert(engine.id.clone(), ordered);
             orders.push(RoleOrder {
                 upstream: engine.id.clone(),
                 address: engine.address.clone(),
@@ -137,8 +150,24 @@
         orders
     }
 
+    /// Records that an engine has accepted its order.
+    pub fn on_accepted(&mut self, upstream: &Name) {
+        if let Some(ordered) = self.ordered_roles.get_mut(upstream) {
+            ordered.is_accepted = true;
+        }
+    }
+
+    /// Returns whether an engine carries out an order that the list does not show yet.
+    pub fn is_changing(&self, engine: &UpstreamRecord) -> bool {
+        let ordered = self.ordered_roles.get(&engine.id);
+        ordered.is_some_and(|ordered| ordered.is_accepted && engine.role != Some(ordered.role))
+    }
+
     fn planned_role(&self, engine: &UpstreamRecord) -> Option<Role> {
-        let ordered_role = self.ordered_roles.get(&engine.id).map(|(role, _)| *role);
+        let ordered_role = self
+            .ordered_roles
+            .get(&engine.id)
+            .map(|ordered| ordered.role);
         ordered_role.or(engine.role)
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -88,7 +88,7 @@
 
     /// Returns whether the upstream may get requests.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        !self.record.draining && now_ms >= self.circuit_open_until_ms
+        !self.record.draining && !self.record.is_changing && now_ms >= self.circuit_open_until_ms
     }
 
     /// Returns whether the upstream is an engine that computes prompts for other engines.
--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -296,3 +296,20 @@
     let refusal = expect_refusal(driver.arrive(driver.prompt(0, (1, 0), 100)).1);
     assert!(refusal.reason.is_not_run(), "{refusal:?}");
 }
+
+/// Guards against requests to an engine that takes none while it changes its role.
+#[test]
+fn an_engine_that_changes_its_role_gets_no_requests() {
+    let changing = |is_changing| fleet::UpstreamRecord {
+        is_changing,
+        ..engine("write-1", ZONE, Role::Decode)
+    };
+    let mut driver = Driver::new(vec![changing(true), engine("write-2", ZONE, Role::Decode)]);
+    for _ in 0..5 {
+        let (_, directive) = driver.arrive(driver.prompt(0, (1, 0), 500));
+        assert_eq!(expect_call(directive).upstream, "write-2");
+    }
+    driver.list(vec![changing(false), engine("write-2", ZONE, Role::Decode)]);
+    let (_, directive) = driver.arrive(driver.prompt(0, (1, 0), 500));
+    assert_eq!(expect_call(directive).upstream, "write-1");
+}
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -509,6 +509,7 @@
         draining: false,
         born_ms: 1_780_000_000_000,
         role: Some(role),
+        is_changing: false,
     }
 }
 
--- a/crates/gateway/tests/stages.rs
+++ b/crates/gateway/tests/stages.rs
@@ -100,3 +100,27 @@
     lone[1].draining = true;
     assert_eq!(run_planner(&mut planner, &mut lone, 0, 30_000), 0);
 }
+
+/// Guards against requests to an engine that rejects them because it is changing its role, and against an engine that is
+/// left unused because its order was not answered.
+#[test]
+fn an_engine_with_an_accepted_order_is_changing_until_the_list_shows_its_role() {
+    let mut upstreams = engines(9);
+    let mut planner = RolePlanner::default();
+    planner.next_orders(0, &upstreams);
+    let orders = planner.next_orders(3_000, &upstreams);
+    let (accepted, unanswered) = (&orders[0], &orders[1]);
+    planner.on_accepted(&accepted.upstream);
+    let is_changing = |planner: &RolePlanner, upstreams: &[UpstreamRecord], id: &Name| {
+        let engine = upstreams.iter().find(|engine| engine.id == *id);
+        planner.is_changing(engine.expect("the order names a listed engine"))
+    };
+    assert!(is_changing(&planner, &upstreams, &accepted.upstream));
+    assert!(!is_changing(&planner, &upstreams, &unanswered.upstream));
+    for engine in &mut upstreams {
+        if engine.id == accepted.upstream {
+            engine.role = Some(accepted.role);
+        }
+    }
+    assert!(!is_changing(&planner, &upstreams, &accepted.upstream));
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -108,6 +108,7 @@
   draining @5 :Bool;
   bornMs @6 :UInt64;
   role @7 :Role;
+  isChanging @8 :Bool;
 }
 
 struct ReplicaId {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -8111,6 +8111,10 @@
         ) -> ::core::result::Result<crate::peer_capnp::Role, ::capnp::NotInSchema> {
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(3))
         }
+        #[inline]
+        pub fn get_is_changing(self) -> bool {
+            self.reader.get_bool_field(33)
+        }
     }
 
     pub struct Builder<'a> {
@@ -8341,6 +8345,14 @@
         pub fn set_role(&mut self, value: crate::peer_capnp::Role) {
             self.builder.set_data_field::<u16>(3, value as u16);
         }
+        #[inline]
+        pub fn get_is_changing(self) -> bool {
+            self.builder.get_bool_field(33)
+        }
+        #[inline]
+        pub fn set_is_changing(&mut self, value: bool) {
+            self.builder.set_bool_field(33, value);
+        }
     }
 
     pub struct Pipeline {
@@ -8355,7 +8367,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -8365,7 +8377,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -8373,63 +8385,70 @@
             ::capnp::word(101, 97, 109, 82, 101, 99, 111, 114),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8497,6 +8516,15 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 67, 104, 97, 110, 103, 105),
+            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8508,6 +8536,7 @@
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::Role as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8526,9 +8555,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 6, 5, 0, 7, 1, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 6, 5, 0, 8, 7, 1, 4];
         pub(crate) const TYPE_ID: u64 = 0xe7fa_793e_462d_0785;
     }
 }
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -248,6 +248,7 @@
     builder.set_draining(upstream.draining);
     builder.set_born_ms(upstream.born_ms);
     builder.set_role(write_role(upstream.role));
+    builder.set_is_changing(upstream.is_changing);
 }
 
 fn read_upstream_record(
@@ -262,5 +263,6 @@
         draining: reader.get_draining(),
         born_ms: reader.get_born_ms(),
         role: read_role(reader.get_role()?),
+        is_changing: reader.get_is_changing(),
     })
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -177,6 +177,7 @@
             *g.choose(&[Role::Prefill, Role::Decode, Role::Mixed])
                 .unwrap()
         }),
+        is_changing: flag(g),
     }
 }
 
