Rely on the log alone when one replica follows another

The core was cut in two (core-valle-a-1 and core-valle-c-1 against three). Without a leader the two followed each other, and each took the other's word that it was current, so that the entries of zone c stayed with version 6 from 5.2 s until the cut healed at 10.5 s.

Ruled out: the subscription of the entry, which had replies from a replica that said it was current.

To another replica, a replica states only what the log confirms; what it follows itself does not count. Test: replicas_that_are_no_members_do_not_confirm_each_other failed before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -622,6 +622,7 @@
         let replicas: Vec<InstanceInfo> = infos.chain([self.settings.info.clone()]).collect();
         let published = Published {
             is_current: self.is_current(now_ms),
+            is_confirmed_by_log: self.hears_leader() && self.has_current_listing(now_ms),
             version: self.version,
             document: &self.document,
             listing: &self.listing,
@@ -635,10 +636,18 @@
     }
 
     fn is_current(&self, now_ms: u64) -> bool {
+        let is_confirmed = self.hears_leader() || self.is_following(now_ms);
+        is_confirmed && self.has_current_listing(now_ms)
+    }
+
+    /// Returns whether the leader of the log has recently sent a message, or is this replica.
+    fn hears_leader(&self) -> bool {
         let leader_age_ms = self.replica.leader_message_age_ms();
-        let has_leader = leader_age_ms.is_some_and(|age_ms| age_ms <= CURRENT_MAX_AGE_MS);
-        let is_current = has_leader || self.is_following(now_ms);
-        is_current && self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS
+        leader_age_ms.is_some_and(|age_ms| age_ms <= CURRENT_MAX_AGE_MS)
+    }
+
+    fn has_current_listing(&self, now_ms: u64) -> bool {
+        self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS
     }
 
     fn listing_age_ms(&self, now_ms: u64) -> u64 {
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -30,8 +30,11 @@
 /// The state of a replica that it publishes to its subscribers.
 #[derive(Clone, Copy, Debug)]
 pub struct Published<'a> {
-    /// Whether the replica has recently received a message from the leader and read or received the list.
+    /// Whether document and list are current, as the log or a followed replica has recently confirmed.
     pub is_current: bool,
+    /// Whether the log itself has recently confirmed that. Replicas rely on this only: two of them that follow each other
+    /// without a leader would otherwise confirm each other for ever.
+    pub is_confirmed_by_log: bool,
     /// Version of the document in force.
     pub version: u64,
     /// The document in force.
@@ -267,7 +270,10 @@
         };
         let reply = WatchReply {
             sequence: subscriber.sequence,
-            is_current: published.is_current,
+            is_current: match accepts_callers {
+                true => published.is_current,
+                false => published.is_confirmed_by_log,
+            },
             version: published.version,
             document: lacks_document.then(|| published.document.clone()),
             listing: published.listing.version(),
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -194,3 +194,28 @@
     cluster.run(1_500);
     assert!(!cluster.subscribed_reply(3).is_current);
 }
+
+/// Guards against replicas without a leader that confirm each other, so that entries keep an outdated document although
+/// they could reach the majority.
+#[test]
+fn replicas_that_are_no_members_do_not_confirm_each_other() {
+    let mut cluster = Cluster::new(5, 3);
+    cluster.run(3_000);
+    cluster.publish(7, "seven");
+    for _ in 0..6 {
+        cluster.subscribe(3);
+        cluster.subscribe(4);
+        cluster.run(500);
+    }
+    assert!(cluster.subscribed_reply(3).is_current);
+    for member in 0..3 {
+        cluster.partition(member);
+    }
+    for _ in 0..6 {
+        cluster.subscribe(3);
+        cluster.subscribe(4);
+        cluster.run(500);
+    }
+    assert!(!cluster.subscribed_reply(3).is_current);
+    assert!(!cluster.subscribed_reply(4).is_current);
+}
