--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -497,7 +497,7 @@
     };
     UpstreamRecord {
         id: Name::from(format!("i-{:08x}", index * 2_654_435_761 % 0xffff_ffff)),
-        service: "huvo11a".into(),
+        service: "model".into(),
         address: Name::from(format!(
             "10.{}.{}.{}:8080",
             128 + index % zones,
@@ -518,7 +518,7 @@
     Request {
         id: Name::from(format!("{exchange:016x}")),
         route: "route".into(),
-        service: "huvo11a".into(),
+        service: "model".into(),
         kind: RequestKind::Stream { resumable: false },
         rank: (exchange % 3) as u8,
         deadline_ms: now_ms + 6_000,
@@ -544,11 +544,11 @@
         objective_ms: 400,
         gap_ms: 200,
         rank: 0,
-        targets: vec![("huvo11a".into(), 1)],
+        targets: vec![("model".into(), 1)],
         max_runs: 2,
     };
     let service = Service {
-        name: "huvo11a".into(),
+        name: "model".into(),
         max_connections: 100,
         engine: Some(EngineTraits::default()),
     };
