Mark engines that change their roles once a tick

Cause, by reading: each accepted order copied and hashed the whole list and notified every subscriber; hundreds of engines accept their first orders within a moment, at 3,000 upstreams each.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -189,6 +189,8 @@
     next_watch_ms: u64,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
+    /// Whether engines have accepted orders since the list was last marked.
+    has_unmarked_engines: bool,
     next_role_orders_ms: u64,
     /// Term in which this replica is the leader, and since when, in milliseconds.
     leader_since: Option<(u64, u64)>,
@@ -241,6 +243,7 @@
             next_watch_ms: now_ms,
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
+            has_unmarked_engines: false,
             next_role_orders_ms: now_ms,
             leader_since: None,
             fenced_term: 0,
@@ -279,7 +282,7 @@
                 }
                 if outcome == OrderOutcome::Accepted {
                     self.role_planner.on_accepted(&upstream);
-                    self.mark_changing_engines(effects);
+                    self.has_unmarked_engines = true;
                 }
                 log(
                     effects,
@@ -333,6 +336,10 @@
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.queue_input(Input::Tick);
+        // Many engines may accept their first orders between two ticks.
+        if std::mem::take(&mut self.has_unmarked_engines) {
+            self.mark_changing_engines(effects);
+        }
         self.subscribers.expire(now_ms);
         self.expire_calls(now_ms, effects);
         if now_ms >= self.next_listing_ms && self.must_read_list(now_ms) {
