Log the prompt's parts and the progress of failed calls

The logs could not tell whether engines end under a part of a prompt, under load, or under a hand-off: the line of a failed call named neither the prompt nor whether its answer had begun. It now has call_ms, writing_ms and parts. The first event is reported for each call, also of a resumed stream, so that writing_ms belongs to the failed call.

No decision is changed.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -145,6 +145,10 @@
     excludes_prefill_engines: bool,
     /// When the first event or the whole answer arrived.
     started_ms: Option<u64>,
+    /// When the latest call was made.
+    sent_ms: u64,
+    /// When the first event of the latest call's answer arrived.
+    writing_since_ms: Option<u64>,
     task: Option<Task>,
 }
 
@@ -479,6 +483,8 @@
             run_calls: 0,
             excludes_prefill_engines: false,
             started_ms: None,
+            sent_ms: now_ms,
+            writing_since_ms: None,
             task: None,
         };
         self.exchanges.insert(exchange, state);
@@ -711,6 +717,8 @@
             tokens,
         });
         state.calls += 1;
+        state.sent_ms = now_ms;
+        state.writing_since_ms = None;
         match task {
             Task::Prefill => state.prefill_calls += 1,
             Task::Run | Task::Generate { .. } => state.run_calls += 1,
@@ -831,6 +839,7 @@
             return;
         };
         state.started_ms.get_or_insert(now_ms);
+        state.writing_since_ms = Some(now_ms);
         let service = state.request.service.clone();
         if let Some(assigned_work) = &mut state.assigned_work
             && let Some(upstream) = self.upstreams.get_mut(&assigned_work.upstream)
@@ -878,12 +887,17 @@
         state.has_failed_answer |= outcome == Outcome::FailedAnswer;
         let text = format!(
             "request={} upstream={upstream_id} task={} outcome={} elapsed_ms={} runs={} \
-             circuit_open={is_circuit_open}",
+             circuit_open={is_circuit_open} call_ms={} writing_ms={} parts={}",
             state.request.id,
             task.as_ref().map_or("none", task_name),
             outcome.name(),
             now_ms - state.arrived_ms,
             state.runs,
+            now_ms - state.sent_ms,
+            state
+                .writing_since_ms
+                .map_or_else(|| "none".to_owned(), |at_ms| (now_ms - at_ms).to_string()),
+            part_list(&state.request),
         );
         log(effects, Importance::StateChange, text);
         if outcome == Outcome::Unreachable {
@@ -1159,6 +1173,22 @@
     Some(now_ms + objective_ms * HEAD_TIMEOUT_OBJECTIVES)
 }
 
+/// Returns the keys of the prompt's shared parts in order, or `none`.
+fn part_list(request: &Request) -> String {
+    let shared_parts = request
+        .prompt
+        .as_ref()
+        .map_or(&[][..], Prompt::shared_parts);
+    if shared_parts.is_empty() {
+        return "none".to_owned();
+    }
+    let keys: Vec<String> = shared_parts
+        .iter()
+        .map(|(key, _)| format!("{key:016x}"))
+        .collect();
+    keys.join(",")
+}
+
 fn task_name(task: &Task) -> &'static str {
     match task {
         Task::Run => "run",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,10 +20,15 @@
 }
 
 impl Prompt {
+    /// Returns the parts that other prompts may share: all but the last one.
+    pub fn shared_parts(&self) -> &[(u64, u32)] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the key of the shared prefix and its number of tokens. The key is the hashed id of the last shared part;
     /// prompts with the same key share the prefix and are placed alike.
     pub fn shared_prefix(&self) -> Option<(u64, u32)> {
-        let (_, shared_parts) = self.parts.split_last()?;
+        let shared_parts = self.shared_parts();
         let (key, _) = shared_parts.last()?;
         let tokens: u32 = shared_parts.iter().map(|(_, tokens)| tokens).sum();
         Some((*key, tokens.min(self.tokens)))
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -71,7 +71,6 @@
 struct Cursor {
     partial: BytesMut,
     last_event_id: Option<String>,
-    has_started: bool,
 }
 
 async fn forward_events(
@@ -82,6 +81,7 @@
     deadline: Instant,
 ) -> StreamEnd {
     cursor.partial.clear();
+    let mut has_started = false;
     loop {
         let frame = match timeout_at(deadline, upstream_stream.body.frame()).await {
             Ok(frame) => frame,
@@ -92,8 +92,8 @@
             None | Some(Err(_)) => return StreamEnd::Failed(Outcome::Broken),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
-        if !cursor.has_started && !data.is_empty() {
-            cursor.has_started = true;
+        if !has_started && !data.is_empty() {
+            has_started = true;
             let exchange_id = exchange.id;
             exchange.runtime.step(EntryEvent::Started {
                 exchange: exchange_id,
