Reproduce engines that crash in turn under one part of a prompt

A fleet of six entries, three replicas and eighteen engines on a virtual clock; engines end when they begin to generate from one part, which one request in 17 has.

--- /dev/null
+++ b/crates/gateway/tests/engine_crashes.rs
@@ -0,0 +1,79 @@
+//! Requests under which engines crash, replayed against entries and replicas.
+
+mod scale_support;
+mod support;
+
+use gateway::Prompt;
+use scale_support::{Fleet, FleetSize};
+
+/// The size of a small deployment.
+const SMALL: FleetSize = FleetSize {
+    zones: 3,
+    entries: 6,
+    upstreams: 18,
+    requests_per_s: 14,
+    changes_per_s: 0,
+};
+/// Number of crashes after which the part that causes them must be known.
+const MAX_CRASHES: usize = 5;
+/// Time after that crash within which the knowledge reaches every entry, in milliseconds.
+const CONTACT_WINDOW_MS: u64 = 3_000;
+/// Requests with a known part that may still be sent, to learn whether engines still crash under them.
+const MAX_LATER_SENDS: usize = 3;
+/// Part under which engines crash.
+const DEADLY_PART: u64 = 77;
+/// One of the shared parts with which prompts begin.
+const FIRST_PART: u64 = 1;
+
+/// Prompts of three kinds that begin with the same part. One in 17 has the deadly part.
+fn prompt(exchange: u64) -> Prompt {
+    let second = match exchange.is_multiple_of(17) {
+        true => DEADLY_PART,
+        false => 100 + exchange % 160,
+    };
+    Prompt {
+        parts: vec![
+            (FIRST_PART, 8_000),
+            (second, 5_000),
+            (exchange + 1_000_000, 3_700),
+        ],
+        tokens: 16_700,
+        max_output_tokens: 50,
+    }
+}
+
+/// Returns a fleet that serves requests, one in 17 with the deadly part.
+fn serving_fleet(size: FleetSize) -> Fleet {
+    let mut fleet = Fleet::new(size);
+    fleet.prompt_of = prompt;
+    fleet.run(2_000);
+    fleet.publish(1);
+    fleet.run(3_000);
+    assert_eq!(fleet.ready_entries(), size.entries);
+    fleet
+}
+
+/// Returns how many requests with a deadly part were sent after the time at which every entry must know the part.
+fn later_sends(fleet: &Fleet) -> usize {
+    let Some(last_ms) = fleet.crashes_ms.get(MAX_CRASHES - 1) else {
+        return 0;
+    };
+    let known_ms = last_ms + CONTACT_WINDOW_MS;
+    let sends = fleet.deadly_sends_ms.iter();
+    sends.filter(|at_ms| **at_ms > known_ms).count()
+}
+
+/// Guards against requests of one kind that crash one engine after the other.
+#[test]
+fn a_part_that_crashes_engines_is_sent_to_no_more_of_them() {
+    let mut fleet = serving_fleet(SMALL);
+    fleet.deadly_parts = vec![DEADLY_PART];
+    fleet.run(25_000);
+    let crashes = fleet.crashes_ms.len();
+    assert!(crashes >= 3, "{crashes} engines crashed");
+    let sends = later_sends(&fleet);
+    assert!(
+        sends <= MAX_LATER_SENDS,
+        "{sends} requests were sent, {crashes} engines crashed"
+    );
+}
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! Messages are encoded as between processes, so that their bytes can be counted.
 
+// Each test file uses only some of the functions.
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -11,8 +14,8 @@
 use gateway::config::{Config, EngineTraits, Limits, RequestKind, Route, Service};
 use gateway::control::{Control, ControlEffect, ControlEvent, ControlSettings};
 use gateway::entry::{Entry, EntryEffect, EntryEvent, EntrySettings};
-use gateway::exchange::Task;
-use gateway::{Directive, Prompt, Request};
+use gateway::exchange::{Task, UpstreamCall};
+use gateway::{Directive, Outcome, Prompt, Request};
 
 use crate::support::Disk;
 
@@ -23,8 +26,14 @@
 const ENTRY_BYTES_PER_MS: u64 = 1_250;
 /// Bytes that the link of a replica carries in a millisecond: 1 Gbit/s.
 const REPLICA_BYTES_PER_MS: u64 = 125_000;
-/// Time for which a request occupies its engine after its first event, in milliseconds.
+/// Time until an engine computes a prompt, in milliseconds.
+const PREFILL_MS: u64 = 100;
+/// Time from a call until the first event, in milliseconds.
+const FIRST_EVENT_MS: u64 = 50;
+/// Time for which a request occupies its engine, in milliseconds.
 const ANSWER_MS: u64 = 600;
+/// Time for which an engine that has crashed is away, in milliseconds.
+const ENGINE_RESTART_MS: u64 = 3_000;
 
 /// Size of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -71,8 +80,19 @@
     in_transit: VecDeque<InTransit>,
     /// When the link of each instance has sent or received what is queued for it.
     link_free_ms: Map<Name, u64>,
-    /// Ends of prefill calls and of answers, each with its entry and exchange.
-    scheduled: Vec<(u64, usize, u64, CallEnd)>,
+    scheduled: Vec<ScheduledProgress>,
+    /// Returns the prompt of an exchange.
+    pub prompt_of: fn(u64) -> Prompt,
+    /// Parts of prompts under which engines crash when they begin to generate.
+    pub deadly_parts: Vec<u64>,
+    /// Until when engines that have crashed are away.
+    down_until_ms: Map<Name, u64>,
+    /// When engines crashed under a request.
+    pub crashes_ms: Vec<u64>,
+    /// When requests with a deadly part were sent to an engine.
+    pub deadly_sends_ms: Vec<u64>,
+    /// Requests without a deadly part, each with its arrival and whether its first attempt began.
+    pub sound_requests: Map<u64, SoundRequest>,
     next_exchange: u64,
     next_change: usize,
     /// Of how many messages one is lost; 0 if none is.
@@ -85,10 +105,29 @@
     document: Bytes,
 }
 
-#[derive(Clone, Copy)]
-enum CallEnd {
+/// A request without a deadly part.
+#[derive(Clone, Copy, Debug)]
+pub struct SoundRequest {
+    pub arrived_ms: u64,
+    pub has_begun: bool,
+}
+
+/// Progress of a call that is due at a time.
+#[derive(Clone, Debug)]
+struct ScheduledProgress {
+    at_ms: u64,
+    entry: usize,
+    exchange: u64,
+    upstream: Name,
+    progress: Progress,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
     Prefilled,
+    Started,
     Answered,
+    Failed(Outcome),
 }
 
 impl Fleet {
@@ -106,6 +145,12 @@
             in_transit: VecDeque::new(),
             link_free_ms: Map::default(),
             scheduled: Vec::new(),
+            prompt_of: prompt,
+            deadly_parts: Vec::new(),
+            down_until_ms: Map::default(),
+            crashes_ms: Vec::new(),
+            deadly_sends_ms: Vec::new(),
+            sound_requests: Map::default(),
             next_exchange: 0,
             next_change: 0,
             lost_one_in: 0,
@@ -380,13 +425,17 @@
                 EntryEffect::Directive {
                     exchange,
                     directive: Directive::Call(call),
+                } => self.begin_call(index, exchange, call),
+                EntryEffect::Directive {
+                    exchange,
+                    directive: Directive::ForwardFailure,
                 } => {
-                    let (delay_ms, end) = match call.task {
-                        Task::Prefill => (100, CallEnd::Prefilled),
-                        Task::Run | Task::Generate { .. } => (ANSWER_MS, CallEnd::Answered),
+                    let is_complete = true;
+                    let event = EntryEvent::Closed {
+                        exchange,
+                        is_complete,
                     };
-                    let at_ms = self.now_ms + delay_ms;
-                    self.scheduled.push((at_ms, index, exchange, end));
+                    self.step_entry(index, event);
                 }
                 EntryEffect::Directive { .. }
                 | EntryEffect::FreeHandle { .. }
@@ -395,28 +444,103 @@
         }
     }
 
-    fn end_calls(&mut self) {
+    fn begin_call(&mut self, entry: usize, exchange: u64, call: UpstreamCall) {
         let now_ms = self.now_ms;
-        let (due, later) = std::mem::take(&mut self.scheduled)
+        let mut schedule = |delay_ms, progress| {
+            self.scheduled.push(ScheduledProgress {
+                at_ms: now_ms + delay_ms,
+                entry,
+                exchange,
+                upstream: call.upstream.clone(),
+                progress,
+            });
+        };
+        let down_until_ms = self.down_until_ms.get(&call.upstream);
+        if down_until_ms.is_some_and(|until_ms| now_ms < *until_ms) {
+            return schedule(0, Progress::Failed(Outcome::Unreachable));
+        }
+        match call.task {
+            Task::Prefill => schedule(PREFILL_MS, Progress::Prefilled),
+            Task::Run | Task::Generate { .. } => {
+                schedule(FIRST_EVENT_MS, Progress::Started);
+                schedule(ANSWER_MS, Progress::Answered);
+            }
+        }
+        if self.is_deadly(exchange) {
+            self.deadly_sends_ms.push(now_ms);
+        }
+    }
+
+    fn is_deadly(&self, exchange: u64) -> bool {
+        let parts = (self.prompt_of)(exchange).parts;
+        let mut keys = parts.iter().map(|(key, _)| key);
+        keys.any(|key| self.deadly_parts.contains(key))
+    }
+
+    /// Ends an engine with all calls that are in progress there.
+    pub fn crash(&mut self, upstream: &Name) {
+        let now_ms = self.now_ms;
+        self.crashes_ms.push(now_ms);
+        self.down_until_ms
+            .insert(upstream.clone(), now_ms + ENGINE_RESTART_MS);
+        let (at_engine, elsewhere) = std::mem::take(&mut self.scheduled)
             .into_iter()
-            .partition(|(at_ms, ..)| *at_ms <= now_ms);
-        self.scheduled = later;
-        let due: Vec<(u64, usize, u64, CallEnd)> = due;
-        for (_, index, exchange, end) in due {
-            match end {
-                CallEnd::Prefilled => {
-                    let handle = "handle".into();
-                    self.step_entry(index, EntryEvent::Prefilled { exchange, handle });
-                }
-                CallEnd::Answered => {
-                    self.step_entry(index, EntryEvent::Started { exchange });
-                    let is_complete = true;
-                    let event = EntryEvent::Closed {
-                        exchange,
-                        is_complete,
-                    };
-                    self.step_entry(index, event);
+            .partition(|scheduled| scheduled.upstream == *upstream);
+        self.scheduled = elsewhere;
+        let at_engine: Vec<ScheduledProgress> = at_engine;
+        for scheduled in at_engine {
+            if scheduled.progress != Progress::Started {
+                self.scheduled.push(ScheduledProgress {
+                    at_ms: now_ms,
+                    progress: Progress::Failed(Outcome::Broken),
+                    ..scheduled
+                });
+            }
+        }
+    }
+
+    fn end_calls(&mut self) {
+        let now_ms = self.now_ms;
+        loop {
+            let due = |scheduled: &ScheduledProgress| scheduled.at_ms <= now_ms;
+            let Some(index) = self.scheduled.iter().position(due) else {
+                return;
+            };
+            let scheduled = self.scheduled.swap_remove(index);
+            self.progress(scheduled);
+        }
+    }
+
+    fn progress(&mut self, scheduled: ScheduledProgress) {
+        let ScheduledProgress {
+            entry,
+            exchange,
+            upstream,
+            progress,
+            ..
+        } = scheduled;
+        match progress {
+            Progress::Prefilled => {
+                let handle = "handle".into();
+                self.step_entry(entry, EntryEvent::Prefilled { exchange, handle });
+            }
+            Progress::Started if self.is_deadly(exchange) => self.crash(&upstream),
+            Progress::Started => {
+                if let Some(request) = self.sound_requests.get_mut(&exchange) {
+                    request.has_begun = true;
                 }
+                self.step_entry(entry, EntryEvent::Started { exchange });
+            }
+            Progress::Answered => {
+                let is_complete = true;
+                let event = EntryEvent::Closed {
+                    exchange,
+                    is_complete,
+                };
+                self.step_entry(entry, event);
+            }
+            Progress::Failed(outcome) => {
+                self.step_entry(entry, EntryEvent::CallFailed { exchange, outcome });
             }
         }
     }
@@ -430,7 +554,14 @@
             self.entries[index].next_arrival_ms += 1_000 / rate;
             self.next_exchange += 1;
             let exchange = self.next_exchange;
-            let request = request(exchange, self.now_ms);
+            let request = request(exchange, self.now_ms, (self.prompt_of)(exchange));
+            if !self.is_deadly(exchange) {
+                let request = SoundRequest {
+                    arrived_ms: self.now_ms,
+                    has_begun: false,
+                };
+                self.sound_requests.insert(exchange, request);
+            }
             self.step_entry(index, EntryEvent::Arrived { exchange, request });
         }
     }
@@ -513,8 +644,16 @@
     }
 }
 
-fn request(exchange: u64, now_ms: u64) -> Request {
+fn prompt(exchange: u64) -> Prompt {
     let shared = (exchange % 2_000, 13_000);
+    Prompt {
+        parts: vec![shared, (exchange + 1_000_000, 3_700)],
+        tokens: 16_700,
+        max_output_tokens: 50,
+    }
+}
+
+fn request(exchange: u64, now_ms: u64, prompt: Prompt) -> Request {
     Request {
         id: Name::from(format!("{exchange:016x}")),
         route: "route".into(),
@@ -526,11 +665,7 @@
         objective_ms: now_ms + 1_200,
         gap_ms: 150,
         max_runs: 1,
-        prompt: Some(Prompt {
-            parts: vec![shared, (exchange + 1_000_000, 3_700)],
-            tokens: 16_700,
-            max_output_tokens: 50,
-        }),
+        prompt: Some(prompt),
     }
 }
 
