--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -89,6 +89,8 @@
     Describe { call: u64 },
     /// The settings have been read again and may name other instances that run replicas.
     Contacts(Vec<InstanceInfo>),
+    /// An operator lifts the block of a part of prompts.
+    LiftBlock { part: u64 },
     /// The platform's list has been read in full.
     Listed { upstreams: Vec<UpstreamRecord> },
     /// The platform's list could not be read.
@@ -277,6 +279,11 @@
                 self.confirm_read(now_ms, call, Read::Describe);
             }
             ControlEvent::Contacts(contacts) => self.add_contacts(contacts),
+            ControlEvent::LiftBlock { part } => {
+                let lifted = self.quarantine.lift(now_ms, part);
+                let operator = Name::from("operator");
+                self.log_verdicts(lifted.as_slice(), &operator, effects);
+            }
             ControlEvent::Listed { upstreams } => self.on_listed(now_ms, upstreams, effects),
             ControlEvent::OrderEnded {
                 upstream,
@@ -320,6 +327,11 @@
         self.listing.version()
     }
 
+    /// Returns the verdicts on parts of prompts under which engines crash.
+    pub fn verdicts(&self, now_ms: u64) -> Vec<Verdict> {
+        self.quarantine.verdicts().export(now_ms)
+    }
+
     /// Returns the version of the document in force on this replica.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -22,6 +22,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::answer::{self, AnswerBody};
+use crate::blocked_parts::{self, BLOCKED_PARTS_PATH};
 use crate::body;
 use crate::clock::Clock;
 use crate::compression::{self, MAX_DOCUMENT_BYTES};
@@ -339,9 +340,41 @@
         let answer = runtime.call(|call| ControlEvent::Describe { call }).await;
         return to_response(&runtime, answer, &path);
     }
+    if let Some(key) = path.strip_prefix(BLOCKED_PARTS_PATH) {
+        return manage_blocked_parts(&runtime, request.method(), key);
+    }
     answer::error(StatusCode::NOT_FOUND, "unknown_path", "no such call")
 }
 
+/// Lists the blocked parts of prompts, or lifts the block of one.
+fn manage_blocked_parts(
+    runtime: &ControlRuntime,
+    method: &Method,
+    key: &str,
+) -> Response<AnswerBody> {
+    let now_ms = runtime.clock.now_ms();
+    let verdicts = match runtime.control.borrow().as_ref() {
+        Some(control) => control.verdicts(now_ms),
+        None => {
+            return answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unavailable",
+                "the disk has failed",
+            );
+        }
+    };
+    if *method == Method::GET && key.is_empty() {
+        return answer::json(StatusCode::OK, blocked_parts::list(&verdicts));
+    }
+    match blocked_parts::find(&verdicts, key) {
+        Some(part) if *method == Method::DELETE => {
+            runtime.step(ControlEvent::LiftBlock { part });
+            answer::json(StatusCode::OK, "{}".to_owned())
+        }
+        _ => answer::error(StatusCode::NOT_FOUND, "unknown_part", "no such block"),
+    }
+}
+
 async fn publish(runtime: &ControlRuntime, request: Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
     let body = body::read_whole(request.into_body(), MAX_DOCUMENT_BYTES);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod blocked_parts;
 mod body;
 pub mod call;
 mod caller;
