--- a/crates/fleet/src/leader_client.rs
+++ b/crates/fleet/src/leader_client.rs
@@ -293,6 +293,7 @@
             stopping: is_stopping,
             view_version: self.view.version,
             demand,
+            quarantine: quarantine::Report::default(),
         });
         for voter in &self.voters {
             if self
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -206,6 +206,8 @@
     pub view_version: u64,
     /// Tokens that callers have requested of model services through this process.
     pub demand: Vec<ServiceDemand>,
+    /// What the instance has observed of crashes of engines.
+    pub quarantine: quarantine::Report,
 }
 
 /// Tokens that callers have requested of a service through one process since its start.
@@ -266,6 +268,8 @@
     pub live_instances: u64,
     /// Number of live instances that have the current revision in force.
     pub instances_in_force: u64,
+    /// Parts of prompts under which engines crash.
+    pub quarantine: quarantine::Update,
 }
 
 /// The leader's view of instances, gates and drain marks, which it sends to instances.
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -151,5 +151,5 @@
 
 /// Returns the key that stands for an upstream in load messages.
 pub fn upstream_key(id: &Name) -> u64 {
-    foldhash::fast::FixedState::default().hash_one(id)
+    quarantine::engine_key(id)
 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -107,6 +107,9 @@
             } => self.spawn(async move |engines| {
                 engines.read_cache_events(upstream, &address, after).await;
             }),
+            Effect::CheckUpstream { upstream, address } => self.spawn(async move |engines| {
+                engines.check(upstream, &address).await;
+            }),
             Effect::ReadPlatformList => self.read_platform_list(),
             Effect::AdminReply { token, reply } => self.admin_requests.complete(token, reply),
             Effect::InForce { revision, config } => {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 
+use crate::probe;
 use crate::queue::EventQueue;
 
 /// Time limit for reading a report. A report that takes longer is too old to be useful.
@@ -170,6 +171,17 @@
         }
     }
 
+    /// Checks whether an upstream has crashed and reports the result to the reducer.
+    pub async fn check(&self, upstream: Name, address: &Name) {
+        let has_crashed = probe::is_refusing(address).await;
+        self.events
+            .send(Event::UpstreamChecked {
+                upstream,
+                has_crashed,
+            })
+            .await;
+    }
+
     /// Reads an engine's state and reports it to the reducer.
     pub async fn read_engine(&self, upstream: Name, address: &Name) {
         let state = self
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer;
 pub mod persist;
 mod prefill;
+pub mod probe;
 pub mod prompt;
 pub mod queue;
 mod reactor;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -140,6 +140,12 @@
                 "There is no capacity now.",
             )
             .retry_after(*retry_after_ms),
+            Refusal::Quarantined { retry_after_ms } => Self::not_run(
+                S::SERVICE_UNAVAILABLE,
+                "quarantined",
+                "Engines crash under a part of the prompt, which is not sent now.",
+            )
+            .retry_after(*retry_after_ms),
             Refusal::TooLate { retry_after_ms } => Self::not_run(
                 S::SERVICE_UNAVAILABLE,
                 "too_late",
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -9,6 +9,8 @@
 const MIN_CRASHES: usize = 3;
 /// Separate crashes beyond the needed ones for which a part may wait that another one explains.
 const UNDECIDED_CRASHES: usize = 2;
+/// Crashes that a part may have besides those of another one that explains them.
+const MAX_UNEXPLAINED_CRASHES: usize = 1;
 /// Separate crashes by which more are needed for each time that the part was cleared: parts that are in use stand in many
 /// crashes by chance.
 const CRASHES_PER_CLEARANCE: usize = 2;
@@ -48,6 +50,13 @@
     at_ms: u64,
 }
 
+impl Crash {
+    /// Returns whether two reports are about the same crash.
+    fn is_same(&self, other: &Self) -> bool {
+        self.engine == other.engine && self.at_ms.abs_diff(other.at_ms) < SAME_ENGINE_MS
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct PartEvidence {
     /// Crashes since an engine last began to generate from the part, oldest first.
@@ -87,9 +96,7 @@
         if self.sound_ms.is_some_and(|at_ms| crash.at_ms <= at_ms) {
             return;
         }
-        let known = self.crashes.iter_mut().find(|known| {
-            known.engine == crash.engine && known.at_ms.abs_diff(crash.at_ms) < SAME_ENGINE_MS
-        });
+        let known = self.crashes.iter_mut().find(|known| known.is_same(&crash));
         match known {
             Some(known) => known.at_ms = known.at_ms.min(crash.at_ms),
             None => self.crashes.push(crash),
@@ -191,24 +198,20 @@
         }
     }
 
-    /// Returns whether a watched part further back in the prompts stands in so many of the crashes that it will soon be
-    /// blocked, which leaves too few of them for this one.
+    /// Returns whether a watched part further back in the prompts stands in almost all of the crashes, so that it is the
+    /// more likely cause.
     fn is_explained_further_back(&self, evidence: &PartEvidence, now_ms: u64) -> bool {
         if evidence.separate_crashes(now_ms) >= MIN_CRASHES + UNDECIDED_CRASHES {
             return false;
         }
-        let is_explained = |crash: &Crash, other: &PartEvidence| {
-            let mut crashes = other.crashes.iter();
-            crashes.any(|other| other.engine == crash.engine)
-        };
         self.parts.values().any(|other| {
             let unexplained = evidence
                 .crashes
                 .iter()
-                .filter(|crash| !is_explained(crash, other));
+                .filter(|crash| !other.crashes.iter().any(|known| known.is_same(crash)));
             other.depth > evidence.depth
                 && other.watched_since_ms.is_some()
-                && unexplained.count() < MIN_CRASHES
+                && unexplained.count() <= MAX_UNEXPLAINED_CRASHES
         })
     }
 
@@ -235,12 +238,9 @@
 
     fn explain(&mut self, now_ms: u64, explained: &[Crash]) {
         for evidence in self.parts.values_mut() {
-            evidence.crashes.retain(|crash| {
-                !explained.iter().any(|other| {
-                    other.engine == crash.engine
-                        && other.at_ms.abs_diff(crash.at_ms) < SAME_ENGINE_MS
-                })
-            });
+            evidence
+                .crashes
+                .retain(|crash| !explained.iter().any(|other| other.is_same(crash)));
             evidence.update_watch(now_ms);
         }
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -15,7 +15,14 @@
 pub mod suspects;
 pub mod verdicts;
 
+use std::hash::BuildHasher;
+
 pub use collector::Collector;
 pub use message::{CrashReport, Report, SoundReport, SuspectPart, Update, Verdict};
 pub use suspects::{Admission, Suspects};
 pub use verdicts::Verdicts;
+
+/// Returns the key that stands for an engine in reports.
+pub fn engine_key(id: &conf::Name) -> u64 {
+    foldhash::fast::FixedState::default().hash_one(id)
+}
--- a/crates/reducer/examples/target/mod.rs
+++ b/crates/reducer/examples/target/mod.rs
@@ -392,6 +392,7 @@
                 stopping: false,
                 view_version,
                 demand: Vec::new(),
+                quarantine: quarantine::Report::default(),
             }),
         }
     }
--- a/crates/reducer/src/arrival.rs
+++ b/crates/reducer/src/arrival.rs
@@ -4,6 +4,7 @@
 use conf::{Map, Name, ServiceConfig};
 use fleet::ServiceDemand;
 
+use crate::crash;
 use crate::effect::{Effect, Refusal, Sample};
 use crate::event::{Arrival, ExchangeId};
 use crate::exchange::{DEFAULT_OUTPUT_TOKENS, Exchange, ResolvedRequest};
@@ -69,10 +70,14 @@
     let client_account = position.map(|position| &config.client_accounts[*position]);
     let fallback_key = || fallback_key.into();
     let resolved = Exchange::resolve(state.now_ms, &config, client_account, arrival, fallback_key);
-    let exchange = match resolved {
+    let mut exchange = match resolved {
         Ok(exchange) => exchange,
         Err(refusal) => return effects.push(refuse(exchange_id, refusal)),
     };
+    if let Some(refusal) = crash::admit(state, &mut exchange) {
+        record_refusal(&exchange, &refusal, effects);
+        return effects.push(refuse(exchange_id, refusal));
+    }
     let waiting = waiting_request(state, &exchange, false);
     match state.queues.offer(state.now_ms, waiting) {
         Ok(()) => {
--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -4,6 +4,7 @@
 use ledger::{BeginReply, Outcome};
 
 use crate::arrival::{RETRY_AFTER_MS, caller_refusal, record_refusal, refuse, waiting_request};
+use crate::crash;
 use crate::dispatch::{dispatch, release_prefill_slot, release_slot, slot_id};
 use crate::effect::{Effect, Refusal, Sample};
 use crate::event::{End, ExchangeId};
@@ -59,7 +60,9 @@
     open_exchange.was_sent = true;
     open_exchange.output_tokens = open_exchange.output_tokens.max(output_tokens);
     open_exchange.last_progress_ms = now_ms;
+    open_exchange.generating_since_ms.get_or_insert(now_ms);
     record_first_token(open_exchange, now_ms, effects);
+    crash::on_generating(state, exchange, false);
     release_prefill_slot(state, exchange, attempt);
     state
         .routing_table
@@ -80,9 +83,15 @@
         return;
     }
     match end {
-        End::Complete { answer } => complete(state, exchange, answer, effects),
+        End::Complete { answer } => {
+            crash::on_generating(state, exchange, true);
+            complete(state, exchange, answer, effects);
+        }
         End::NotSent | End::Rejected => retry_not_run(state, exchange, effects),
-        End::Broken => resume(state, exchange, effects),
+        End::Broken => {
+            crash::on_broken(state, exchange, effects);
+            resume(state, exchange, effects);
+        }
         End::Cancelled => {}
     }
 }
@@ -184,7 +193,11 @@
     // The start of a plain answer that has reached the caller cannot be continued with the answer of another attempt.
     let is_answer_started = matches!(open_exchange.request, ResolvedRequest::Plain { .. })
         && open_exchange.first_token_ms.is_some();
-    if is_answer_started || !state.routing_table.take_retry(&upstream, &client_account) {
+    let is_blocked = crash::is_blocked(state, &state.exchanges[&exchange]);
+    if is_answer_started
+        || is_blocked
+        || !state.routing_table.take_retry(&upstream, &client_account)
+    {
         return refuse_exchange(state, exchange, Refusal::UpstreamFailed, effects);
     }
     requeue(state, exchange, effects);
--- a/crates/reducer/src/control.rs
+++ b/crates/reducer/src/control.rs
@@ -8,7 +8,7 @@
 use crate::membership::{bring_into_force, on_ask_config, on_report, on_report_reply};
 use crate::replica::{on_propose, on_propose_reply, on_quorum, on_settled, submit};
 use crate::state::{State, log};
-use crate::{arrival, dispatch, load};
+use crate::{arrival, crash, dispatch, load};
 
 /// Longest time for which a stopping instance waits for the release of its gates, in milliseconds.
 const RELEASE_WAIT_MS: u64 = 3_000;
@@ -20,7 +20,8 @@
     let revision = state.leader_client.revision();
     let demand = &state.demand;
     let reported = || arrival::reported_demand(demand);
-    for outgoing in state.leader_client.tick(now_ms, is_stopping, reported) {
+    for mut outgoing in state.leader_client.tick(now_ms, is_stopping, reported) {
+        crash::add_to_report(state, &mut outgoing.message);
         state.send_to(outgoing.to, outgoing.address, outgoing.message, effects);
     }
     // After a restart without contact to a leader, the leader client may have taken its configuration from other
--- a/crates/reducer/src/dispatch.rs
+++ b/crates/reducer/src/dispatch.rs
@@ -10,6 +10,7 @@
 
 use crate::arrival::{caller_refusal, expected_output};
 use crate::attempt::refuse_queued;
+use crate::crash;
 use crate::effect::{Effect, Prefill, Sample};
 use crate::event::{End, ExchangeId};
 use crate::exchange::{Exchange, Phase, ResolvedRequest};
@@ -47,7 +48,9 @@
         let (Some(waiting), Some(choice)) = (next, choice) else {
             break;
         };
-        reserve_slot(state, waiting.id, &choice, effects);
+        if !crash::refuse_if_blocked(state, waiting.id, effects) {
+            reserve_slot(state, waiting.id, &choice, effects);
+        }
     }
 }
 
@@ -219,6 +222,7 @@
     };
     open_exchange.phase = Phase::Running;
     open_exchange.last_progress_ms = now_ms;
+    open_exchange.generating_since_ms = None;
     // Engines schedule by priority, so a single queue, which ignores ranks, must send every request with the same
     // priority.
     let priority = match state.settings.decisions.queueing {
--- a/crates/reducer/src/effect.rs
+++ b/crates/reducer/src/effect.rs
@@ -65,6 +65,8 @@
         address: Name,
         after: u64,
     },
+    /// Check whether an upstream has crashed: whether it refuses connections.
+    CheckUpstream { upstream: Name, address: Name },
     /// Read the platform's list of instances and upstreams.
     ReadPlatformList,
     /// Reply to a request of the administration interface.
@@ -108,6 +110,8 @@
     OverLimit { retry_after_ms: u64 },
     /// The rank's queue is full or no upstream is available. 503, not run.
     NoCapacity { retry_after_ms: u64 },
+    /// Engines crash under a part of the prompt. 503, not run.
+    Quarantined { retry_after_ms: u64 },
     /// The request could not meet its deadline. 503, not run.
     TooLate { retry_after_ms: u64 },
     /// The instance is stopping. 503, not run.
@@ -221,6 +225,7 @@
             Refusal::RankNotAllowed => "rank_not_allowed",
             Refusal::OverLimit { .. } => "over_limit",
             Refusal::NoCapacity { .. } => "no_capacity",
+            Refusal::Quarantined { .. } => "quarantined",
             Refusal::TooLate { .. } => "too_late",
             Refusal::Stopping => "stopping",
             Refusal::NotReady => "not_ready",
--- a/crates/reducer/src/event.rs
+++ b/crates/reducer/src/event.rs
@@ -45,6 +45,8 @@
         first: u64,
         events: Vec<CacheEvent>,
     },
+    /// It was checked whether an upstream has crashed.
+    UpstreamChecked { upstream: Name, has_crashed: bool },
     /// The platform's list of instances and upstreams was read.
     PlatformList(Vec<PlatformListEntry>),
     /// A message was received from another instance, which has proved that it knows the shared secret.
--- a/crates/reducer/src/exchange.rs
+++ b/crates/reducer/src/exchange.rs
@@ -87,6 +87,10 @@
     /// Time of the dispatch or of the latest progress of the current attempt, in milliseconds.
     pub last_progress_ms: u64,
     pub output_tokens: u32,
+    /// When the first output of the current attempt arrived, in milliseconds.
+    pub generating_since_ms: Option<u64>,
+    /// Whether the request tries a part of its prompt under which engines have crashed.
+    pub is_trial: bool,
     /// Whether bytes of the request may have reached an upstream in any attempt.
     pub was_sent: bool,
     /// Sequence number in the ledger's id of the current attempt; 0 before the first one.
@@ -152,6 +156,8 @@
             first_token_ms: None,
             last_progress_ms: now_ms,
             output_tokens: 0,
+            generating_since_ms: None,
+            is_trial: false,
             was_sent: false,
             ledger_sequence: 0,
             preemptions: 0,
--- a/crates/reducer/src/leader.rs
+++ b/crates/reducer/src/leader.rs
@@ -7,6 +7,7 @@
     ClusterView, Command, ControlState, InForceCounts, InstanceReport, LeaderReply, PlatformList,
     Roster,
 };
+use quarantine::Collector;
 
 use crate::event::LoadReport;
 use crate::planning::RolePlanning;
@@ -22,6 +23,7 @@
     planning: RolePlanning,
     cached_view: Option<CachedView>,
     next_maintenance_ms: u64,
+    quarantine: Collector,
 }
 
 /// The cluster view and the instance counts, cached until one of their sources changes.
@@ -42,6 +44,7 @@
             planning: RolePlanning::new(now_ms, planning),
             cached_view: None,
             next_maintenance_ms: now_ms,
+            quarantine: Collector::default(),
         }
     }
 
@@ -60,6 +63,7 @@
         platform: &PlatformList,
     ) -> LeaderReply {
         self.planning.on_report(report);
+        let quarantine = self.update_quarantine(now_ms, &report.quarantine);
         if self.roster.on_report(now_ms, report) {
             self.cached_view = None;
         }
@@ -79,6 +83,22 @@
             view: (view.version != report.view_version).then(|| view.clone()),
             live_instances: counts.live,
             instances_in_force: counts.in_force,
+            quarantine,
+        }
+    }
+
+    /// Records what an instance has observed of crashes, and returns the verdicts that the instance lacks.
+    fn update_quarantine(
+        &mut self,
+        now_ms: u64,
+        report: &quarantine::Report,
+    ) -> quarantine::Update {
+        self.quarantine.on_report(now_ms, report, false);
+        self.quarantine.decide(now_ms);
+        let trials = self.quarantine.take_trials(now_ms, &report.refused);
+        quarantine::Update {
+            trials,
+            ..self.quarantine.update(now_ms, report.version)
         }
     }
 
--- a/crates/reducer/src/lib.rs
+++ b/crates/reducer/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrival;
 mod attempt;
 mod control;
+mod crash;
 mod dispatch;
 pub mod effect;
 pub mod event;
--- a/crates/reducer/src/membership.rs
+++ b/crates/reducer/src/membership.rs
@@ -6,10 +6,10 @@
 use fleet::{ConfigRevision, InstanceInfo, InstanceReport, LeaderReply, ListedState, PeerMessage};
 use route::Presence;
 
-use crate::arrival;
 use crate::effect::{Component, Effect, Level};
 use crate::event::PlatformListEntry;
 use crate::state::{State, log};
+use crate::{arrival, crash};
 
 /// Applies the platform's list to the routing table and the membership.
 pub(crate) fn on_platform_list(state: &mut State, list: Vec<PlatformListEntry>) {
@@ -80,6 +80,9 @@
     if change.config {
         bring_into_force(state, effects);
     }
+    if reply.is_leader {
+        crash::on_update(state, &reply.quarantine, effects);
+    }
 }
 
 /// Replies to an instance that asks for the configuration.
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -7,6 +7,7 @@
 use conf::settings::{Queueing, Routing};
 use conf::{Map, Name, ServiceConfig, Settings};
 use fleet::{GateHolder, LeaderClient, OrderSender, PeerMessage, PlatformList};
+use quarantine::Suspects;
 use quorum::{RecoveredState, Replica, ReplicaId, ReplicaSettings};
 use route::{Policy, UpstreamTable};
 
@@ -17,7 +18,7 @@
 use crate::proposer::Proposer;
 use crate::replication::Replication;
 use crate::watch::ReadTimers;
-use crate::{arrival, attempt, control, load, membership, replica, serve};
+use crate::{arrival, attempt, control, crash, load, membership, replica, serve};
 
 /// Number of log entries after which a snapshot is taken.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
@@ -63,6 +64,8 @@
     pub(crate) loads: Map<Name, LoadReport>,
     /// Prompt and output tokens requested from each model service since the process started.
     pub(crate) demand: Map<Name, (u64, u64)>,
+    /// Parts of prompts under which engines crash.
+    pub(crate) suspects: Suspects,
     pub(crate) next_preempt_ms: u64,
     pub(crate) stopping_since_ms: Option<u64>,
     pub(crate) has_exited: bool,
@@ -104,6 +107,7 @@
             speeds: Map::default(),
             loads: Map::default(),
             demand: Map::default(),
+            suspects: Suspects::default(),
             next_preempt_ms: 0,
             stopping_since_ms: None,
             has_exited: false,
@@ -207,6 +211,10 @@
             first,
             events,
         } => load::on_cache_events(state, &upstream, first, &events),
+        Event::UpstreamChecked {
+            upstream,
+            has_crashed,
+        } => crash::on_checked(state, &upstream, has_crashed, effects),
         Event::PlatformList(list) => membership::on_platform_list(state, list),
         Event::Peer { from, message } => control::on_message(state, from, message, effects),
         Event::Persisted { ticket } => {
--- a/crates/reducer/tests/support/mod.rs
+++ b/crates/reducer/tests/support/mod.rs
@@ -106,6 +106,10 @@
     pub suspend_before_order: Option<(Name, u64)>,
     pub services: BTreeMap<Name, PlainService>,
     pub engines: BTreeMap<Name, Engine>,
+    /// Parts of prompts, by instance and exchange.
+    prompts: BTreeMap<(Name, u64), Vec<u64>>,
+    /// Part of a prompt under which engines crash.
+    pub deadly_part: Option<u64>,
     /// Keys of non-idempotent requests, by instance and exchange.
     pub requests: BTreeMap<(Name, u64), Name>,
     pub outcomes: BTreeMap<(Name, u64), Outcome>,
@@ -135,6 +139,8 @@
             suspend_before_order: None,
             services: BTreeMap::new(),
             engines: BTreeMap::new(),
+            prompts: BTreeMap::new(),
+            deadly_part: None,
             requests: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             answered: BTreeSet::new(),
@@ -384,9 +390,16 @@
 
     /// Sends a chat completion, an idempotent request, through an instance. Returns the instance and its exchange id.
     pub fn chat(&mut self, id: &Name) -> (Name, u64) {
+        self.chat_with(id, Vec::new())
+    }
+
+    /// Sends a chat completion with some chunks of the prompt.
+    pub fn chat_with(&mut self, id: &Name, chunk_hashes: Vec<u64>) -> (Name, u64) {
         let instance = self.instances.get_mut(id).expect("the instance exists");
         instance.last_exchange += 1;
         let exchange = instance.last_exchange;
+        self.prompts
+            .insert((id.clone(), exchange), chunk_hashes.clone());
         let arrival = Arrival {
             exchange,
             client_account: "parish".into(),
@@ -394,7 +407,7 @@
             kind: RequestKind::Chat {
                 model: "lang".into(),
                 prompt_tokens: 100,
-                chunk_hashes: Vec::new(),
+                chunk_hashes,
                 max_tokens: Some(20),
             },
         };
@@ -554,6 +567,17 @@
             Effect::Log { text, .. } => {
                 self.logs.push(format!("{} {id}: {text}", self.now_ms));
             }
+            Effect::CheckUpstream { upstream, .. } => {
+                let has_crashed = self
+                    .engines
+                    .get(&upstream)
+                    .is_some_and(|engine| engine.is_down);
+                let event = Event::UpstreamChecked {
+                    upstream,
+                    has_crashed,
+                };
+                self.schedule_for_process(id, 2, Action::Event(event));
+            }
             Effect::Cancel { .. }
             | Effect::ReadCacheEvents { .. }
             | Effect::ReadPlatformList
@@ -602,8 +626,22 @@
         {
             return;
         }
+        let prompt = self.prompts.get(&(id.clone(), exchange));
+        let is_deadly = self
+            .deadly_part
+            .is_some_and(|part| prompt.is_some_and(|prompt| prompt.contains(&part)));
         if let Some(engine) = self.engines.get_mut(upstream) {
             engine.received += 1;
+            if is_deadly && !engine.is_down {
+                engine.crashes += 1;
+                engine.is_down = true;
+                let event = Event::Ended {
+                    exchange,
+                    attempt,
+                    end: End::Broken,
+                };
+                return self.schedule_for_process(id, 5, Action::Event(event));
+            }
         }
         let end = if self.now_ms > *send_deadline_ms {
             End::NotSent
--- a/crates/reducer/tests/support/upstream.rs
+++ b/crates/reducer/tests/support/upstream.rs
@@ -61,6 +61,8 @@
     pub applied_orders: Vec<AppliedOrder>,
     /// Number of chat requests received.
     pub received: usize,
+    /// Number of crashes under a request.
+    pub crashes: usize,
 }
 
 impl Engine {
@@ -74,6 +76,7 @@
             is_suspended: false,
             applied_orders: Vec::new(),
             received: 0,
+            crashes: 0,
         }
     }
 
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -11,6 +11,7 @@
 use gateway::{Config, Directive, Entry};
 use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
+use node::probe;
 use reducer::Event;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -118,7 +119,7 @@
                     return;
                 };
                 tokio::task::spawn_local(async move {
-                    let has_crashed = runtime.client.pool.is_refusing(&address).await;
+                    let has_crashed = probe::is_refusing(&address).await;
                     runtime.step(EntryEvent::Checked {
                         upstream,
                         has_crashed,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -36,9 +36,6 @@
 /// Number of unanswered probes after which a connection counts as dead.
 const MAX_PROBES: u32 = 2;
 
-/// Timeout of checking whether an upstream refuses connections.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Maximum size of an answer to one of the instance's own calls, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -142,16 +139,6 @@
         }
     }
 
-    /// Returns whether `address` refuses connections, so that no process listens there. An address that does not answer
-    /// may be partitioned from this instance.
-    pub async fn is_refusing(&self, address: &Name) -> bool {
-        let connect = TcpStream::connect(address.as_str());
-        match tokio::time::timeout(CHECK_TIMEOUT, connect).await {
-            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        }
-    }
-
     /// Closes idle connections that have expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
--- a/crates/wire/examples/encoded_bytes.rs
+++ b/crates/wire/examples/encoded_bytes.rs
@@ -186,6 +186,7 @@
         stopping: false,
         view_version: 77,
         demand: Vec::new(),
+        quarantine: quarantine::Report::default(),
     }
 }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -462,6 +462,7 @@
   stopping @3 :Bool;
   viewVersion @4 :UInt64;
   demand @5 :List(ServiceDemand);
+  quarantine @6 :QuarantineReport;
 }
 
 struct Gate {
@@ -481,6 +482,7 @@
   view @6 :ClusterView;
   liveInstances @7 :UInt64;
   instancesInForce @8 :UInt64;
+  quarantine @9 :QuarantineUpdate;
 }
 
 struct ClusterView {
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -12,6 +12,7 @@
 };
 use crate::error::DecodeError;
 use crate::peer_capnp as schema;
+use crate::quarantine;
 
 pub fn write_instance_info(info: &InstanceInfo, mut builder: schema::instance_info::Builder<'_>) {
     builder.set_id(info.id.as_str());
@@ -40,6 +41,7 @@
     builder.set_revision(report.revision);
     builder.set_stopping(report.stopping);
     builder.set_view_version(report.view_version);
+    quarantine::write_report(&report.quarantine, builder.reborrow().init_quarantine());
     let mut demand = builder.init_demand(report.demand.len() as u32);
     for (index, service) in (0..).zip(&report.demand) {
         write_service_demand(service, demand.reborrow().get(index));
@@ -76,6 +78,7 @@
             .iter()
             .map(read_service_demand)
             .collect::<Result<_, _>>()?,
+        quarantine: quarantine::read_report(reader.get_quarantine()?)?,
     })
 }
 
@@ -175,6 +178,7 @@
     }
     builder.set_live_instances(reply.live_instances);
     builder.set_instances_in_force(reply.instances_in_force);
+    quarantine::write_update(&reply.quarantine, builder.init_quarantine());
 }
 
 pub fn read_leader_reply(
@@ -196,6 +200,7 @@
             .transpose()?,
         live_instances: reader.get_live_instances(),
         instances_in_force: reader.get_instances_in_force(),
+        quarantine: quarantine::read_update(reader.get_quarantine()?)?,
     })
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -30681,6 +30681,19 @@
         pub fn has_demand(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_quarantine(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::quarantine_report::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_quarantine(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -30690,7 +30703,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -30866,6 +30879,34 @@
         pub fn has_demand(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_quarantine(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::quarantine_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_quarantine(
+            &mut self,
+            value: crate::peer_capnp::quarantine_report::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_quarantine(self) -> crate::peer_capnp::quarantine_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_quarantine(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -30882,19 +30923,22 @@
         pub fn get_info(&self) -> crate::peer_capnp::instance_info::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_quarantine(&self) -> crate::peer_capnp::quarantine_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 185, 228, 1, 65, 237, 212, 199),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -30902,49 +30946,56 @@
             ::capnp::word(110, 99, 101, 82, 101, 112, 111, 114),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -31001,6 +31052,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 133, 130, 197, 70, 59, 102, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -31010,6 +31070,7 @@
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::service_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::quarantine_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -31028,9 +31089,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 0, 2, 1, 3, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 0, 6, 2, 1, 3, 4];
         pub(crate) const TYPE_ID: u64 = 0xc7d4_ed41_01e4_b91a;
     }
 }
@@ -31644,6 +31705,19 @@
         pub fn get_instances_in_force(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_quarantine(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::quarantine_update::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_quarantine(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -31653,7 +31727,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 6,
-                pointers: 3,
+                pointers: 4,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -31864,6 +31938,34 @@
         pub fn set_instances_in_force(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_quarantine(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::quarantine_update::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_quarantine(
+            &mut self,
+            value: crate::peer_capnp::quarantine_update::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_quarantine(self) -> crate::peer_capnp::quarantine_update::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        }
+        #[inline]
+        pub fn has_quarantine(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline {
@@ -31883,89 +31985,99 @@
         pub fn get_view(&self) -> crate::peer_capnp::cluster_view::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
         }
+        pub fn get_quarantine(&self) -> crate::peer_capnp::quarantine_update::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(122, 197, 129, 33, 79, 151, 93, 145),
             ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 101, 97, 100, 101),
             ::capnp::word(114, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -32044,6 +32156,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(51, 96, 195, 31, 75, 210, 253, 200),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -32056,6 +32177,7 @@
                 6 => <crate::peer_capnp::cluster_view::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::quarantine_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -32074,9 +32196,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 8, 1, 2, 7, 4, 0, 3, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 8, 1, 2, 7, 9, 4, 0, 3, 6];
         pub(crate) const TYPE_ID: u64 = 0x915d_974f_2181_c57a;
     }
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -92,6 +92,7 @@
             stopping: flag(g),
             view_version: number(g),
             demand: list(g, service_demand),
+            quarantine: quarantine_report(g),
         }),
         4 => PeerMessage::ReportReply(leader_reply(g)),
         5 => PeerMessage::Digest(list(g, load_digest)),
@@ -590,6 +591,7 @@
         view: option(g, cluster_view),
         live_instances: number(g),
         instances_in_force: number(g),
+        quarantine: quarantine_update(g),
     }
 }
 
