Read and log the limits on requests that upstreams state

The logs could not show whether an entry had seen a limit when it sent more. The head of each answer is now read for it, values that are no limit are ignored, and an entry logs each change. No decision is changed.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
 use crate::exchange::{
-    Directive, Outcome, Prompt, Refusal, RefusalReason, Request, Task, UpstreamCall,
+    Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
 use crate::listing::{self, NO_LISTING};
 use crate::place::{self, Choice, PlacementContext};
@@ -52,6 +52,8 @@
 const STREAM_TIME_WEIGHT: f64 = 0.05;
 /// Multiple of the average duration for which a stream may last that a stopping process still begins.
 const STREAM_TIME_MARGIN: f64 = 3.0;
+/// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
+const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -91,6 +93,8 @@
     CallFailed { exchange: u64, outcome: Outcome },
     /// The answer has been forwarded in full, or the caller has disconnected.
     Closed { exchange: u64, is_complete: bool },
+    /// The head of an upstream's answer states a limit on requests, or none.
+    LimitStated { upstream: Name, stated: StatedLimit },
     /// It has been checked whether an upstream has crashed.
     Checked { upstream: Name, has_crashed: bool },
 }
@@ -272,6 +276,9 @@
             } => {
                 self.on_closed(now_ms, exchange, is_complete, effects);
             }
+            EntryEvent::LimitStated { upstream, stated } => {
+                self.on_limit_stated(now_ms, &upstream, stated, effects);
+            }
             EntryEvent::Checked {
                 upstream,
                 has_crashed,
@@ -597,6 +604,33 @@
         }
     }
 
+    fn on_limit_stated(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        stated: StatedLimit,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if upstream.stated_limit == stated {
+            return;
+        }
+        // A log line for each change of the limit, but not for each answer of an upstream whose answers differ.
+        let is_due = now_ms >= upstream.limit_logged_ms + LIMIT_LOG_INTERVAL_MS;
+        if is_due || matches!(stated, StatedLimit::PerSecond(_)) {
+            upstream.limit_logged_ms = now_ms;
+            let text = match stated {
+                StatedLimit::Absent => format!("upstream={id} limit=none"),
+                StatedLimit::PerSecond(per_s) => format!("upstream={id} limit={per_s}"),
+                StatedLimit::Invalid => format!("upstream={id} limit=invalid outcome=ignored"),
+            };
+            log(effects, Importance::StateChange, text);
+        }
+        upstream.stated_limit = stated;
+    }
+
     fn on_checked(
         &mut self,
         now_ms: u64,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -163,6 +163,18 @@
     pub retry_after_ms: u64,
 }
 
+/// The limit on requests that an answer of an upstream states.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// The answer states no limit.
+    #[default]
+    Absent,
+    /// Requests per second from all instances together.
+    PerSecond(f64),
+    /// The answer states something that is no limit.
+    Invalid,
+}
+
 /// How a call to an upstream ended without an answer that was forwarded to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,6 @@
 
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
 pub use entry::{Entry, EntrySettings};
-pub use exchange::{Directive, Outcome, Prompt, Refusal, RefusalReason, Request, UpstreamCall};
+pub use exchange::{
+    Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, UpstreamCall,
+};
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use conf::{Map, Name, Role};
 use fleet::{UpstreamLoad, UpstreamRecord};
 
+use crate::exchange::StatedLimit;
 use crate::listing;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
@@ -55,6 +56,10 @@
     pub others_running: u32,
     /// Prompt tokens of those entries that the upstream has not computed.
     pub others_prompt_tokens: u32,
+    /// Limit on requests that the latest answer stated.
+    pub stated_limit: StatedLimit,
+    /// When the limit was last logged.
+    pub limit_logged_ms: u64,
     consecutive_failures: u32,
     failure_rate: f64,
     /// When the failure rate was last changed.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::exchange::Task;
-use gateway::{Outcome, UpstreamCall};
+use gateway::{Outcome, StatedLimit, UpstreamCall};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -25,6 +25,8 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of the answer to a prefill call, in bytes. It contains little more than a handle.
 const MAX_PREFILL_ANSWER_BYTES: usize = 64 * 1024;
+/// Largest limit on requests that an upstream may state, in requests per second.
+const MAX_LIMIT_PER_S: f64 = 1_000_000.0;
 /// Timeout of the call that frees a handle.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Header in which the upstream states for how long it keeps an idle connection.
@@ -107,6 +109,9 @@
     }
 }
 
+/// Receives the limit on requests that the answer of an upstream states.
+pub type LimitObserver<'a> = &'a dyn Fn(StatedLimit);
+
 /// Makes calls to upstreams.
 pub struct Client {
     /// Connections to upstreams.
@@ -119,6 +124,7 @@
 
 impl Client {
     /// Calls an upstream. `last_event_id` is the id of the last event that the caller has received of a resumed stream.
+    /// `observe_limit` is called with what the head of the answer states.
     ///
     /// # Errors
     /// Returns the outcome and its reason if there is no answer to forward.
@@ -127,6 +133,7 @@
         call: &UpstreamCall,
         forwarded: &ForwardedRequest,
         last_event_id: Option<&str>,
+        observe_limit: LimitObserver<'_>,
     ) -> Result<CallAnswer, CallFailure> {
         let deadline = self.clock.instant(call.deadline_ms);
         let head_deadline = match call.head_deadline_ms {
@@ -141,6 +148,10 @@
         let request = self.build_request(call, forwarded, last_event_id);
         let (response, connection) = send_request(connection, request, head_deadline).await?;
         self.validate_request_id(forwarded, &response, connection.is_reused)?;
+        let names = self.dialect.header_names();
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            observe_limit(stated_limit(response.headers(), &names.request_limit));
+        }
         self.validate_head(call, &response)?;
         if call.task != Task::Prefill && forwarded.is_stream && response.status().is_success() {
             return Ok(to_stream(response, connection, &call.address));
@@ -393,6 +404,24 @@
     })
 }
 
+/// Returns the limit that an answer states. A limit must be stated once, as a number of requests per second.
+fn stated_limit(headers: &HeaderMap, name: &HeaderName) -> StatedLimit {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return StatedLimit::Absent;
+    };
+    let per_s = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match per_s {
+        Some(per_s) if values.next().is_none() && (0.0..=MAX_LIMIT_PER_S).contains(&per_s) => {
+            StatedLimit::PerSecond(per_s)
+        }
+        _ => StatedLimit::Invalid,
+    }
+}
+
 /// Removes the hop-by-hop headers, which apply to one connection only, and the content length, which the HTTP library
 /// sets itself.
 fn remove_hop_headers(headers: &mut HeaderMap) {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,7 +8,8 @@
 use conf::Name;
 use gateway::entry::EntryEvent;
 use gateway::{
-    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, UpstreamCall,
+    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, StatedLimit,
+    UpstreamCall,
 };
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -67,6 +68,13 @@
             .step(EntryEvent::Prefilled { exchange, handle });
     }
 
+    /// Reports the limit that the answer to a call states.
+    pub fn observe_limit(&self, call: &UpstreamCall, stated: StatedLimit) {
+        let upstream = call.upstream.clone();
+        self.runtime
+            .step(EntryEvent::LimitStated { upstream, stated });
+    }
+
     /// Reports that the answer has been forwarded in full.
     pub fn finish(mut self) {
         self.close(true);
@@ -220,7 +228,9 @@
     loop {
         match exchange.next().await {
             Some(Directive::Call(call)) => {
-                match exchange.runtime.client.call(&call, &forwarded, None).await {
+                let observe_limit = |stated| exchange.observe_limit(&call, stated);
+                let client = &exchange.runtime.client;
+                match client.call(&call, &forwarded, None, &observe_limit).await {
                     Ok(CallAnswer::Prefilled(handle)) => exchange.prefilled(handle),
                     Ok(CallAnswer::Complete(response)) => {
                         exchange.finish();
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -28,6 +28,8 @@
     pub kv_source: HeaderName,
     /// Address of the engine from which the KV cache of the shared prefix is fetched first.
     pub fetch_from: HeaderName,
+    /// Requests per second that the upstream takes from all instances together, in its answers.
+    pub request_limit: HeaderName,
     /// Headers that only this system may set. An entry removes them from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -132,7 +132,9 @@
             return None;
         };
         let client = &exchange.runtime.client;
-        let answer = client.call(&call, forwarded, cursor.last_event_id.as_deref());
+        let observe_limit = |stated| exchange.observe_limit(&call, stated);
+        let last_event_id = cursor.last_event_id.as_deref();
+        let answer = client.call(&call, forwarded, last_event_id, &observe_limit);
         let result = tokio::select! {
             result = answer => result,
             () = events.closed() => return None,
