--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,9 +18,9 @@
 pub use control::{ControlParts, ControlState, GateState, engines};
 pub use leader_client::LeaderClient;
 pub use message::{
-    ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, ListingUpdate,
-    LoadDigest, PeerMessage, PrefixUse, ProposeReply, ServiceDemand, UpstreamList, UpstreamLoad,
-    UpstreamRecord, Watch, WatchReply,
+    ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LimitReport,
+    LimitShare, ListingUpdate, LoadDigest, PeerMessage, PrefixUse, ProposeReply, ServiceDemand,
+    UpstreamList, UpstreamLoad, UpstreamRecord, Watch, WatchReply,
 };
 pub use order_gate::{EngineState, GateAction, OrderAnswer, OrderSender};
 pub use platform::{ListedState, PlatformList};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -44,7 +44,7 @@
 }
 
 /// Subscription of an instance to a replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Watch {
     /// Identity, availability zone and peer address of the subscriber.
     pub info: InstanceInfo,
@@ -63,10 +63,12 @@
     pub prefix_uses: Vec<PrefixUse>,
     /// What the subscriber has observed of crashes of engines.
     pub quarantine: quarantine::Report,
+    /// Limits on requests that upstreams have stated to the subscriber.
+    pub limits: Vec<LimitReport>,
 }
 
 /// Reply of a replica to a subscriber.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct WatchReply {
     /// Number of the `Watch` message that the reply belongs to.
     pub sequence: u64,
@@ -95,6 +97,8 @@
     pub prefix_uses: Vec<PrefixUse>,
     /// Parts of prompts under which engines crash.
     pub quarantine: quarantine::Update,
+    /// The subscriber's shares of the limits on requests that upstreams have stated; empty in most replies.
+    pub limit_shares: Vec<LimitShare>,
 }
 
 /// What a subscriber lacks of a version of the list of upstreams.
@@ -139,6 +143,28 @@
 
 impl Eq for UpstreamList {}
 
+/// Limit on requests that an upstream has stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitReport {
+    /// Hash of the upstream's instance id.
+    pub upstream_key: u64,
+    /// Requests per second from all instances together; none if the limit has ended.
+    pub per_s: Option<f64>,
+    /// Time since an answer stated that, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Share of an instance of the limit on requests that an upstream has stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitShare {
+    /// Hash of the upstream's instance id.
+    pub upstream_key: u64,
+    /// Requests per second from all instances together.
+    pub per_s: f64,
+    /// Requests per second that the receiver may send.
+    pub share_per_s: f64,
+}
+
 /// Use of a shared prompt prefix at an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PrefixUse {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,7 +5,8 @@
 
 use conf::{Map, Name, Set};
 use fleet::{
-    InstanceInfo, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad, UpstreamRecord, WatchReply,
+    InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad,
+    UpstreamRecord, WatchReply,
 };
 
 use quarantine::{Admission, Suspects, Verdict};
@@ -15,6 +16,7 @@
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
+use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
 use crate::place::{self, Choice, PlacementContext};
 use crate::subscription::Subscription;
@@ -161,6 +163,8 @@
     writing_since_ms: Option<u64>,
     /// Whether the request tries a part under which engines have crashed.
     is_trial: bool,
+    /// Engine whose limit already counts the hand-off of this request.
+    reserved_decoder: Option<Name>,
     task: Option<Task>,
 }
 
@@ -291,6 +295,7 @@
             let version = self.config.as_ref().map_or(0, |config| config.version());
             let loads = self.own_loads();
             self.observe_generation(now_ms);
+            let limits = self.limit_reports(now_ms);
             let due = self.subscription.watch(
                 now_ms,
                 version,
@@ -299,7 +304,8 @@
                 std::mem::take(&mut self.prefix_uses),
                 &mut self.suspects,
             );
-            if let Some((to, watch)) = due {
+            if let Some((to, mut watch)) = due {
+                watch.limits = limits;
                 effects.push(EntryEffect::Send {
                     to: to.id,
                     address: to.peer_address,
@@ -337,6 +343,7 @@
         if let Some(loads) = &reply.loads {
             self.set_others_loads(loads);
         }
+        self.apply_limit_shares(now_ms, &reply.limit_shares);
         for prefix_use in reply.prefix_uses {
             if let Some(id) = self.upstream_ids.get(&prefix_use.upstream_key)
                 && let Some(upstream) = self.upstreams.get_mut(id)
@@ -348,6 +355,43 @@
         self.dispatch_all_queues(now_ms, effects);
     }
 
+    /// Returns the limits that are to be reported to the replica, and removes those that are over.
+    fn limit_reports(&mut self, now_ms: u64) -> Vec<LimitReport> {
+        let mut reports = Vec::new();
+        for upstream in self.upstreams.values_mut() {
+            let Some(limit) = &mut upstream.limit else {
+                continue;
+            };
+            if limit.is_over(now_ms) {
+                upstream.limit = None;
+            } else if limit.take_report_due(now_ms) {
+                reports.push(limit.report(now_ms, upstream.key));
+            }
+        }
+        reports
+    }
+
+    fn apply_limit_shares(&mut self, now_ms: u64, shares: &[LimitShare]) {
+        for share in shares {
+            let id = self.upstream_ids.get(&share.upstream_key);
+            let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(id)) else {
+                continue;
+            };
+            upstream
+                .limit
+                .get_or_insert_with(|| RequestLimit::new(now_ms, share.per_s))
+                .set_share(now_ms, share.share_per_s, self.entry_count);
+        }
+    }
+
+    /// Returns the reason for the refusal of a request, which may have run at an upstream that failed.
+    fn after_runs(&self, exchange: u64, reason: RefusalReason) -> RefusalReason {
+        match self.exchanges[&exchange].runs {
+            0 => reason,
+            _ => RefusalReason::Failed,
+        }
+    }
+
     /// Returns the load that this entry has sent to upstreams.
     fn own_loads(&self) -> Vec<UpstreamLoad> {
         let assigned_work = self
@@ -444,8 +488,12 @@
     ) {
         let id = record.id.clone();
         let known = self.upstreams.get_mut(&id);
+        // The reason for a limit may outlast a restart. If it does not, the next answers say so.
+        let limit = known.as_ref().and_then(|known| known.limit.clone());
         let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
-            self.upstreams.insert(id, Upstream::new(record));
+            let mut upstream = Upstream::new(record);
+            upstream.limit = limit;
+            self.upstreams.insert(id, upstream);
             return;
         };
         upstream.record_hash = listing::record_hash(&record);
@@ -513,6 +561,7 @@
             sent_ms: now_ms,
             writing_since_ms: None,
             is_trial: false,
+            reserved_decoder: None,
             task: None,
         };
         self.exchanges.insert(exchange, state);
@@ -611,9 +660,20 @@
         stated: StatedLimit,
         effects: &mut Vec<EntryEffect>,
     ) {
+        let entries = self.entry_count;
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
+        match (stated, &mut upstream.limit) {
+            (StatedLimit::PerSecond(per_s), Some(limit)) => {
+                limit.on_stated(now_ms, per_s, entries);
+            }
+            (StatedLimit::PerSecond(per_s), None) => {
+                upstream.limit = Some(RequestLimit::new(now_ms, per_s));
+            }
+            (StatedLimit::Absent, Some(limit)) => limit.on_unstated(now_ms),
+            (StatedLimit::Absent, None) | (StatedLimit::Invalid, _) => {}
+        }
         if upstream.stated_limit == stated {
             return;
         }
@@ -668,7 +728,13 @@
         let context = self.placement_context(now_ms, state);
         let upstreams = self.service_upstreams(&state.request.service);
         let Some(upstream) = place::choose_plain(&context, upstreams) else {
-            return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
+            let upstreams = self.service_upstreams(&state.request.service);
+            let (reason, wait_ms) = match place::limit_wait_ms(&context, upstreams) {
+                Some(wait_ms) => (RefusalReason::Limited, wait_ms as u64),
+                None => (RefusalReason::NoUpstream, 0),
+            };
+            let reason = self.after_runs(exchange, reason);
+            return self.refuse(now_ms, exchange, reason, wait_ms, effects);
         };
         let upstream = upstream.record.id.clone();
         let plan = CallPlan {
@@ -682,7 +748,8 @@
     }
 
     fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
-        let Some(choice) = self.choose(now_ms, exchange) else {
+        let queued_ahead = self.queued_ahead(exchange);
+        let Some(choice) = self.choose(now_ms, exchange, queued_ahead) else {
             return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
         };
         let request = &self.exchanges[&exchange].request;
@@ -692,17 +759,28 @@
         if self.ends_ms.is_some() && self.is_too_late(now_ms, request, expected_ms) {
             return self.refuse(now_ms, exchange, RefusalReason::TooLate, 0, effects);
         }
-        if self.has_more_urgent_queued(&service, exchange) || choice.wait_ms > max_backlog_ms(rank)
-        {
+        let is_due = choice.is_due(max_backlog_ms(rank));
+        if self.has_more_urgent_queued(&service, exchange) || !is_due {
             return self.enqueue(now_ms, exchange, &choice, effects);
         }
         self.send_to_choice(now_ms, exchange, choice, effects);
     }
 
-    fn choose(&self, now_ms: u64, exchange: u64) -> Option<Choice> {
+    /// Returns the number of queued requests that are sent before a request that arrives.
+    fn queued_ahead(&self, exchange: u64) -> usize {
+        let request = &self.exchanges[&exchange].request;
+        let queue = self.queues.get(&request.service);
+        let ahead = |other: &&u64| self.exchanges[*other].request.rank <= request.rank;
+        queue.map_or(0, |queue| queue.iter().filter(ahead).count())
+    }
+
+    fn choose(&self, now_ms: u64, exchange: u64, queued_ahead: usize) -> Option<Choice> {
         let state = &self.exchanges[&exchange];
         let prompt = state.request.prompt.as_ref()?;
-        let context = self.placement_context(now_ms, state);
+        let context = PlacementContext {
+            queued_ahead,
+            ..self.placement_context(now_ms, state)
+        };
         let service = self.services.get(&state.request.service)?;
         let engines = |ids| {
             self.known_upstreams(ids)
@@ -724,6 +802,10 @@
             true => Task::Prefill,
             false => Task::Run,
         };
+        let decoder = match task {
+            Task::Prefill => self.limited_decoder(now_ms, exchange, &choice.upstream),
+            Task::Run | Task::Generate { .. } => None,
+        };
         let plan = CallPlan {
             task,
             tokens: choice.tokens,
@@ -732,6 +814,30 @@
             shared_age_ms: choice.shared_age_ms,
         };
         self.send_request(now_ms, exchange, &choice.upstream, plan, effects);
+        if let Some(decoder) = decoder {
+            self.reserve_decoder(now_ms, exchange, decoder);
+        }
+    }
+
+    /// Returns the engine that would generate from the prompt that another one computes, if its requests are limited.
+    fn limited_decoder(&self, now_ms: u64, exchange: u64, source: &Name) -> Option<Name> {
+        let state = self.exchanges.get(&exchange)?;
+        let context = self.placement_context(now_ms, state);
+        let source = self.upstreams.get(source)?;
+        let upstreams = self.service_upstreams(&state.request.service);
+        let decoder = place::choose_decoder(&context, source, upstreams)?;
+        decoder.limit.as_ref().map(|_| decoder.record.id.clone())
+    }
+
+    /// Counts the hand-off of a request at the engine that is to generate, so that its limit allows it later.
+    fn reserve_decoder(&mut self, now_ms: u64, exchange: u64, decoder: Name) {
+        let limit = self.upstreams.get_mut(&decoder);
+        if let Some(limit) = limit.and_then(|upstream| upstream.limit.as_mut()) {
+            limit.take(now_ms, self.entry_count);
+        }
+        if let Some(state) = self.exchanges.get_mut(&exchange) {
+            state.reserved_decoder = Some(decoder);
+        }
     }
 
     /// Returns whether a more urgent request is queued for the same service.
@@ -826,7 +932,7 @@
                 continue;
             }
             let rank = self.exchanges[&exchange].request.rank;
-            match self.choose(now_ms, exchange) {
+            match self.choose(now_ms, exchange, remaining.len()) {
                 None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
                 Some(choice) => {
                     let request = &self.exchanges[&exchange].request;
@@ -834,7 +940,7 @@
                     if self.is_too_late(now_ms, request, expected_ms) {
                         let reason = RefusalReason::TooLate;
                         self.refuse(now_ms, exchange, reason, expected_ms as u64, effects);
-                    } else if choice.wait_ms > max_backlog_ms(rank) {
+                    } else if !choice.is_due(max_backlog_ms(rank)) {
                         remaining.push(exchange);
                     } else {
                         self.send_to_choice(now_ms, exchange, choice, effects);
@@ -870,6 +976,12 @@
         };
         let request = &state.request;
         target.add_request(tokens);
+        // The request of a reserved hand-off was counted when its prompt was sent.
+        if state.reserved_decoder.take().as_ref() != Some(upstream)
+            && let Some(limit) = &mut target.limit
+        {
+            limit.take(now_ms, self.entry_count);
+        }
         state.assigned_work = Some(AssignedWork {
             upstream: upstream.clone(),
             tokens,
@@ -981,7 +1093,11 @@
             source,
             self.service_upstreams(&state.request.service),
         );
-        if let Some(decoder) = decoder {
+        let reserved = state.reserved_decoder.as_ref();
+        let reserved = reserved
+            .and_then(|id| self.upstreams.get(id))
+            .filter(|upstream| context.is_candidate(upstream));
+        if let Some(decoder) = reserved.or(decoder) {
             let decoder = decoder.record.id.clone();
             let plan = CallPlan {
                 task: Task::Generate { address, handle },
@@ -1270,6 +1386,8 @@
             failed_upstreams: &state.failed_upstreams,
             request_hash: state.request_hash,
             gap_ms: state.request.gap_ms,
+            entries: self.entry_count,
+            queued_ahead: 0,
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -119,6 +119,8 @@
     TooLate,
     /// Engines crash under a part of the prompt.
     Quarantined,
+    /// The limits of the upstreams do not allow the request.
+    Limited,
     /// No upstream has run the request.
     NotRun,
     /// An upstream failed and may have run the request.
@@ -135,6 +137,7 @@
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
+            Self::Limited => "limited",
             Self::NotRun => "not_run",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
@@ -148,6 +151,7 @@
             | Self::NoUpstream
             | Self::TooLate
             | Self::Quarantined
+            | Self::Limited
             | Self::NotRun => true,
             Self::Failed | Self::TimedOut => false,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod entry;
 pub mod exchange;
+pub mod limits;
 pub mod listing;
 pub mod loads;
 pub mod place;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -48,6 +48,13 @@
         &self.complete.records
     }
 
+    /// Returns the availability zone of an upstream by the key that stands for it in messages.
+    pub fn zone_of(&self, key: u64) -> Option<Name> {
+        let mut records = self.complete.records.iter();
+        let record = records.find(|record| upstream_key(&record.id) == key)?;
+        Some(record.availability_zone.clone())
+    }
+
     /// Replaces all records. Returns whether this changes the list.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>) -> bool {
         let mut replaced: Map<Name, UpstreamRecord> = Map::default();
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -13,6 +13,8 @@
 const DECODE_PREFILL_SPEED_SHARE: f64 = 0.5;
 /// Cost of handing off the KV cache to another engine, in milliseconds: a second call and the transfer.
 const HANDOFF_COST_MS: f64 = 25.0;
+/// Cost of handing off the KV cache to an engine in another availability zone, in milliseconds.
+const REMOTE_HANDOFF_COST_MS: f64 = 60.0;
 /// Cost of an upstream in another availability zone, in milliseconds. Traffic between zones is expensive.
 const CROSS_ZONE_COST_MS: f64 = 400.0;
 /// Largest cost of a decode engine's own prefill, in milliseconds, which delays the events of all streams that run there.
@@ -69,9 +71,16 @@
     pub wait_ms: f64,
     /// Expected time to fetch and compute the prompt, in milliseconds.
     pub work_ms: f64,
+    /// Whether the limit of the upstream allows the request now.
+    pub is_within_limit: bool,
 }
 
 impl Choice {
+    /// Returns whether the request is to be sent now. Otherwise it is placed again later, with newer load information.
+    pub fn is_due(&self, max_backlog_ms: f64) -> bool {
+        self.is_within_limit && self.wait_ms <= max_backlog_ms
+    }
+
     /// Returns the expected time to the first token, in milliseconds.
     pub fn first_token_ms(&self) -> f64 {
         self.wait_ms + self.work_ms
@@ -91,13 +100,23 @@
     pub request_hash: u64,
     /// Objective for the gap between two events of a stream, in milliseconds; 0 if there is none.
     pub gap_ms: u64,
+    /// Number of entries in the whole system.
+    pub entries: u32,
+    /// Number of requests in this entry that are sent before this one.
+    pub queued_ahead: usize,
 }
 
 impl PlacementContext<'_> {
-    fn is_candidate(&self, upstream: &Upstream) -> bool {
+    /// Returns whether an upstream can take the request.
+    pub fn is_candidate(&self, upstream: &Upstream) -> bool {
         upstream.is_usable(self.now_ms) && !self.failed_upstreams.contains(&upstream.record.id)
     }
 
+    /// Returns whether the limit of an upstream allows a request now.
+    fn is_within_limit(&self, upstream: &Upstream) -> bool {
+        upstream.limit_wait_ms(self.now_ms, self.entries) <= 0.0
+    }
+
     /// Returns a pseudorandom number from 0 to 1, derived from the request and the upstream.
     fn jitter(&self, upstream: &Upstream) -> f64 {
         let hasher = foldhash::fast::FixedState::default();
@@ -131,10 +150,21 @@
             + upstream.failure_rate(context.now_ms) * FAILURE_COST_MS
     };
     upstreams
-        .filter(|upstream| context.is_candidate(upstream))
+        .filter(|upstream| context.is_candidate(upstream) && context.is_within_limit(upstream))
         .min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
 
+/// Returns the time until the limit of an upstream allows a request, in milliseconds, or none if no upstream can take it.
+pub fn limit_wait_ms<'a>(
+    context: &PlacementContext<'_>,
+    upstreams: impl Iterator<Item = &'a Upstream>,
+) -> Option<f64> {
+    upstreams
+        .filter(|upstream| context.is_candidate(upstream))
+        .map(|upstream| upstream.limit_wait_ms(context.now_ms, context.entries))
+        .min_by(f64::total_cmp)
+}
+
 /// Chooses the engine that computes the prompt, and possibly runs the request.
 ///
 /// Engines in other zones are considered only if every engine in this entry's zone costs more than the difference
@@ -156,6 +186,9 @@
     };
     let chooser = EngineChooser {
         context,
+        limit_queue_ms: limit_queue_ms(context, &own_zone),
+        may_hand_off_to_other_zones: are_decoders_limited(&own_zone)
+            && has_decoder(context, other_zones.clone()),
         prompt,
         rank,
         reserved_ids,
@@ -182,6 +215,10 @@
     context: &'a PlacementContext<'a>,
     prompt: &'a Prompt,
     rank: u8,
+    /// Time in which the limits of this entry's zone allow the requests that are sent before this one, in milliseconds.
+    limit_queue_ms: f64,
+    /// Whether engines of other zones may generate from the prompts that engines of this zone compute.
+    may_hand_off_to_other_zones: bool,
     /// Engines that are reserved for more urgent ranks.
     reserved_ids: Vec<&'a Name>,
     /// Engine that all entries of the zone prefer for the shared prefix.
@@ -193,11 +230,12 @@
 impl EngineChooser<'_> {
     /// Returns the cheapest of some engines and its cost, in milliseconds.
     fn choose(&self, candidates: &[&Upstream]) -> Option<(f64, Choice)> {
-        let zones_with_decoders = zones_with_decoders(candidates);
+        let zones_with_decoders = zones_with_decoders(self.context, candidates);
         candidates
             .iter()
             .filter(|upstream| {
                 !upstream.is_prefill()
+                    || self.may_hand_off_to_other_zones
                     || zones_with_decoders.contains(&&upstream.record.availability_zone)
             })
             .filter_map(|upstream| self.assess(upstream))
@@ -217,7 +255,15 @@
             _ => uncached_tokens(prompt, upstream, self.affinity),
         };
         let tokens_per_ms = prefill_tokens_per_ms(upstream);
+        let is_own_zone = upstream.record.availability_zone.as_str() == context.zone;
+        let may_leave = upstream.is_prefill() && self.may_hand_off_to_other_zones;
+        let queue_ms = match is_own_zone && !may_leave {
+            true => self.limit_queue_ms,
+            false => 0.0,
+        };
+        let limit_wait_ms = upstream.limit_wait_ms(context.now_ms, context.entries);
         let wait_ms = f64::from(upstream.tokens_ahead()) / tokens_per_ms;
+        let wait_ms = wait_ms.max(limit_wait_ms + queue_ms);
         let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
         let work_ms = f64::from(tokens) / tokens_per_ms + fetch_ms;
         let is_reserved = self.reserved_ids.contains(&&upstream.record.id);
@@ -225,6 +271,7 @@
             return None;
         }
         let extra_ms = match upstream.record.role {
+            Some(Role::Prefill) if self.may_hand_off_to_other_zones => REMOTE_HANDOFF_COST_MS,
             Some(Role::Prefill) => HANDOFF_COST_MS,
             Some(Role::Decode) => interference_cost_ms(context, upstream, work_ms),
             _ => 0.0,
@@ -248,11 +295,47 @@
                 .map(|(engine, (key, _))| context.now_ms - engine.shared_prefix_used_ms(key)),
             wait_ms,
             work_ms,
+            is_within_limit: limit_wait_ms <= 0.0,
         };
         Some((cost_ms, choice))
     }
 }
 
+/// Returns whether the requests of all engines that generate are limited.
+fn are_decoders_limited(candidates: &[&Upstream]) -> bool {
+    let mut decoders = candidates.iter().filter(|upstream| can_generate(upstream));
+    let mut has_decoders = false;
+    let all_limited = decoders.all(|upstream| {
+        has_decoders = true;
+        upstream.limit.is_some()
+    });
+    has_decoders && all_limited
+}
+
+fn has_decoder<'a>(
+    context: &PlacementContext<'_>,
+    mut candidates: impl Iterator<Item = &'a Upstream>,
+) -> bool {
+    candidates.any(|upstream| can_generate(upstream) && context.is_within_limit(upstream))
+}
+
+/// Returns the time in which the engines of a zone may begin to generate for the requests ahead, in milliseconds, if the
+/// requests of all of them are limited.
+fn limit_queue_ms(context: &PlacementContext<'_>, own_zone: &[&Upstream]) -> f64 {
+    let decoders = own_zone.iter().filter(|upstream| can_generate(upstream));
+    let mut per_s = 0.0;
+    for decoder in decoders {
+        match &decoder.limit {
+            Some(limit) => per_s += limit.rate_per_s(context.now_ms, context.entries),
+            None => return 0.0,
+        }
+    }
+    match per_s > 0.0 {
+        true => context.queued_ahead as f64 / per_s * 1_000.0,
+        false => 0.0,
+    }
+}
+
 /// Returns the cost of a prefill at an engine that generates, in milliseconds: the time for which it pauses each of the
 /// streams there, weighed by its share of the pause that a stream may make.
 fn interference_cost_ms(context: &PlacementContext<'_>, upstream: &Upstream, pause_ms: f64) -> f64 {
@@ -280,28 +363,48 @@
     engines.iter().map(|engine| &engine.record.id).collect()
 }
 
-/// Chooses the engine that generates from a computed prompt: the least loaded one in the zone of the prefill engine.
+/// Chooses the engine that generates from a computed prompt: the least loaded one in the zone of the prefill engine, or
+/// in another zone if the limits there allow no further request.
 pub fn choose_decoder<'a>(
     context: &PlacementContext<'_>,
     source: &Upstream,
     upstreams: impl Iterator<Item = &'a Upstream>,
 ) -> Option<&'a Upstream> {
     let zone = &source.record.availability_zone;
+    let (own_zone, other_zones): (Vec<&Upstream>, Vec<&Upstream>) = upstreams
+        .filter(|upstream| context.is_candidate(upstream) && can_generate(upstream))
+        .partition(|upstream| upstream.record.availability_zone == *zone);
+    let decoder = least_loaded_decoder(context, &own_zone);
+    decoder.or_else(|| {
+        let other_zones = are_decoders_limited(&own_zone).then_some(other_zones)?;
+        least_loaded_decoder(context, &other_zones)
+    })
+}
+
+fn least_loaded_decoder<'a>(
+    context: &PlacementContext<'_>,
+    decoders: &[&'a Upstream],
+) -> Option<&'a Upstream> {
     let load = |upstream: &Upstream| {
         f64::from(upstream.total_running())
             + upstream.failure_rate(context.now_ms) * f64::from(upstream.record.slots)
             + context.jitter(upstream) * JITTER_REQUESTS
     };
-    upstreams
-        .filter(|upstream| context.is_candidate(upstream) && can_generate(upstream))
-        .filter(|upstream| upstream.record.availability_zone == *zone)
+    decoders
+        .iter()
+        .copied()
+        .filter(|upstream| context.is_within_limit(upstream))
         .min_by(|a, b| load(a).total_cmp(&load(b)))
 }
 
-/// Returns the availability zones in which at least one engine can generate.
-fn zones_with_decoders<'a>(candidates: &[&'a Upstream]) -> Vec<&'a Name> {
+/// Returns the availability zones in which at least one engine can generate now.
+fn zones_with_decoders<'a>(
+    context: &PlacementContext<'_>,
+    candidates: &[&'a Upstream],
+) -> Vec<&'a Name> {
     let mut zones = Vec::new();
-    for upstream in candidates.iter().filter(|upstream| can_generate(upstream)) {
+    let decoders = candidates.iter().filter(|upstream| can_generate(upstream));
+    for upstream in decoders.filter(|upstream| context.is_within_limit(upstream)) {
         let zone = &upstream.record.availability_zone;
         if !zones.contains(&zone) {
             zones.push(zone);
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use conf::{Map, Name};
-use fleet::{InstanceInfo, PrefixUse, UpstreamLoad, Watch, WatchReply};
+use fleet::{InstanceInfo, LimitShare, PrefixUse, UpstreamLoad, Watch, WatchReply};
 use quarantine::Collector;
 
+use crate::limits::ReportedLimits;
 use crate::listing::{LISTING_NOT_NEEDED, Listing, NO_LISTING};
 use crate::loads::ZoneLoads;
 
@@ -17,6 +18,8 @@
 /// Shortest interval of an entry's messages, in milliseconds. The messages also carry the load to the other entries,
 /// which changes quickly: a prompt is computed within 20 to 300 ms.
 const MIN_WATCH_INTERVAL_MS: u64 = 100;
+/// Interval at which an entry gets its shares of limits, in milliseconds.
+const SHARES_INTERVAL_MS: u64 = 400;
 /// Replies to a subscriber from one with the known replicas to the next. The replicas change rarely.
 const REPLIES_PER_REPLICA_LIST: u64 = 16;
 /// Uses of shared prefixes in a reply that entries of the replica have reported. Older ones are left out.
@@ -75,6 +78,8 @@
     next_prefix_use: u64,
     /// Number of replies to the subscriber.
     replies: u64,
+    /// When the subscriber next gets its shares of limits.
+    next_shares_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -132,6 +137,7 @@
 pub struct Subscribers {
     by_id: Map<Name, Subscriber>,
     loads: ZoneLoads,
+    limits: ReportedLimits,
     prefix_uses: RecentPrefixUses,
     /// Number of the first prefix use that has not been sent to the other replicas.
     next_unsent_prefix_use: u64,
@@ -148,6 +154,9 @@
                 prefix_use,
             });
         }
+        for report in &watch.limits {
+            self.limits.on_report(now_ms, report);
+        }
         let previous = self.remove(&id);
         let is_new = previous.is_none();
         let mut subscriber = Subscriber {
@@ -161,6 +170,7 @@
             loads: watch.loads,
             next_prefix_use: self.prefix_uses.next,
             replies: 0,
+            next_shares_ms: 0,
             info: watch.info,
         };
         // Numbers start anew with each process of the subscriber.
@@ -168,6 +178,7 @@
         if let Some(previous) = same_process {
             subscriber.next_prefix_use = previous.next_prefix_use;
             subscriber.replies = previous.replies;
+            subscriber.next_shares_ms = previous.next_shares_ms;
             if subscriber.sequence < previous.trusted_sequence {
                 subscriber.version = previous.version;
                 subscriber.listing = previous.listing;
@@ -240,13 +251,43 @@
         let loads = subscriber
             .accepts_callers
             .then(|| self.loads.others(zone, &subscriber.loads));
+        let limit_shares = self.limit_shares(id, published);
         let reply = WatchReply {
             loads,
+            limit_shares,
             ..self.next_reply(id, published, 1)?
         };
         Some((self.by_id[id].info.clone(), reply))
     }
 
+    /// Returns an entry's shares of the limits on requests, if they are due.
+    fn limit_shares(&mut self, id: &Name, published: &Published<'_>) -> Vec<LimitShare> {
+        let now_ms = published.now_ms;
+        self.limits.expire(now_ms);
+        let Some(subscriber) = self.by_id.get(id) else {
+            return Vec::new();
+        };
+        if self.limits.is_empty()
+            || !subscriber.accepts_callers
+            || now_ms < subscriber.next_shares_ms
+        {
+            return Vec::new();
+        }
+        let zone = subscriber.info.availability_zone.clone();
+        let in_zone = self
+            .by_id
+            .values()
+            .filter(|other| other.accepts_callers && other.info.availability_zone == zone);
+        let entries: Vec<&Name> = in_zone.map(|other| &other.info.id).collect();
+        let shares = self
+            .limits
+            .shares(id, &zone, &entries, |key| published.listing.zone_of(key));
+        if let Some(subscriber) = self.by_id.get_mut(id) {
+            subscriber.next_shares_ms = now_ms + SHARES_INTERVAL_MS;
+        }
+        shares
+    }
+
     /// Returns a message to a subscriber that has not asked for it, with everything that the subscriber lacks.
     pub fn notification(
         &mut self,
@@ -300,6 +341,7 @@
             watch_interval_ms: watch_interval_ms(own_entries),
             loads: None,
             prefix_uses,
+            limit_shares: Vec::new(),
             quarantine: published
                 .quarantine
                 .update(published.now_ms, subscriber.verdicts),
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -113,6 +113,7 @@
             loads,
             prefix_uses,
             quarantine: suspects.report(now_ms),
+            limits: Vec::new(),
         };
         Some((to.clone(), watch))
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,6 +4,7 @@
 use fleet::{UpstreamLoad, UpstreamRecord};
 
 use crate::exchange::StatedLimit;
+use crate::limits::RequestLimit;
 use crate::listing;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
@@ -58,6 +59,8 @@
     pub others_prompt_tokens: u32,
     /// Limit on requests that the latest answer stated.
     pub stated_limit: StatedLimit,
+    /// Limit on requests that holds.
+    pub limit: Option<RequestLimit>,
     /// When the limit was last logged.
     pub limit_logged_ms: u64,
     consecutive_failures: u32,
@@ -123,6 +126,12 @@
         self.failure_rate * 0.5_f64.powf(age_ms as f64 / FAILURE_HALF_LIFE_MS)
     }
 
+    /// Returns the time until the upstream's limit allows a request, in milliseconds.
+    pub fn limit_wait_ms(&self, now_ms: u64, entries: u32) -> f64 {
+        let limit = self.limit.as_ref();
+        limit.map_or(0.0, |limit| limit.wait_ms(now_ms, entries))
+    }
+
     /// Adds a request and its prompt tokens to the load.
     pub fn add_request(&mut self, tokens: u32) {
         self.running += 1;
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -38,6 +38,8 @@
         failed_upstreams: &[],
         request_hash: 7,
         gap_ms: 150,
+        entries: 2,
+        queued_ahead: 0,
     };
     let prompt = Prompt {
         parts: vec![(1, 13_000), (2, 4_000)],
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -15,7 +15,7 @@
 use gateway::control::{Control, ControlEffect, ControlEvent, ControlSettings};
 use gateway::entry::{Entry, EntryEffect, EntryEvent, EntrySettings};
 use gateway::exchange::{Task, UpstreamCall};
-use gateway::{Directive, Outcome, Prompt, Request};
+use gateway::{Directive, Outcome, Prompt, Request, StatedLimit};
 
 use crate::support::Disk;
 
@@ -32,6 +32,8 @@
 const FIRST_EVENT_MS: u64 = 50;
 /// Time for which a request occupies its engine, in milliseconds.
 const ANSWER_MS: u64 = 600;
+/// Time after which an entry that was told a limit must keep to it, in milliseconds.
+const TOLD_MS: u64 = 500;
 /// Time for which an engine that has crashed is away, in milliseconds.
 const ENGINE_RESTART_MS: u64 = 3_000;
 
@@ -91,6 +93,13 @@
     pub crashes_ms: Vec<u64>,
     /// When requests with a deadly part were sent to an engine.
     pub deadly_sends_ms: Vec<u64>,
+    /// Requests per second that upstreams state in their answers.
+    pub limits: Map<Name, f64>,
+    /// When each upstream first stated its limit, and when each entry first got such an answer.
+    pub stated_ms: Map<Name, u64>,
+    told_ms: Map<(usize, Name), u64>,
+    /// When limited upstreams got requests from entries that they had told half a second before.
+    pub limited_sends_ms: Map<Name, Vec<u64>>,
     /// Requests without a deadly part, each with its arrival and whether its first attempt began.
     pub sound_requests: Map<u64, SoundRequest>,
     next_exchange: u64,
@@ -150,6 +159,10 @@
             down_until_ms: Map::default(),
             crashes_ms: Vec::new(),
             deadly_sends_ms: Vec::new(),
+            limits: Map::default(),
+            stated_ms: Map::default(),
+            told_ms: Map::default(),
+            limited_sends_ms: Map::default(),
             sound_requests: Map::default(),
             next_exchange: 0,
             next_change: 0,
@@ -453,6 +466,14 @@
     }
 
     fn begin_call(&mut self, entry: usize, exchange: u64, call: UpstreamCall) {
+        let told_ms = self.told_ms.get(&(entry, call.upstream.clone()));
+        if told_ms.is_some_and(|told_ms| self.now_ms >= told_ms + TOLD_MS) {
+            let sends = self
+                .limited_sends_ms
+                .entry(call.upstream.clone())
+                .or_default();
+            sends.push(self.now_ms);
+        }
         let progress = match (self.is_down(&call.upstream), &call.task) {
             (true, _) => vec![(0, Progress::Failed(Outcome::Unreachable))],
             (false, Task::Prefill) => vec![(PREFILL_MS, Progress::Prefilled)],
@@ -475,6 +496,36 @@
         }
     }
 
+    /// Tells an entry the limit in the head of an answer.
+    fn state_limit(&mut self, entry: usize, upstream: &Name) {
+        let stated = match self.limits.get(upstream) {
+            Some(per_s) => StatedLimit::PerSecond(*per_s),
+            None => StatedLimit::Absent,
+        };
+        if stated != StatedLimit::Absent {
+            let now_ms = self.now_ms;
+            self.stated_ms.entry(upstream.clone()).or_insert(now_ms);
+            let key = (entry, upstream.clone());
+            self.told_ms.entry(key).or_insert(now_ms);
+        }
+        let upstream = upstream.clone();
+        self.step_entry(entry, EntryEvent::LimitStated { upstream, stated });
+    }
+
+    /// Returns whether an engine generates.
+    pub fn is_decoder(&self, upstream: &Name) -> bool {
+        let mut upstreams = self.upstreams.iter();
+        let record = upstreams.find(|record| record.id == *upstream);
+        record.is_some_and(|record| record.role == Some(Role::Decode))
+    }
+
+    /// Sets the limits of all engines, in turn.
+    pub fn limit_engines(&mut self, limits_per_s: &[f64]) {
+        let ids = self.upstreams.iter().map(|upstream| upstream.id.clone());
+        let limits = limits_per_s.iter().cycle();
+        self.limits = ids.zip(limits.copied()).collect();
+    }
+
     fn is_down(&self, upstream: &Name) -> bool {
         let until_ms = self.down_until_ms.get(upstream);
         until_ms.is_some_and(|until_ms| self.now_ms < *until_ms)
@@ -534,6 +585,9 @@
             progress,
             ..
         } = scheduled;
+        if matches!(progress, Progress::Prefilled | Progress::Started) {
+            self.state_limit(entry, &upstream);
+        }
         match progress {
             Progress::Prefilled => {
                 let handle = "handle".into();
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -69,6 +69,7 @@
         | RefusalReason::NoUpstream
         | RefusalReason::TooLate
         | RefusalReason::Quarantined
+        | RefusalReason::Limited
         | RefusalReason::NotRun => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::Failed => StatusCode::BAD_GATEWAY,
         RefusalReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -58,6 +58,21 @@
   loads @5 :List(UpstreamLoad);
   prefixUses @6 :List(PrefixUse);
   quarantine @7 :QuarantineReport;
+  limits @8 :List(LimitReport);
+}
+
+# Limit on requests that an upstream has stated.
+struct LimitReport {
+  upstreamKey @0 :UInt64;
+  perS @1 :Float64;
+  hasEnded @2 :Bool;
+  ageMs @3 :UInt64;
+}
+
+struct LimitShare {
+  upstreamKey @0 :UInt64;
+  perS @1 :Float64;
+  sharePerS @2 :Float64;
 }
 
 # What an instance has observed of crashes of engines.
@@ -132,6 +147,7 @@
     }
   }
   quarantine @16 :QuarantineUpdate;
+  limitShares @17 :List(LimitShare);
 }
 
 struct UpstreamLoad {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -5007,6 +5007,20 @@
         pub fn has_quarantine(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_limits(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::limit_report::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5016,7 +5030,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 4,
+                pointers: 5,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5202,58 +5216,919 @@
                 ::core::option::Option::None,
             )
         }
-        #[inline]
-        pub fn set_prefix_uses(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::prefix_use::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(2),
-                value,
-                false,
-            )
+        #[inline]
+        pub fn set_prefix_uses(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::prefix_use::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_prefix_uses(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_prefix_uses(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_quarantine(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::quarantine_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_quarantine(
+            &mut self,
+            value: crate::peer_capnp::quarantine_report::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_quarantine(self) -> crate::peer_capnp::quarantine_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        }
+        #[inline]
+        pub fn has_quarantine(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_limits(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::limit_report::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_limits(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::limit_report::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_limits(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::limit_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(4),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {
+        pub fn get_info(&self) -> crate::peer_capnp::instance_info::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_quarantine(&self) -> crate::peer_capnp::quarantine_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 101, 112, 116, 115, 67),
+            ::capnp::word(97, 108, 108, 101, 114, 115, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 232, 24, 223, 186, 131, 84, 219),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 120, 85, 115),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 128, 117, 59, 88, 51, 193, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 133, 130, 197, 70, 59, 102, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 64, 13, 10, 54, 255, 190, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::instance_info::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::quarantine_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 8, 4, 5, 6, 7, 1, 3];
+        pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
+    }
+}
+
+pub mod limit_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
+        }
+        #[inline]
+        pub fn get_has_ended(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 4,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
+        }
+        #[inline]
+        pub fn set_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(1, value);
+        }
+        #[inline]
+        pub fn get_has_ended(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_has_ended(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(244, 64, 13, 10, 54, 255, 190, 163),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xa3be_ff36_0a0d_40f4;
+    }
+}
+
+pub mod limit_share {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
+        }
+        #[inline]
+        pub fn get_share_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn init_prefix_uses(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::prefix_use::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(2),
-                size,
-            )
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_prefix_uses(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_quarantine(
-            self,
-        ) -> ::capnp::Result<crate::peer_capnp::quarantine_report::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
+        pub fn get_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn set_quarantine(
-            &mut self,
-            value: crate::peer_capnp::quarantine_report::Reader<'_>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(3),
-                value,
-                false,
-            )
+        pub fn set_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn init_quarantine(self) -> crate::peer_capnp::quarantine_report::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        pub fn get_share_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(2)
         }
         #[inline]
-        pub fn has_quarantine(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_share_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(2, value);
         }
     }
 
@@ -5267,124 +6142,49 @@
             }
         }
     }
-    impl Pipeline {
-        pub fn get_info(&self) -> crate::peer_capnp::instance_info::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
-        pub fn get_quarantine(&self) -> crate::peer_capnp::quarantine_report::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
-        }
-    }
+    impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(137, 89, 211, 171, 220, 66, 249, 165),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(83, 104, 97, 114, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 122, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 99, 99, 101, 112, 116, 115, 67),
-            ::capnp::word(97, 108, 108, 101, 114, 115, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5392,51 +6192,29 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 232, 24, 223, 186, 131, 84, 219),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 101, 102, 105, 120, 85, 115),
-            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 128, 117, 59, 88, 51, 193, 207),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 80, 101, 114),
+            ::capnp::word(83, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
-            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 133, 130, 197, 70, 59, 102, 188),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::instance_info::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::peer_capnp::upstream_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::peer_capnp::quarantine_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5455,10 +6233,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 4, 5, 6, 7, 1, 3];
-        pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xa5f9_42dc_abd3_5989;
     }
 }
 
@@ -8457,6 +9235,20 @@
         pub fn has_quarantine(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_limit_shares(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::limit_share::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_limit_shares(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -8466,7 +9258,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 7,
-                pointers: 7,
+                pointers: 8,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -8775,6 +9567,41 @@
         pub fn has_quarantine(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_limit_shares(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::limit_share::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_limit_shares(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::limit_share::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(7),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_limit_shares(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::limit_share::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(7),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_limit_shares(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline {
@@ -8798,115 +9625,122 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 226] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
             ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
-            ::capnp::word(213, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -9025,6 +9859,19 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 83, 104, 97),
+            ::capnp::word(114, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 89, 211, 171, 220, 66, 249, 165),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9041,6 +9888,7 @@
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <crate::peer_capnp::watch_reply::listing_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::peer_capnp::quarantine_update::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_share::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9059,9 +9907,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 7, 1, 4, 5, 11, 9, 10, 12, 6, 0, 2, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 7, 1, 13, 4, 5, 11, 9, 10, 12, 6, 0, 2, 8];
         pub(crate) const TYPE_ID: u64 = 0xc761_f241_21bd_b018;
     }
 
@@ -9204,7 +10053,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 7,
-                    pointers: 7,
+                    pointers: 8,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -9355,7 +10204,7 @@
                 ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
                 ::capnp::word(22, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
-                ::capnp::word(7, 0, 7, 0, 1, 0, 3, 0),
+                ::capnp::word(8, 0, 7, 0, 1, 0, 3, 0),
                 ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9597,7 +10446,7 @@
                 const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                     ::capnp::private::layout::StructSize {
                         data: 7,
-                        pointers: 7,
+                        pointers: 8,
                     };
             }
             impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -9780,7 +10629,7 @@
                     ::capnp::word(120, 28, 248, 225, 189, 90, 218, 227),
                     ::capnp::word(36, 0, 0, 0, 1, 0, 7, 0),
                     ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
-                    ::capnp::word(7, 0, 7, 0, 1, 0, 0, 0),
+                    ::capnp::word(8, 0, 7, 0, 1, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    ListingUpdate, PrefixUse, UpstreamList, UpstreamLoad, UpstreamRecord, Watch, WatchReply,
+    LimitReport, LimitShare, ListingUpdate, PrefixUse, UpstreamList, UpstreamLoad, UpstreamRecord,
+    Watch, WatchReply,
 };
 
 use crate::compression;
@@ -32,7 +33,17 @@
             .reborrow()
             .init_prefix_uses(watch.prefix_uses.len() as u32),
     );
-    quarantine::write_report(&watch.quarantine, builder.init_quarantine());
+    quarantine::write_report(&watch.quarantine, builder.reborrow().init_quarantine());
+    if !watch.limits.is_empty() {
+        let mut list = builder.init_limits(watch.limits.len() as u32);
+        for (index, limit) in (0..).zip(&watch.limits) {
+            let mut builder = list.reborrow().get(index);
+            builder.set_upstream_key(limit.upstream_key);
+            builder.set_per_s(limit.per_s.unwrap_or_default());
+            builder.set_has_ended(limit.per_s.is_none());
+            builder.set_age_ms(limit.age_ms);
+        }
+    }
 }
 
 pub fn read_watch(reader: schema::watch::Reader<'_>) -> Result<Watch, DecodeError> {
@@ -49,6 +60,15 @@
             .map(read_prefix_use)
             .collect(),
         quarantine: quarantine::read_report(reader.get_quarantine()?)?,
+        limits: reader
+            .get_limits()?
+            .iter()
+            .map(|limit| LimitReport {
+                upstream_key: limit.get_upstream_key(),
+                per_s: (!limit.get_has_ended()).then(|| limit.get_per_s()),
+                age_ms: limit.get_age_ms(),
+            })
+            .collect(),
     })
 }
 
@@ -85,7 +105,16 @@
             .reborrow()
             .init_prefix_uses(reply.prefix_uses.len() as u32),
     );
-    quarantine::write_update(&reply.quarantine, builder.init_quarantine());
+    quarantine::write_update(&reply.quarantine, builder.reborrow().init_quarantine());
+    if !reply.limit_shares.is_empty() {
+        let mut list = builder.init_limit_shares(reply.limit_shares.len() as u32);
+        for (index, share) in (0..).zip(&reply.limit_shares) {
+            let mut builder = list.reborrow().get(index);
+            builder.set_upstream_key(share.upstream_key);
+            builder.set_per_s(share.per_s);
+            builder.set_share_per_s(share.share_per_s);
+        }
+    }
     Ok(())
 }
 
@@ -122,6 +151,15 @@
             .map(read_prefix_use)
             .collect(),
         quarantine: quarantine::read_update(reader.get_quarantine()?)?,
+        limit_shares: reader
+            .get_limit_shares()?
+            .iter()
+            .map(|share| LimitShare {
+                upstream_key: share.get_upstream_key(),
+                per_s: share.get_per_s(),
+                share_per_s: share.get_share_per_s(),
+            })
+            .collect(),
     })
 }
 
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -120,9 +120,30 @@
         loads: list(g, upstream_load),
         prefix_uses: list(g, prefix_use),
         quarantine: quarantine_report(g),
+        limits: list(g, limit_report),
     }
 }
 
+fn limit_report(g: &mut Gen) -> fleet::LimitReport {
+    fleet::LimitReport {
+        upstream_key: number(g),
+        per_s: option(g, rate),
+        age_ms: number(g),
+    }
+}
+
+fn limit_share(g: &mut Gen) -> fleet::LimitShare {
+    fleet::LimitShare {
+        upstream_key: number(g),
+        per_s: rate(g),
+        share_per_s: rate(g),
+    }
+}
+
+fn rate(g: &mut Gen) -> f64 {
+    f64::from(u32::arbitrary(g)) / 7.0
+}
+
 fn quarantine_report(g: &mut Gen) -> quarantine::Report {
     quarantine::Report {
         crashes: list(g, crash_report),
@@ -187,6 +208,7 @@
         loads: option(g, |g| list(g, upstream_load)),
         prefix_uses: list(g, prefix_use),
         quarantine: quarantine_update(g),
+        limit_shares: list(g, limit_share),
     }
 }
 
