--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -614,18 +614,7 @@
 
     fn log_verdicts(&mut self, changed: &[Verdict], from: &Name, effects: &mut Vec<ControlEffect>) {
         for verdict in changed {
-            log(
-                effects,
-                format!(
-                    "parts={:016x} blocked={} crashes={} trials={} age_ms={} retry_in_ms={} source={from}",
-                    verdict.part,
-                    verdict.is_blocked,
-                    verdict.crashes,
-                    verdict.trials,
-                    verdict.age_ms,
-                    verdict.retry_in_ms
-                ),
-            );
+            log(effects, format!("{verdict} source={from}"));
             self.has_unsent_changes = true;
         }
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -9,7 +9,7 @@
     UpstreamRecord, WatchReply,
 };
 
-use quarantine::{Admission, Suspects, Verdict};
+use quarantine::{Admission, Suspects};
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
@@ -335,7 +335,8 @@
         }
         self.entry_count = reply.entries;
         for verdict in self.suspects.on_update(now_ms, &reply.quarantine) {
-            log_verdict(&verdict, from, effects);
+            let text = format!("{verdict} source={from}");
+            log(effects, Importance::StateChange, text);
         }
         if let Some(update) = reply.listing_update {
             self.apply_listing(reply.listing, update, from, effects);
@@ -1504,19 +1505,6 @@
     });
 }
 
-fn log_verdict(verdict: &Verdict, from: &Name, effects: &mut Vec<EntryEffect>) {
-    let text = format!(
-        "parts={:016x} blocked={} crashes={} trials={} age_ms={} retry_in_ms={} source={from}",
-        verdict.part,
-        verdict.is_blocked,
-        verdict.crashes,
-        verdict.trials,
-        verdict.age_ms,
-        verdict.retry_in_ms
-    );
-    log(effects, Importance::StateChange, text);
-}
-
 fn log(effects: &mut Vec<EntryEffect>, importance: Importance, text: String) {
     effects.push(EntryEffect::Log { importance, text });
 }
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -1,5 +1,7 @@
 //! What instances send to each other. Clocks are not shared, so that all times are ages.
 
+use std::fmt;
+
 /// A crash of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashReport {
@@ -55,6 +57,17 @@
     pub retry_in_ms: u64,
 }
 
+impl fmt::Display for Verdict {
+    /// Formats the verdict as the fields of a log line.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "parts={:016x} blocked={} crashes={} trials={} age_ms={} retry_in_ms={}",
+            self.part, self.is_blocked, self.crashes, self.trials, self.age_ms, self.retry_in_ms
+        )
+    }
+}
+
 /// What an instance reports to a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
