Move the reading of events into a module of its own and test it

Answers may come without a length and end with their connection. A stream that ends inside an event has broken off; that was so, and had no test.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 mod entry;
 mod error;
+pub mod events;
 pub mod http;
 pub mod inbox;
 mod listing;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gateway::entry::EntryEvent;
 use gateway::{Directive, Outcome};
 use http_body_util::BodyExt;
@@ -12,11 +12,10 @@
 use crate::answer::StreamAborted;
 use crate::call::{CallAnswer, ForwardedRequest, UpstreamStream};
 use crate::caller::{self, Exchange};
+use crate::events::{EventCursor, EventTooLarge};
 
 /// Capacity of the channel to a caller. Each of its items holds one or more complete events.
 pub const EVENT_CHANNEL_CAPACITY: usize = 16;
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Sending side of the channel to a caller.
 type EventSender = mpsc::Sender<Result<Bytes, StreamAborted>>;
@@ -29,7 +28,7 @@
     events: EventSender,
     deadline: Instant,
 ) {
-    let mut cursor = Cursor::default();
+    let mut cursor = EventCursor::default();
     loop {
         let end = tokio::select! {
             end = forward_events(&exchange, &mut upstream_stream, &mut cursor, &events, deadline) => end,
@@ -66,21 +65,14 @@
     Failed(Outcome),
 }
 
-/// The position in a stream: the received bytes of an incomplete event, and the id of the last complete event.
-#[derive(Debug, Default)]
-struct Cursor {
-    partial: BytesMut,
-    last_event_id: Option<String>,
-}
-
 async fn forward_events(
     exchange: &Exchange,
     upstream_stream: &mut UpstreamStream,
-    cursor: &mut Cursor,
+    cursor: &mut EventCursor,
     events: &EventSender,
     deadline: Instant,
 ) -> StreamEnd {
-    cursor.partial.clear();
+    cursor.discard_incomplete();
     let mut has_started = false;
     loop {
         let frame = match timeout_at(deadline, upstream_stream.body.frame()).await {
@@ -88,7 +80,7 @@
             Err(_) => return StreamEnd::Failed(Outcome::TimedOut),
         };
         let data = match frame {
-            None if cursor.partial.is_empty() => return StreamEnd::Complete,
+            None if cursor.is_between_events() => return StreamEnd::Complete,
             None | Some(Err(_)) => return StreamEnd::Failed(Outcome::Broken),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
@@ -99,17 +91,11 @@
                 exchange: exchange_id,
             });
         }
-        cursor.partial.extend_from_slice(&data);
-        if cursor.partial.len() > MAX_EVENT_BYTES {
-            return StreamEnd::Failed(Outcome::Broken);
-        }
-        let Some(end) = last_event_end(&cursor.partial) else {
-            continue;
+        let complete = match cursor.push(&data) {
+            Ok(Some(complete)) => complete,
+            Ok(None) => continue,
+            Err(EventTooLarge) => return StreamEnd::Failed(Outcome::Broken),
         };
-        let complete = cursor.partial.split_to(end).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            cursor.last_event_id = Some(id);
-        }
         if events.send(Ok(complete)).await.is_err() {
             return StreamEnd::Failed(Outcome::Broken);
         }
@@ -119,7 +105,7 @@
 async fn resume(
     exchange: &mut Exchange,
     forwarded: &ForwardedRequest,
-    cursor: &Cursor,
+    cursor: &EventCursor,
     events: &EventSender,
     outcome: Outcome,
 ) -> Option<UpstreamStream> {
@@ -133,7 +119,7 @@
         };
         let client = &exchange.runtime.client;
         let observe_limit = |stated| exchange.observe_limit(&call, stated);
-        let last_event_id = cursor.last_event_id.as_deref();
+        let last_event_id = cursor.last_event_id();
         let answer = client.call(&call, forwarded, last_event_id, &observe_limit);
         let result = tokio::select! {
             result = answer => result,
@@ -150,21 +136,3 @@
         }
     }
 }
-
-/// Returns the index after the last complete event. A blank line ends each event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|window| window == b"\n\n");
-    let crlf = bytes.windows(4).rposition(|window| window == b"\r\n\r\n");
-    let ends = [lf.map(|index| index + 2), crlf.map(|index| index + 4)];
-    ends.into_iter().flatten().max()
-}
-
-/// Returns the last id in complete events.
-fn last_event_id(events: &[u8]) -> Option<String> {
-    events
-        .split(|byte| *byte == b'\n')
-        .rev()
-        .find_map(|line| line.strip_prefix(b"id:"))
-        .and_then(|id| std::str::from_utf8(id).ok())
-        .map(|id| id.trim().to_owned())
-}
