Keep to a limit for as long as an upstream states it

An entry without a share gets no answers from the upstream, took the limit for ended after 15 s and sent again, all such entries at once: a hundred entries sent up to 28 requests in 4 s where 7 are allowed. Shares now confirm the limit, its end is reported to all entries, and the entries with shares change after 5 s without an answer, so that the end is found out by one that has requests. Without any answer a limit lasts for two minutes. The rate after the end starts from an equal part of all entries.

a_limit_holds_for_as_long_as_it_is_stated failed before (up to 28 of 7.4). Tried and dropped: shares that only refreshed the time of the last answer (the limit then never ended).

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -159,8 +159,8 @@
 pub struct LimitShare {
     /// Hash of the upstream's instance id.
     pub upstream_key: u64,
-    /// Requests per second from all instances together.
-    pub per_s: f64,
+    /// Requests per second from all instances together; none if the limit has ended.
+    pub per_s: Option<f64>,
     /// Requests per second that the receiver may send.
     pub share_per_s: f64,
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -378,10 +378,16 @@
             let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(id)) else {
                 continue;
             };
-            upstream
-                .limit
-                .get_or_insert_with(|| RequestLimit::new(now_ms, share.per_s))
-                .set_share(now_ms, share.share_per_s, self.entry_count);
+            match (share.per_s, &mut upstream.limit) {
+                (Some(_), Some(limit)) => {
+                    limit.set_share(now_ms, share.share_per_s, self.entry_count);
+                }
+                (Some(per_s), limit @ None) => limit
+                    .insert(RequestLimit::new(now_ms, per_s))
+                    .set_share(now_ms, share.share_per_s, self.entry_count),
+                (None, Some(limit)) => limit.on_reported_end(now_ms),
+                (None, None) => {}
+            }
         }
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -13,13 +13,17 @@
 const ENDING_MS: u64 = 1_000;
 /// Number of answers without the limit after which it has ended. Single answers may overtake each other.
 const ENDING_ANSWERS: u32 = 3;
-/// Time after which a limit ends that no answer states any more, since there are no answers, in milliseconds.
-const LIMIT_TTL_MS: u64 = 15_000;
+/// Time after which a limit ends that no answer states any more, since there are no answers, in milliseconds. The entries
+/// with a share find out earlier if they have requests for the upstream.
+const LIMIT_TTL_MS: u64 = 120_000;
+/// Smallest rate that is divided among entries, in requests per second. Without any request, no answer could show that the
+/// limit has ended.
+const MIN_RATE_PER_S: f64 = 0.05;
 /// Time for which a limit that has ended is raised step by step, in milliseconds.
 const RAMP_MS: u64 = 5_000;
 /// Time for which the rate doubles while the limit is raised, in milliseconds.
 const RAMP_DOUBLING_MS: f64 = 1_000.0;
-/// Smallest rate from which a limit is raised, in requests per second.
+/// Smallest rate of all entries together from which a limit is raised, in requests per second.
 const RAMP_MIN_PER_S: f64 = 1.0;
 /// Time for which a share is valid without a new message of the replica, in milliseconds. The replica counts an entry for
 /// longer.
@@ -28,6 +32,9 @@
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// Requests that may be sent at once after a pause.
 const BURST: f64 = 1.0;
+/// Time without an answer from an upstream after which other entries get the shares, in milliseconds: those that have them
+/// may have no requests for it.
+const ROTATION_MS: u64 = 5_000;
 /// Smallest share in requests per second for which an entry is chosen.
 const MIN_SHARE_PER_S: f64 = 1.0;
 /// Number of entries assumed by an entry that does not know the others.
@@ -39,6 +46,8 @@
     per_s: f64,
     /// When an answer last stated the limit.
     stated_ms: u64,
+    /// When an answer or the replica last confirmed that the limit holds.
+    confirmed_ms: u64,
     answers_without: u32,
     ended_ms: Option<u64>,
     /// When the limit was last reported to the replica, and whether it has been stated or has ended since.
@@ -57,6 +66,7 @@
         Self {
             per_s,
             stated_ms: now_ms,
+            confirmed_ms: now_ms,
             answers_without: 0,
             ended_ms: None,
             reported_ms: None,
@@ -76,6 +86,7 @@
         self.has_news = true;
         self.per_s = per_s;
         self.stated_ms = now_ms;
+        self.confirmed_ms = now_ms;
         self.answers_without = 0;
         self.ended_ms = None;
     }
@@ -91,15 +102,21 @@
         }
     }
 
-    /// Sets the share of this entry.
+    /// Records that the limit has ended for another entry, while this one may have got no answers.
+    pub fn on_reported_end(&mut self, now_ms: u64) {
+        self.ended_ms.get_or_insert(now_ms);
+    }
+
+    /// Sets the share of this entry, which also shows that the limit holds.
     pub fn set_share(&mut self, now_ms: u64, share_per_s: f64, entries: u32) {
         self.count(now_ms, entries);
+        self.confirmed_ms = now_ms;
         self.share = Some((share_per_s, now_ms + SHARE_TTL_MS));
     }
 
     /// Returns whether the limit is over.
     pub fn is_over(&self, now_ms: u64) -> bool {
-        let ended_ms = self.ended_ms.unwrap_or(self.stated_ms + LIMIT_TTL_MS);
+        let ended_ms = self.ended_ms.unwrap_or(self.confirmed_ms + LIMIT_TTL_MS);
         now_ms >= ended_ms + RAMP_MS
     }
 
@@ -146,12 +163,13 @@
             Some((share_per_s, until_ms)) if now_ms <= until_ms => share_per_s,
             _ => self.per_s / f64::from(entries.max(MIN_ENTRIES)),
         };
-        let ended_ms = self.ended_ms.unwrap_or(self.stated_ms + LIMIT_TTL_MS);
+        let ended_ms = self.ended_ms.unwrap_or(self.confirmed_ms + LIMIT_TTL_MS);
         if now_ms < ended_ms {
             return share_per_s;
         }
         let doublings = (now_ms - ended_ms) as f64 / RAMP_DOUBLING_MS;
-        share_per_s.max(RAMP_MIN_PER_S) * 2.0_f64.powf(doublings)
+        let equal_part_per_s = self.per_s.max(RAMP_MIN_PER_S) / f64::from(entries.max(MIN_ENTRIES));
+        share_per_s.max(equal_part_per_s) * 2.0_f64.powf(doublings)
     }
 
     fn available_at(&self, now_ms: u64, entries: u32) -> f64 {
@@ -205,6 +223,7 @@
     /// are the entries of the receiver's zone.
     pub fn shares(
         &self,
+        now_ms: u64,
         entry: &Name,
         zone: &Name,
         entries: &[&Name],
@@ -213,10 +232,13 @@
         let limits = self.by_upstream.iter();
         limits
             .filter_map(|(key, limit)| {
-                let per_s = limit.per_s?;
-                let share_per_s = match upstream_zone(*key)? == *zone {
-                    true => share_per_s(entry, entries, *key, per_s),
-                    false => 0.0,
+                let per_s = limit.per_s.filter(|_| now_ms < limit.at_ms + LIMIT_TTL_MS);
+                let share_per_s = match per_s {
+                    Some(per_s) if upstream_zone(*key)? == *zone => {
+                        let turn = now_ms.saturating_sub(limit.at_ms) / ROTATION_MS;
+                        share_per_s(entry, entries, (*key, turn), per_s)
+                    }
+                    _ => 0.0,
                 };
                 Some(LimitShare {
                     upstream_key: *key,
@@ -229,11 +251,12 @@
 }
 
 /// Returns the share of an entry: an equal part for as many entries as can send a request per second each, chosen by a
-/// hash.
-fn share_per_s(entry: &Name, entries: &[&Name], upstream_key: u64, per_s: f64) -> f64 {
+/// hash of the upstream and the turn.
+fn share_per_s(entry: &Name, entries: &[&Name], turn: (u64, u64), per_s: f64) -> f64 {
+    let per_s = per_s.max(MIN_RATE_PER_S);
     let users = ((per_s / MIN_SHARE_PER_S) as usize).clamp(1, entries.len().max(1));
     let hasher = foldhash::fast::FixedState::default();
-    let hash = |id: &Name| hasher.hash_one((id, upstream_key));
+    let hash = |id: &Name| hasher.hash_one((id, turn));
     let own = hash(entry);
     let rank = entries.iter().filter(|other| hash(other) < own).count();
     match rank < users {
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -279,9 +279,9 @@
             .values()
             .filter(|other| other.accepts_callers && other.info.availability_zone == zone);
         let entries: Vec<&Name> = in_zone.map(|other| &other.info.id).collect();
-        let shares = self
-            .limits
-            .shares(id, &zone, &entries, |key| published.listing.zone_of(key));
+        let shares = self.limits.shares(now_ms, id, &zone, &entries, |key| {
+            published.listing.zone_of(key)
+        });
         if let Some(subscriber) = self.by_id.get_mut(id) {
             subscriber.next_shares_ms = now_ms + SHARES_INTERVAL_MS;
         }
--- a/crates/gateway/tests/request_limits.rs
+++ b/crates/gateway/tests/request_limits.rs
@@ -70,6 +70,15 @@
     assert!(sends >= allowed * 0.8, "{sends} of {allowed}");
 }
 
+/// Guards against entries without a share that take a limit for ended, since they get no answers that state it.
+#[test]
+fn a_limit_holds_for_as_long_as_it_is_stated() {
+    let mut fleet = Fleet::serving(HUNDRED_ENTRIES, prompt);
+    fleet.limit_engines(&[1.0, 0.4]);
+    fleet.run(25_000);
+    assert_eq!(exceeded(&fleet), []);
+}
+
 /// Guards against small parts of a limit that add up to more, and against lost messages.
 #[test]
 fn a_hundred_entries_keep_to_a_limit() {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -73,6 +73,7 @@
   upstreamKey @0 :UInt64;
   perS @1 :Float64;
   sharePerS @2 :Float64;
+  hasEnded @3 :Bool;
 }
 
 # What an instance has observed of crashes of engines.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -6015,6 +6015,10 @@
         pub fn get_share_per_s(self) -> f64 {
             self.reader.get_data_field::<f64>(2)
         }
+        #[inline]
+        pub fn get_has_ended(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
     }
 
     pub struct Builder<'a> {
@@ -6023,7 +6027,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 4,
                 pointers: 0,
             };
     }
@@ -6130,6 +6134,14 @@
         pub fn set_share_per_s(&mut self, value: f64) {
             self.builder.set_data_field::<f64>(2, value);
         }
+        #[inline]
+        pub fn get_has_ended(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_has_ended(&mut self, value: bool) {
+            self.builder.set_bool_field(192, value);
+        }
     }
 
     pub struct Pipeline {
@@ -6144,45 +6156,52 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(137, 89, 211, 171, 220, 66, 249, 165),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
             ::capnp::word(83, 104, 97, 114, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
             ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6209,12 +6228,22 @@
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6233,9 +6262,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 2, 0];
         pub(crate) const TYPE_ID: u64 = 0xa5f9_42dc_abd3_5989;
     }
 }
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -111,7 +111,8 @@
         for (index, share) in (0..).zip(&reply.limit_shares) {
             let mut builder = list.reborrow().get(index);
             builder.set_upstream_key(share.upstream_key);
-            builder.set_per_s(share.per_s);
+            builder.set_per_s(share.per_s.unwrap_or_default());
+            builder.set_has_ended(share.per_s.is_none());
             builder.set_share_per_s(share.share_per_s);
         }
     }
@@ -156,7 +157,7 @@
             .iter()
             .map(|share| LimitShare {
                 upstream_key: share.get_upstream_key(),
-                per_s: share.get_per_s(),
+                per_s: (!share.get_has_ended()).then(|| share.get_per_s()),
                 share_per_s: share.get_share_per_s(),
             })
             .collect(),
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -135,7 +135,7 @@
 fn limit_share(g: &mut Gen) -> fleet::LimitShare {
     fleet::LimitShare {
         upstream_key: number(g),
-        per_s: rate(g),
+        per_s: option(g, rate),
         share_per_s: rate(g),
     }
 }
