--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -98,7 +98,7 @@
     /// The head of an upstream's answer states a limit on requests, or none.
     LimitStated { upstream: Name, stated: StatedLimit },
     /// It has been checked whether an upstream has crashed.
-    Checked { upstream: Name, has_crashed: bool },
+    UpstreamChecked { upstream: Name, has_crashed: bool },
 }
 
 /// An output of the entry's reducer, to be carried out in order.
@@ -115,7 +115,7 @@
     /// Frees the KV cache under a handle that will not be used.
     FreeHandle { address: Name, handle: Name },
     /// Checks whether an upstream has crashed: whether it refuses connections.
-    Check { upstream: Name, address: Name },
+    CheckUpstream { upstream: Name, address: Name },
     /// Writes a log line.
     Log {
         importance: Importance,
@@ -283,10 +283,10 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
-            EntryEvent::Checked {
+            EntryEvent::UpstreamChecked {
                 upstream,
                 has_crashed,
-            } => self.on_checked(now_ms, &upstream, has_crashed, effects),
+            } => self.on_upstream_checked(now_ms, &upstream, has_crashed, effects),
         }
     }
 
@@ -653,7 +653,7 @@
         let parts = prompt.shared_keys();
         let began_ms = state.writing_since_ms;
         if self.suspects.on_broken(now_ms, target.key, parts, began_ms) {
-            effects.push(EntryEffect::Check {
+            effects.push(EntryEffect::CheckUpstream {
                 upstream: upstream.clone(),
                 address: target.record.address.clone(),
             });
@@ -698,7 +698,7 @@
         upstream.stated_limit = stated;
     }
 
-    fn on_checked(
+    fn on_upstream_checked(
         &mut self,
         now_ms: u64,
         upstream: &Name,
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -114,13 +114,13 @@
                     }
                 });
             }
-            EntryEffect::Check { upstream, address } => {
+            EntryEffect::CheckUpstream { upstream, address } => {
                 let Some(runtime) = self.weak_self.borrow().upgrade() else {
                     return;
                 };
                 tokio::task::spawn_local(async move {
                     let has_crashed = probe::is_refusing(&address).await;
-                    runtime.step(EntryEvent::Checked {
+                    runtime.step(EntryEvent::UpstreamChecked {
                         upstream,
                         has_crashed,
                     });
