Look up the zone of a limited upstream instead of searching the list

A replica hashed the ids of the listed upstreams until one matched, for each limited upstream in each reply with shares: work that grows with limits times upstreams times entries. The list now keeps the zones by key, built when it changes. No decision is changed.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -221,20 +221,20 @@
 
     /// Returns the shares of an entry. `upstream_zone` returns the availability zone of an upstream by its key, `entries`
     /// are the entries of the receiver's zone.
-    pub fn shares(
+    pub fn shares<'a>(
         &self,
         now_ms: u64,
         entry: &Name,
         zone: &Name,
         entries: &[&Name],
-        upstream_zone: impl Fn(u64) -> Option<Name>,
+        upstream_zone: impl Fn(u64) -> Option<&'a Name>,
     ) -> Vec<LimitShare> {
         let limits = self.by_upstream.iter();
         limits
             .filter_map(|(key, limit)| {
                 let per_s = limit.per_s.filter(|_| now_ms < limit.at_ms + LIMIT_TTL_MS);
                 let share_per_s = match per_s {
-                    Some(per_s) if upstream_zone(*key)? == *zone => {
+                    Some(per_s) if upstream_zone(*key)? == zone => {
                         let turn = now_ms.saturating_sub(limit.at_ms) / ROTATION_MS;
                         share_per_s(entry, entries, (*key, turn), per_s)
                     }
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -33,6 +33,8 @@
     version: u64,
     records: Map<Name, UpstreamRecord>,
     complete: Arc<UpstreamList>,
+    /// Availability zones of the upstreams by the keys that stand for them in messages.
+    zones: Map<u64, Name>,
     /// Latest changes, oldest first.
     changes: VecDeque<Change>,
 }
@@ -49,10 +51,8 @@
     }
 
     /// Returns the availability zone of an upstream by the key that stands for it in messages.
-    pub fn zone_of(&self, key: u64) -> Option<Name> {
-        let mut records = self.complete.records.iter();
-        let record = records.find(|record| upstream_key(&record.id) == key)?;
-        Some(record.availability_zone.clone())
+    pub fn zone_of(&self, key: u64) -> Option<&Name> {
+        self.zones.get(&key)
     }
 
     /// Replaces all records. Returns whether this changes the list.
@@ -129,6 +129,11 @@
         if self.version == base {
             return false;
         }
+        let zone = |record: &UpstreamRecord| {
+            let key = upstream_key(&record.id);
+            (key, record.availability_zone.clone())
+        };
+        self.zones = self.records.values().map(zone).collect();
         let records = self.records.values().cloned().collect();
         self.complete = Arc::new(UpstreamList::new(records));
         self.changes.push_back(Change { base, upstreams });
