--- a/review/common/lib.rs
+++ b/review/common/lib.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,10 +26,17 @@
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
+/// Option of `prctl` by which the kernel kills a process of the system when this program ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Temporary folder of the case, which is removed at the end.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
 /// Returns whether the disruption is played.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
@@ -70,9 +78,12 @@
     }
 }
 
-/// Ends a case that could not run.
+/// Ends a case that could not run. The kernel kills the processes that it started.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("could not run: {reason}");
+    if let Some(folder) = FOLDER.lock().ok().and_then(|mut folder| folder.take()) {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(NOT_RUN);
 }
 
@@ -95,6 +106,7 @@
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-{case}-{pid}"));
         fs::create_dir_all(&folder).unwrap_or_else(|error| give_up(&error.to_string()));
+        *FOLDER.lock().unwrap() = Some(folder.clone());
         let net = 10 + (pid % 200) as u8;
         let list_ip = Ipv4Addr::new(127, net, 9, 1);
         let base = (0..200)
@@ -221,7 +233,15 @@
         let other = log
             .try_clone()
             .unwrap_or_else(|error| give_up(&error.to_string()));
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .arg(ARGUMENT)
             .env_clear()
             .env("MUSTARDSTACK_NODE_FILE", &path)
