Hand on the vote of a replica that is stopped as planned

Cause: a stopping replica ended at once and its vote stayed with it. A successor got a vote only after 2.5 s of silence, so that the second stop left one running voter of three.

A replica that gets the stop signal now sends Leave to the leader and votes on until it is released: when the committed member set no longer contains it, or, without a candidate, while the other running voters form a majority. Leave gives no rights, the leader makes the same single changes of the member set as before, so no second majority can form from it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -87,6 +87,8 @@
     },
     /// An operator reads the newest document.
     Describe { call: u64 },
+    /// The process is to stop.
+    Leave,
     /// The settings have been read again and may name other instances that run replicas.
     Contacts(Vec<InstanceInfo>),
     /// An operator lifts the block of a part of prompts.
@@ -278,6 +280,7 @@
             ControlEvent::Describe { call } => {
                 self.confirm_read(now_ms, call, Read::Describe);
             }
+            ControlEvent::Leave => self.queue_input(Input::Leave),
             ControlEvent::Contacts(contacts) => self.add_contacts(contacts),
             ControlEvent::LiftBlock { part } => {
                 let lifted = self.quarantine.lift(now_ms, part);
@@ -322,6 +325,12 @@
         self.replica.status()
     }
 
+    /// Returns whether the process may stop after `ControlEvent::Leave` without the loss of a vote that another replica
+    /// could take over.
+    pub fn has_left(&self) -> bool {
+        self.replica.has_left()
+    }
+
     /// Returns the version of the list of upstreams on this replica.
     pub fn listing(&self) -> u64 {
         self.listing.version()
@@ -462,6 +471,7 @@
         let candidates = Candidates {
             member_ages_ms: self.replica.member_activity_ages_ms(),
             joiners: self.replica.joiners(voters::REPLACE_AFTER_MS),
+            leavers: self.replica.leavers(),
             zones,
             target: self.settings.target_voters,
         };
--- a/crates/gateway/src/voters.rs
+++ b/crates/gateway/src/voters.rs
@@ -13,6 +13,8 @@
     pub member_ages_ms: Vec<(Name, u64)>,
     /// Instances that ask to join the member set.
     pub joiners: Vec<Name>,
+    /// Instances of the member set whose processes are to stop.
+    pub leavers: Vec<Name>,
     /// Known availability zones, by instance.
     pub zones: Map<Name, Name>,
     /// Target number of voters.
@@ -31,6 +33,11 @@
 /// Returns the next change that is due.
 pub fn next_change(candidates: &Candidates) -> Option<VoterChange> {
     let new = candidates.best_joiner()?;
+    // A voter that is about to stop still runs, and its vote moves before it is missing.
+    if let Some(old) = candidates.leavers.first() {
+        let old = old.clone();
+        return Some(VoterChange::Replace { old, new });
+    }
     let unreachable = candidates
         .member_ages_ms
         .iter()
@@ -55,6 +62,7 @@
             self.member_ages_ms
                 .iter()
                 .filter(|(_, age_ms)| *age_ms <= REPLACE_AFTER_MS)
+                .filter(|(member, _)| !self.leavers.contains(member))
                 .filter(|(member, _)| self.zones.get(member) == zone)
                 .count()
         };
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -219,3 +219,64 @@
     assert!(!cluster.subscribed_reply(3).is_current);
     assert!(!cluster.subscribed_reply(4).is_current);
 }
+
+/// Guards against planned replacements in quick succession that leave too few voters, so that the acknowledged document is
+/// lost although the successors run.
+#[test]
+fn voters_that_are_stopped_in_turn_hand_on_their_votes() {
+    for first in 0..3 {
+        let mut cluster = Cluster::new(3, 3);
+        cluster.run(3_000);
+        let successors = [cluster.add(), cluster.add()];
+        cluster.run(3_000);
+        cluster.publish(7, "seven");
+        for stopped in [first, (first + 1) % 3] {
+            assert!(cluster.stop(stopped));
+            cluster.run(1_000);
+        }
+        cluster.run(2_000);
+        let answer = cluster.describe();
+        assert!(
+            matches!(answer, Some(Answer::Document { version: 7, .. })),
+            "{answer:?}"
+        );
+        // The successors vote, so that one more replica may fail.
+        cluster.partition(successors[0]);
+        cluster.run(3_000);
+        assert_eq!(
+            cluster.publish(8, "eight"),
+            Some(Answer::Acknowledged { version: 8 })
+        );
+    }
+}
+
+/// Guards against the loss of the acknowledged document when a voter loses its disk right after a planned replacement.
+#[test]
+fn a_disk_may_be_lost_right_after_a_planned_stop() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.run(3_000);
+    cluster.add();
+    cluster.run(3_000);
+    cluster.publish(7, "seven");
+    assert!(cluster.stop(0));
+    cluster.wipe(1);
+    cluster.run(4_000);
+    let answer = cluster.describe();
+    assert!(
+        matches!(answer, Some(Answer::Document { version: 7, .. })),
+        "{answer:?}"
+    );
+}
+
+/// Guards against a planned stop that waits for a successor that does not exist, and against one that ends a voter
+/// without which the others are no majority.
+#[test]
+fn a_stop_without_a_successor_waits_only_to_keep_the_majority() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.run(3_000);
+    let before_ms = cluster.now_ms();
+    assert!(cluster.stop(0));
+    assert!(cluster.now_ms() - before_ms < 500);
+    cluster.run(1_000);
+    assert!(!cluster.stop(1));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,6 +13,8 @@
 
 const STEP_MS: u64 = 5;
 const CALL_TIMEOUT_MS: u64 = 3_000;
+/// Time from the stop signal to the end of a process, in milliseconds.
+const GRACE_MS: u64 = 7_600;
 const ENTRY: &str = "entry";
 
 /// A simulated disk, on which every write is synced at once.
@@ -122,6 +124,10 @@
         }
     }
 
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     /// Advances the clock and runs the replicas.
     pub fn run(&mut self, duration_ms: u64) {
         let end_ms = self.now_ms + duration_ms;
@@ -253,6 +259,18 @@
         self.replicas[index].is_partitioned = true;
     }
 
+    /// Stops the process of a replica as planned, which ends within the grace period. Returns whether the replica was let
+    /// go before.
+    pub fn stop(&mut self, index: usize) -> bool {
+        self.step(index, ControlEvent::Leave);
+        let end_ms = self.now_ms + GRACE_MS;
+        while self.now_ms < end_ms && !self.replicas[index].control.has_left() {
+            self.run(STEP_MS);
+        }
+        self.partition(index);
+        self.replicas[index].control.has_left()
+    }
+
     /// Kills a replica and restarts it with its disk.
     pub fn restart(&mut self, index: usize) {
         let disk = std::mem::take(&mut self.replicas[index].disk);
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -197,6 +197,8 @@
             next_heartbeat_ms: self.now_ms,
             catch_up_index: self.log.last_index() + 1,
             joiners: Vec::new(),
+            leavers: Vec::new(),
+            settled_since_ms: None,
         }));
         self.leader = Some(self.settings.id.clone());
         self.update_peers();
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -156,7 +156,7 @@
     /// In the second case, another leader may have replaced the replica's member set before the set was committed.
     fn must_request_join(&self) -> bool {
         if !self.members.current().contains(&self.settings.id) {
-            return true;
+            return !self.is_leaving();
         }
         let leader_message_age_ms = self.now_ms - self.last_leader_message_ms;
         !self.is_leader() && leader_message_age_ms > self.settings.election_timeout_max_ms
@@ -170,8 +170,8 @@
             .retain(|_, (_, at_ms)| now_ms - *at_ms <= max_age_ms);
     }
 
-    /// Returns the instances that receive this replica's join requests: those that may hold the log.
-    fn join_targets(&self) -> Vec<FastStr> {
+    /// Returns the instances that receive this replica's requests to join or leave: those that may hold the log.
+    pub(crate) fn join_targets(&self) -> Vec<FastStr> {
         let known = self.join.members.instances.iter();
         let own = self.members.current().instances.iter();
         let mut targets: Vec<FastStr> = self.settings.initial_voters.clone();
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -8,6 +8,7 @@
 mod change;
 mod election;
 mod join;
+mod leave;
 mod log;
 mod members;
 pub mod message;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -133,6 +133,10 @@
         members_index: u64,
         members: MemberSet,
     },
+    /// Tells the leader that the sender's process is to stop. Repeated until the leader replies.
+    Leave,
+    /// Tells the replica with `storage_id` that its process may stop.
+    LeaveReply { storage_id: u64 },
 }
 
 /// A durable write. Writes are executed in order.
@@ -186,6 +190,9 @@
     },
     /// Allows instance `new` to run a voter in addition to the current instances; answered like `ReplaceVoter`.
     AddVoter { token: u64, new: FastStr },
+    /// Prepares the stop of this replica's process: its vote moves to another replica if one can take it over.
+    /// `Replica::has_left` then tells when the process may stop.
+    Leave,
     /// Requests an index at which a linearizable read may be served; answered by `Output::ReadReady` or
     /// `Output::NotLeader`.
     Read { token: u64 },
--- a/crates/quorum/src/peer.rs
+++ b/crates/quorum/src/peer.rs
@@ -122,6 +122,16 @@
     pub(crate) requested_ms: u64,
 }
 
+/// A replica that has told the leader that its process is to stop.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaver {
+    pub(crate) id: ReplicaId,
+    /// Time at which the latest request arrived, in milliseconds.
+    pub(crate) requested_ms: u64,
+    /// Whether the leader has let the process stop.
+    pub(crate) is_released: bool,
+}
+
 /// The state that only a leader has.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderState {
@@ -134,6 +144,9 @@
     /// Last index of the log at the previous heartbeat; a learner whose log has reached this index has caught up.
     pub(crate) catch_up_index: u64,
     pub(crate) joiners: Vec<Joiner>,
+    pub(crate) leavers: Vec<Leaver>,
+    /// Time since which each instance of the committed member set has had a voter, in milliseconds.
+    pub(crate) settled_since_ms: Option<u64>,
 }
 
 impl LeaderState {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -3,6 +3,7 @@
 use faststr::FastStr;
 
 use crate::join::JoinState;
+use crate::leave::LeaveState;
 use crate::log::Log;
 use crate::members::MemberHistory;
 use crate::message::{
@@ -89,6 +90,7 @@
     /// Index of the snapshot requested with `Output::TakeSnapshot`.
     pub(crate) requested_snapshot_index: Option<u64>,
     pub(crate) join: JoinState,
+    pub(crate) leave: LeaveState,
     restore_pending: bool,
     reported_leader: (u64, Option<FastStr>),
 }
@@ -123,6 +125,7 @@
             incoming_snapshot: None,
             requested_snapshot_index: None,
             join: JoinState::new(now_ms),
+            leave: LeaveState::default(),
             reported_leader: (0, None),
             settings,
         };
@@ -146,6 +149,7 @@
             Input::Propose { token, command } => self.on_propose(token, command, out),
             Input::ReplaceVoter { token, old, new } => self.on_replace(token, &old, &new, out),
             Input::AddVoter { token, new } => self.on_add_voter(token, &new, out),
+            Input::Leave => self.start_leaving(out),
             Input::Read { token } => self.on_read(token, out),
             Input::SnapshotState { index, state } => self.on_snapshot_state(index, state, out),
         }
@@ -235,6 +239,7 @@
         self.tick_leader(out);
         self.tick_election(out);
         self.tick_join(out);
+        self.tick_leave(out);
     }
 
     fn on_message(&mut self, from: ReplicaId, message: Message, out: &mut Vec<Output>) {
@@ -285,6 +290,12 @@
                     self.on_join_reply(from, formed, members_index, members, out);
                 }
             }
+            Message::Leave => self.on_leave(from, out),
+            Message::LeaveReply { storage_id } => {
+                if storage_id == self.settings.id.storage_id {
+                    self.on_leave_reply();
+                }
+            }
         }
     }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -293,10 +293,32 @@
             _ = disk_checks.tick() => runtime.check_disk(&mut disk_thread),
         }
     }
+    leave(&runtime).await;
     let _ = shutdown_sender.send(true);
     Ok(())
 }
 
+/// Waits until the replica has left the member set, or until shortly before the end of the grace period.
+async fn leave(runtime: &ControlRuntime) {
+    let clock = runtime.clock;
+    let stop_ms = clock.now_ms() + runtime.settings.stop_wait_ms();
+    logs::write(Importance::StateChange, "process", "outcome=stopping");
+    runtime.step(ControlEvent::Leave);
+    // A replica whose disk has failed takes no part in the log.
+    let has_left = || {
+        runtime
+            .control
+            .borrow()
+            .as_ref()
+            .is_none_or(Control::has_left)
+    };
+    while !has_left() && clock.now_ms() < stop_ms {
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+    let text = format!("outcome=stopped has_left={}", has_left());
+    logs::write(Importance::StateChange, "process", &text);
+}
+
 /// Answers an operator's call while there is no replica. All other events may be lost.
 fn refuse_call(event: ControlEvent, effects: &mut Vec<ControlEffect>) {
     if let ControlEvent::Publish { call, .. } | ControlEvent::Describe { call } = event {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -39,8 +39,6 @@
 /// Time for which a stopping instance still accepts new connections, since the load balancer stops using the instance
 /// only after two failed readiness checks.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(3_000);
-/// Time before the end of the grace period at which a stopping instance no longer waits for open exchanges.
-const GRACE_MARGIN_MS: u64 = 400;
 
 /// The reducer of an entry, and everything that carries out its effects. The runtime is used on one thread.
 pub struct EntryRuntime {
@@ -235,7 +233,7 @@
     shutdown_sender: &watch::Sender<bool>,
 ) {
     let clock = runtime.client.clock;
-    let wait_until_ms = clock.now_ms() + settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let wait_until_ms = clock.now_ms() + settings.stop_wait_ms();
     let open_exchanges = || runtime.entry.borrow().open_exchanges();
     logs::write(
         Importance::StateChange,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -6,6 +6,9 @@
 use fleet::InstanceInfo;
 use gateway::budget::RetryBudgetSettings;
 
+/// Time before the end of the grace period at which a stopping instance no longer waits, in milliseconds.
+const GRACE_MARGIN_MS: u64 = 400;
+
 /// Role of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum InstanceRole {
@@ -61,6 +64,13 @@
     pub peer_secret: Vec<u8>,
 }
 
+impl Settings {
+    /// Returns for how long a stopping instance may wait for its open work, in milliseconds.
+    pub fn stop_wait_ms(&self) -> u64 {
+        self.grace_ms.saturating_sub(GRACE_MARGIN_MS)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -249,6 +249,10 @@
       storageId @30 :UInt64;
       membersIndex @31 :UInt64;
     }
+    leave @32 :Void;
+    leaveReply :group {
+      storageId @33 :UInt64;
+    }
   }
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -13625,8 +13625,8 @@
 
 pub mod quorum_message {
     pub use self::Which::{
-        Append, AppendReply, Join, JoinReply, PreVote, PreVoteReply, SnapshotChunk, SnapshotReply,
-        Vote, VoteReply,
+        Append, AppendReply, Join, JoinReply, Leave, LeaveReply, PreVote, PreVoteReply,
+        SnapshotChunk, SnapshotReply, Vote, VoteReply,
     };
 
     #[derive(Copy, Clone)]
@@ -13748,6 +13748,8 @@
                 7 => ::core::result::Result::Ok(SnapshotReply(self.reader.into())),
                 8 => ::core::result::Result::Ok(Join(self.reader.into())),
                 9 => ::core::result::Result::Ok(JoinReply(self.reader.into())),
+                10 => ::core::result::Result::Ok(Leave(())),
+                11 => ::core::result::Result::Ok(LeaveReply(self.reader.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -13942,6 +13944,18 @@
             self.builder.into()
         }
         #[inline]
+        pub fn set_leave(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(12, 10);
+        }
+        #[inline]
+        pub fn init_leave_reply(
+            self,
+        ) -> crate::peer_capnp::quorum_message::leave_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(12, 11);
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(12) {
                 0 => ::core::result::Result::Ok(PreVote(self.builder.into())),
@@ -13954,6 +13968,8 @@
                 7 => ::core::result::Result::Ok(SnapshotReply(self.builder.into())),
                 8 => ::core::result::Result::Ok(Join(self.builder.into())),
                 9 => ::core::result::Result::Ok(JoinReply(self.builder.into())),
+                10 => ::core::result::Result::Ok(Leave(())),
+                11 => ::core::result::Result::Ok(LeaveReply(self.builder.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -13971,17 +13987,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 119] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(94, 0, 144, 25, 128, 226, 88, 151),
             ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 12, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -13989,81 +14005,95 @@
             ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(83, 203, 219, 56, 108, 36, 126, 142),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(148, 235, 65, 255, 21, 139, 68, 184),
-            ::capnp::word(17, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(239, 1, 181, 112, 180, 94, 131, 139),
-            ::capnp::word(253, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(166, 44, 233, 182, 188, 201, 227, 150),
-            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(54, 2, 79, 15, 45, 204, 21, 169),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(107, 185, 245, 112, 168, 207, 244, 141),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 142, 184, 185, 28, 9, 31, 154),
-            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(73, 102, 194, 101, 193, 220, 143, 218),
-            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(149, 30, 56, 118, 159, 191, 101, 200),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(39, 237, 141, 0, 111, 212, 42, 229),
-            ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 244, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(231, 198, 225, 252, 93, 253, 88, 149),
+            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14091,6 +14121,16 @@
             ::capnp::word(106, 111, 105, 110, 0, 0, 0, 0),
             ::capnp::word(106, 111, 105, 110, 82, 101, 112, 108),
             ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 101, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 101, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -14105,6 +14145,8 @@
                 8 => <crate::peer_capnp::quorum_message::snapshot_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <crate::peer_capnp::quorum_message::join::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::peer_capnp::quorum_message::join_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <() as ::capnp::introspect::Introspect>::introspect(),
+                12 => <crate::peer_capnp::quorum_message::leave_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -14124,11 +14166,12 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 9, 10, 1, 2, 7, 8, 0, 3, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] =
+            &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 9, 10, 11, 12, 1, 2, 7, 8, 0, 3, 4];
         pub(crate) const TYPE_ID: u64 = 0x9758_e280_1990_005e;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9, A10> {
         PreVote(A0),
         PreVoteReply(A1),
         Vote(A2),
@@ -14139,6 +14182,8 @@
         SnapshotReply(A7),
         Join(A8),
         JoinReply(A9),
+        Leave(()),
+        LeaveReply(A10),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::quorum_message::pre_vote::Reader<'a>,
@@ -14151,6 +14196,7 @@
         crate::peer_capnp::quorum_message::snapshot_reply::Reader<'a>,
         crate::peer_capnp::quorum_message::join::Reader<'a>,
         crate::peer_capnp::quorum_message::join_reply::Reader<'a>,
+        crate::peer_capnp::quorum_message::leave_reply::Reader<'a>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::quorum_message::pre_vote::Builder<'a>,
@@ -14163,6 +14209,7 @@
         crate::peer_capnp::quorum_message::snapshot_reply::Builder<'a>,
         crate::peer_capnp::quorum_message::join::Builder<'a>,
         crate::peer_capnp::quorum_message::join_reply::Builder<'a>,
+        crate::peer_capnp::quorum_message::leave_reply::Builder<'a>,
     >;
 
     pub mod pre_vote {
@@ -17815,6 +17862,299 @@
             pub(crate) const TYPE_ID: u64 = 0xe52a_d46f_008d_ed27;
         }
     }
+
+    pub mod leave_reply {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_storage_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 6,
+                    pointers: 2,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_storage_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_storage_id(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(231, 198, 225, 252, 93, 253, 88, 149),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 6, 0),
+                ::capnp::word(94, 0, 144, 25, 128, 226, 88, 151),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 81, 117, 111, 114, 117),
+                ::capnp::word(109, 77, 101, 115, 115, 97, 103, 101),
+                ::capnp::word(46, 108, 101, 97, 118, 101, 82, 101),
+                ::capnp::word(112, 108, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 111, 114, 97, 103, 101, 73),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9558_fd5d_fce1_c6e7;
+        }
+    }
 }
 
 pub mod proposal_id {
--- a/crates/wire/src/quorum.rs
+++ b/crates/wire/src/quorum.rs
@@ -212,6 +212,10 @@
             builder.set_members_index(*members_index);
             write_member_set(members, builder.init_members());
         }
+        Message::Leave => root.set_leave(()),
+        Message::LeaveReply { storage_id } => {
+            root.init_leave_reply().set_storage_id(*storage_id);
+        }
     }
 }
 
@@ -280,5 +284,9 @@
             members_index: reply.get_members_index(),
             members: read_member_set(reply.get_members()?)?,
         },
+        q::Leave(()) => Message::Leave,
+        q::LeaveReply(reply) => Message::LeaveReply {
+            storage_id: reply.get_storage_id(),
+        },
     })
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -294,7 +294,7 @@
 
 fn quorum_message(g: &mut Gen) -> Message {
     let term = number(g);
-    match below(g, 10) {
+    match below(g, 12) {
         0 => Message::PreVote {
             term,
             last_index: number(g),
@@ -348,12 +348,16 @@
             formed: flag(g),
             members_index: number(g),
         },
-        _ => Message::JoinReply {
+        9 => Message::JoinReply {
             storage_id: number(g),
             formed: flag(g),
             members_index: number(g),
             members: member_set(g),
         },
+        10 => Message::Leave,
+        _ => Message::LeaveReply {
+            storage_id: number(g),
+        },
     }
 }
 
