Let a voter ask for votes until its removal is committed

A leader that had appended its own removal crashed before the entry reached the others. It is no voter of its own latest member set and never asked for votes, and the others, whose logs are shorter, got none from it: no replica could win although all ran.

Ruled out: lost entries (all members still had them) and a cut (ended long before).

A replica now also asks for votes if it is a voter of the set in force at its commit index.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,6 +1,6 @@
 //! Elections: timeouts, pre-votes, votes and the leader's quorum check.
 
-use crate::message::{EntryBody, Message, Output, ReplicaId};
+use crate::message::{EntryBody, MemberSet, Message, Output, ReplicaId};
 use crate::peer::{HeartbeatRounds, LeaderState};
 use crate::replica::{Replica, Role};
 use crate::writes::DeferredAction;
@@ -23,11 +23,18 @@
         }
         self.reset_election_timer();
         self.step_down(out);
-        if self.members.current().is_voter(&self.settings.id) {
+        if self.may_campaign() {
             self.start_pre_vote(out);
         }
     }
 
+    /// Returns whether this replica may ask for votes. A voter whose removal is not known to be committed may be the only
+    /// one whose log is recent enough.
+    fn may_campaign(&self) -> bool {
+        let is_voter = |set: &MemberSet| set.is_voter(&self.settings.id);
+        is_voter(self.members.current()) || is_voter(self.members.at(self.commit_index))
+    }
+
     fn start_pre_vote(&mut self, out: &mut Vec<Output>) {
         self.role = Role::PreCandidate(vec![self.settings.id.clone()]);
         if self.has_vote_majority() {
--- a/crates/quorum/tests/stops.rs
+++ b/crates/quorum/tests/stops.rs
@@ -171,3 +171,10 @@
         assert_eq!(cluster.members(leader).voters.len(), VOTERS);
     }
 }
+
+/// Guards against replicas that never elect a leader because the only one with a recent log is a former leader whose own
+/// removal is not committed.
+#[test]
+fn a_leader_whose_removal_is_not_committed_may_lead_again() {
+    check_stops(1367);
+}
