Find a current replica beside the one that is late

Cause: an entry took the list from one replica only, and left a late one for the next by a hash of its id, 0.9 s each, whether it ran or not. Replicas named replaced ones for ever. Ruled out: a target chosen before a wait, as the engine that generates is chosen after the prompt is computed.

A late replica is now asked beside others: probes go to up to three at a time, and an entry leaves its replica only for one that has answered. The answer brings the document and the list, which are taken from any replica unless a later one is known. Replicas name only those that were heard within 3 s and the members of the log, and remember at most 16 silent ones.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -52,6 +52,8 @@
     pub sequence: u64,
     /// Whether the subscriber is an entry instance. Replicas also subscribe, to discover each other.
     pub accepts_callers: bool,
+    /// Whether the sender only asks whether the replica is current. It gets one reply and does not become a subscriber.
+    pub is_probe: bool,
     /// Version of the configuration document that the subscriber holds; 0 if it holds none.
     pub version: u64,
     /// Version of the list of upstreams that the subscriber holds; 0 if it holds none, and the highest value if it needs
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
+use crate::replicas::KnownReplicas;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
@@ -191,8 +192,7 @@
     followed: Option<(Name, u64)>,
     /// Whether subscribers lack the newest document or listing.
     has_unsent_changes: bool,
-    /// Other replicas by instance id, with the number of entries that subscribe to each.
-    replicas: Map<Name, (InstanceInfo, u32)>,
+    replicas: KnownReplicas,
     next_watch_ms: u64,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
@@ -232,12 +232,11 @@
         let mut replica = Replica::new(replica_settings, recovered, now_ms);
         replica.set_join_targets(contact_ids(&settings));
         Self {
-            replicas: settings
-                .contacts
-                .iter()
-                .filter(|contact| contact.id != settings.info.id)
-                .map(|contact| (contact.id.clone(), (contact.clone(), 0)))
-                .collect(),
+            replicas: KnownReplicas::new(
+                settings.info.id.clone(),
+                settings.contacts.clone(),
+                now_ms,
+            ),
             settings,
             replica,
             applied_index: 0,
@@ -281,7 +280,10 @@
                 self.confirm_read(now_ms, call, Read::Describe);
             }
             ControlEvent::Leave => self.queue_input(Input::Leave),
-            ControlEvent::Contacts(contacts) => self.add_contacts(contacts),
+            ControlEvent::Contacts(contacts) => {
+                self.replicas.set_contacts(contacts, now_ms);
+                self.update_join_targets();
+            }
             ControlEvent::LiftBlock { part } => {
                 let lifted = self.quarantine.lift(now_ms, part);
                 let operator = Name::from("operator");
@@ -380,6 +382,7 @@
                     true => REPORT_INTERVAL_MS,
                     false => REPLICA_WATCH_INTERVAL_MS,
                 };
+            self.forget_replicas(now_ms, effects);
             self.subscribe_to_replicas(now_ms, effects);
         }
         if now_ms >= self.next_voter_change_ms {
@@ -399,7 +402,7 @@
             return true;
         }
         match self.replica.status().is_leader {
-            true => self.subscribers.entries() + self.other_entries() > 0,
+            true => self.subscribers.entries() + self.replicas.entries(now_ms) > 0,
             false => {
                 let is_outdated = self.listing_age_ms(now_ms) > LISTING_FALLBACK_AGE_MS;
                 is_outdated && self.subscribers.entries() > 0
@@ -407,11 +410,6 @@
         }
     }
 
-    /// Returns the number of entries that subscribe to other replicas.
-    fn other_entries(&self) -> u32 {
-        self.replicas.values().map(|(_, entries)| entries).sum()
-    }
-
     /// Orders engines to change their roles, once no order of an earlier leader can still be in transit.
     fn order_roles(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         let status = self.replica.status();
@@ -463,8 +461,8 @@
         }
         let mut zones: Map<Name, Name> = self
             .replicas
-            .values()
-            .map(|(info, _)| (info.id.clone(), info.availability_zone.clone()))
+            .infos()
+            .map(|info| (info.id.clone(), info.availability_zone.clone()))
             .collect();
         let own = &self.settings.info;
         zones.insert(own.id.clone(), own.availability_zone.clone());
@@ -501,11 +499,12 @@
             ..Watch::default()
         };
         let leader = self.replica.status().leader;
-        for (id, (info, _)) in &self.replicas {
+        let members = self.replica.status().members.instances;
+        for info in self.replicas.due(&members, now_ms) {
             let (version, listing) = match &leader {
                 // A member takes the document from the log.
-                Some(leader) if leader == id => (u64::MAX, self.listing.version()),
-                None if self.may_follow(now_ms, id) => (self.version, self.listing.version()),
+                Some(leader) if *leader == info.id => (u64::MAX, self.listing.version()),
+                None if self.may_follow(now_ms, &info.id) => (self.version, self.listing.version()),
                 _ => (u64::MAX, LISTING_NOT_NEEDED),
             };
             let watch = Watch {
@@ -513,7 +512,7 @@
                 listing,
                 ..watch.clone()
             };
-            effects.push(send(info, PeerMessage::Watch(watch)));
+            effects.push(send(&info, PeerMessage::Watch(watch)));
         }
     }
 
@@ -531,15 +530,21 @@
         followed.is_some_and(|(_, at_ms)| now_ms - at_ms <= CURRENT_MAX_AGE_MS)
     }
 
-    fn add_contacts(&mut self, contacts: Vec<InstanceInfo>) {
-        for contact in contacts {
-            if contact.id != self.settings.info.id {
-                let id = contact.id.clone();
-                self.replicas.entry(id).or_insert((contact, 0));
-            }
+    fn update_join_targets(&mut self) {
+        let ids = self.replicas.infos().map(|info| info.id.clone());
+        self.replica.set_join_targets(ids.collect());
+    }
+
+    fn forget_replicas(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
+        let members = self.replica.status().members.instances;
+        let forgotten = self.replicas.forget(&members, now_ms);
+        if forgotten.is_empty() {
+            return;
+        }
+        self.update_join_targets();
+        for id in forgotten {
+            log(effects, format!("replica={id} outcome=forgotten"));
         }
-        self.replica
-            .set_join_targets(self.replicas.keys().cloned().collect());
     }
 
     fn on_peer(
@@ -568,16 +573,16 @@
 
     fn on_watch(&mut self, now_ms: u64, watch: Watch, effects: &mut Vec<ControlEffect>) {
         let id = watch.info.id.clone();
-        if !watch.accepts_callers {
-            let is_known = self.replicas.contains_key(&id);
-            let entries = self.replicas.get(&id).map_or(0, |(_, entries)| *entries);
-            self.replicas
-                .insert(id.clone(), (watch.info.clone(), entries));
-            if !is_known {
-                log(effects, format!("replica={id} outcome=discovered"));
-                self.replica
-                    .set_join_targets(self.replicas.keys().cloned().collect());
-            }
+        if watch.is_probe {
+            let next_reply =
+                |subscribers: &mut Subscribers, _: &Name, published: &Published<'_>| {
+                    subscribers.probe_reply(watch, published)
+                };
+            return self.send_update(now_ms, &id, next_reply, effects);
+        }
+        if !watch.accepts_callers && self.replicas.on_message(&watch.info, now_ms) {
+            log(effects, format!("replica={id} outcome=discovered"));
+            self.update_join_targets();
         }
         let accepts_callers = watch.accepts_callers;
         let report = &watch.quarantine;
@@ -636,9 +641,7 @@
         reply: WatchReply,
         effects: &mut Vec<ControlEffect>,
     ) {
-        if let Some((_, entries)) = self.replicas.get_mut(from) {
-            *entries = reply.entries;
-        }
+        self.replicas.set_entries(from, reply.entries);
         let changed = self.quarantine.merge(now_ms, &reply.quarantine.verdicts);
         self.log_verdicts(&changed, from, effects);
         match self.replica.status().leader {
@@ -647,9 +650,7 @@
             _ => {}
         }
         for info in reply.replicas {
-            if info.id != self.settings.info.id {
-                self.replicas.entry(info.id.clone()).or_insert((info, 0));
-            }
+            self.replicas.on_named(info, now_ms);
         }
     }
 
@@ -703,8 +704,9 @@
         ) -> Option<(InstanceInfo, WatchReply)>,
         effects: &mut Vec<ControlEffect>,
     ) {
-        let infos = self.replicas.values().map(|(info, _)| info.clone());
-        let replicas: Vec<InstanceInfo> = infos.chain([self.settings.info.clone()]).collect();
+        let members = self.replica.status().members.instances;
+        let mut replicas = self.replicas.named(&members, now_ms);
+        replicas.push(self.settings.info.clone());
         let published = Published {
             now_ms,
             is_current: self.is_current(now_ms),
@@ -714,7 +716,7 @@
             listing: &self.listing,
             listing_age_ms: self.listing_age_ms(now_ms),
             replicas: &replicas,
-            other_entries: self.other_entries(),
+            other_entries: self.replicas.entries(now_ms),
             quarantine: &self.quarantine,
         };
         if let Some((info, reply)) = next_reply(&mut self.subscribers, id, &published) {
@@ -935,7 +937,7 @@
             instance: self.settings.info.id.clone(),
             storage_id: self.settings.storage_id,
         };
-        let Some((info, _)) = self.replicas.get(&to.instance) else {
+        let Some(info) = self.replicas.get(&to.instance) else {
             log(
                 effects,
                 format!("replica={} outcome=unknown_address", to.instance),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -6,7 +6,7 @@
 use conf::{Map, Name, Set};
 use fleet::{
     InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad,
-    UpstreamRecord, WatchReply,
+    UpstreamRecord, Watch, WatchReply,
 };
 
 use quarantine::{Admission, Suspects};
@@ -177,6 +177,8 @@
     /// Version of the list of upstreams, or [`NO_LISTING`].
     listing: u64,
     has_listing: bool,
+    /// Replica that has sent or confirmed the list, and when it was read from the platform, in milliseconds.
+    listing_source: Option<(Name, u64)>,
     /// Number of entries in the whole system, as the replica last reported.
     entry_count: u32,
     upstreams: Map<Name, Upstream>,
@@ -211,6 +213,7 @@
             config: None,
             listing: NO_LISTING,
             has_listing: false,
+            listing_source: None,
             entry_count: 0,
             upstreams: Map::default(),
             services: Map::default(),
@@ -262,7 +265,7 @@
                 reply,
                 config,
             } => self.on_watch_reply(now_ms, &from, *reply, config, effects),
-            EntryEvent::Contacts(contacts) => self.subscription.add_contacts(contacts),
+            EntryEvent::Contacts(contacts) => self.subscription.set_contacts(contacts),
             EntryEvent::Stopping { ends_ms } => self.ends_ms = Some(ends_ms),
             EntryEvent::Arrived { exchange, request } => {
                 self.on_arrived(now_ms, exchange, request, effects);
@@ -291,8 +294,11 @@
     }
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let version = self.config.as_ref().map_or(0, |config| config.version());
+        for (to, probe) in self.subscription.probes(now_ms, version, self.listing) {
+            send_watch(to, probe, effects);
+        }
         if self.subscription.is_due(now_ms) {
-            let version = self.config.as_ref().map_or(0, |config| config.version());
             let loads = self.own_loads();
             self.observe_generation(now_ms);
             let limits = self.limit_reports(now_ms);
@@ -306,11 +312,7 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
-                effects.push(EntryEffect::Send {
-                    to: to.id,
-                    address: to.peer_address,
-                    message: Box::new(PeerMessage::Watch(watch)),
-                });
+                send_watch(to, watch, effects);
             }
         }
         if now_ms >= self.next_dispatch_ms {
@@ -330,6 +332,12 @@
         if let Some(config) = config {
             self.apply_config(config, from, effects);
         }
+        let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
+        if let Some(update) = reply.listing_update {
+            self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
+        } else if reply.listing == self.listing && !self.is_older_listing(from, read_ms) {
+            self.listing_source = Some((from.clone(), read_ms));
+        }
         if !is_current {
             return;
         }
@@ -338,9 +346,6 @@
             let text = format!("{verdict} source={from}");
             log(effects, Importance::StateChange, text);
         }
-        if let Some(update) = reply.listing_update {
-            self.apply_listing(reply.listing, update, from, effects);
-        }
         if let Some(loads) = &reply.loads {
             self.set_others_loads(loads);
         }
@@ -442,6 +447,31 @@
         log(effects, Importance::StateChange, text);
     }
 
+    /// Applies what this entry lacked of a version of the list of upstreams that was read at `read_ms`, unless another
+    /// replica has sent a version that was read later.
+    fn apply_newer_listing(
+        &mut self,
+        version: u64,
+        update: ListingUpdate,
+        read_ms: u64,
+        from: &Name,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        if self.is_older_listing(from, read_ms) {
+            let text = format!("listing={version:x} outcome=older source={from}");
+            log(effects, Importance::Step, text);
+            return;
+        }
+        self.listing_source = Some((from.clone(), read_ms));
+        self.apply_listing(version, update, from, effects);
+    }
+
+    /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
+    fn is_older_listing(&self, from: &Name, read_ms: u64) -> bool {
+        let is_newer = |(source, known_ms): &(Name, u64)| source != from && read_ms < *known_ms;
+        self.listing_source.as_ref().is_some_and(is_newer)
+    }
+
     /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
@@ -1504,6 +1534,14 @@
     }
 }
 
+fn send_watch(to: InstanceInfo, watch: Watch, effects: &mut Vec<EntryEffect>) {
+    effects.push(EntryEffect::Send {
+        to: to.id,
+        address: to.peer_address,
+        message: Box::new(PeerMessage::Watch(watch)),
+    });
+}
+
 fn direct(effects: &mut Vec<EntryEffect>, exchange: u64, directive: Directive) {
     effects.push(EntryEffect::Directive {
         exchange,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod listing;
 pub mod loads;
 pub mod place;
+pub mod replicas;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -260,6 +260,25 @@
         Some((self.by_id[id].info.clone(), reply))
     }
 
+    /// Returns the reply to a probe, whose sender is subscribed as before.
+    pub fn probe_reply(
+        &mut self,
+        watch: Watch,
+        published: &Published<'_>,
+    ) -> Option<(InstanceInfo, WatchReply)> {
+        let id = watch.info.id.clone();
+        let subscribed = self.remove(&id);
+        self.on_watch(published.now_ms, watch);
+        let reply = self.next_reply(&id, published, 1);
+        let probing = self.remove(&id)?;
+        if let Some(subscriber) = subscribed {
+            self.loads
+                .add(&subscriber.info.availability_zone, &subscriber.loads);
+            self.by_id.insert(id, subscriber);
+        }
+        Some((probing.info, reply?))
+    }
+
     /// Returns an entry's shares of the limits on requests, if they are due.
     fn limit_shares(&mut self, id: &Name, published: &Published<'_>) -> Vec<LimitShare> {
         let now_ms = published.now_ms;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -292,7 +292,13 @@
 
     /// Adds an instance with an empty disk whose settings name no other instances, and returns its index.
     pub fn add_without_contacts(&mut self) -> usize {
-        let founders = std::mem::take(&mut self.founders);
+        self.add_with_contacts(0..0)
+    }
+
+    /// Adds an instance with an empty disk whose settings name some instances, and returns its index.
+    pub fn add_with_contacts(&mut self, contacts: std::ops::Range<usize>) -> usize {
+        let contacts = contacts.map(info).collect();
+        let founders = std::mem::replace(&mut self.founders, contacts);
         let index = self.add();
         self.founders = founders;
         index
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -59,6 +59,7 @@
   prefixUses @6 :List(PrefixUse);
   quarantine @7 :QuarantineReport;
   limits @8 :List(LimitReport);
+  isProbe @9 :Bool;
 }
 
 # Limit on requests that an upstream has stated.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -5021,6 +5021,10 @@
         pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_is_probe(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
     }
 
     pub struct Builder<'a> {
@@ -5305,6 +5309,14 @@
         pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_is_probe(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_is_probe(&mut self, value: bool) {
+            self.builder.set_bool_field(65, value);
+        }
     }
 
     pub struct Pipeline {
@@ -5326,7 +5338,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 183] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -5336,77 +5348,84 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -5495,6 +5514,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 80, 114, 111, 98, 101, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5507,6 +5534,7 @@
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::prefix_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::quarantine_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5525,9 +5553,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 8, 4, 5, 6, 7, 1, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 9, 8, 4, 5, 6, 7, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
     }
 }
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -21,6 +21,7 @@
     write_instance_info(&watch.info, builder.reborrow().init_info());
     builder.set_sequence(watch.sequence);
     builder.set_accepts_callers(watch.accepts_callers);
+    builder.set_is_probe(watch.is_probe);
     builder.set_version(watch.version);
     builder.set_listing(watch.listing);
     write_loads(
@@ -51,6 +52,7 @@
         info: read_instance_info(reader.get_info()?)?,
         sequence: reader.get_sequence(),
         accepts_callers: reader.get_accepts_callers(),
+        is_probe: reader.get_is_probe(),
         version: reader.get_version(),
         listing: reader.get_listing(),
         loads: reader.get_loads()?.iter().map(read_load).collect(),
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -115,6 +115,7 @@
         info: instance_info(g),
         sequence: number(g),
         accepts_callers: flag(g),
+        is_probe: flag(g),
         version: number(g),
         listing: number(g),
         loads: list(g, upstream_load),
