Limit the memory for all bodies of an instance together

80 upstreams that answer without an end, in bodies, heads or events, made an entry hold 510 MB (test and upstream in one process); a small machine has 160 MB, and an entry that runs out of it ends with all its requests.

Cause: each body, event and head had a limit of its own, and nothing limited the sum. A body with a stated length waits for its memory, one without is broken off if none is left. The HTTP library reads at most 64 KB in advance.

Not limited together: bodies in serve.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -161,7 +161,12 @@
             Task::Prefill => MAX_PREFILL_ANSWER_BYTES,
             Task::Run | Task::Generate { .. } => MAX_ANSWER_BYTES,
         };
-        let body = match timeout_at(deadline, body::read_whole(body, limit_bytes)).await {
+        let body = match timeout_at(
+            deadline,
+            body::read_whole(body, limit_bytes, &self.pool.memory),
+        )
+        .await
+        {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(CallFailure::new(Outcome::Broken, error.to_string())),
             Err(_) => {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -21,10 +21,13 @@
 use crate::call::{CallAnswer, ForwardedRequest, forwarded_headers};
 use crate::entry::EntryRuntime;
 use crate::logs::{self, Importance};
+use crate::memory::BodyMemory;
 use crate::stream;
 
 /// Wait that a caller is told before it retries while the instance has no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
+/// Wait that a caller is told before it retries while other bodies hold the memory, in milliseconds.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 300;
 /// Timeout of receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -178,7 +181,12 @@
         max_runs: route.max_runs,
         prompt,
     };
-    let body = read_body(body, config.limits().body_bytes).await?;
+    let body = read_body(
+        body,
+        config.limits().body_bytes,
+        &runtime.client.pool.memory,
+    )
+    .await?;
     let forwarded = ForwardedRequest {
         method: parts.method,
         target: origin_form(&parts.uri),
@@ -191,8 +199,12 @@
     Ok((request, forwarded))
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Response<AnswerBody>> {
-    let body = tokio::time::timeout(BODY_TIMEOUT, body::read_whole(body, limit_bytes));
+async fn read_body(
+    body: Incoming,
+    limit_bytes: usize,
+    memory: &BodyMemory,
+) -> Result<Bytes, Response<AnswerBody>> {
+    let body = tokio::time::timeout(BODY_TIMEOUT, body::read_whole(body, limit_bytes, memory));
     match body.await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLarge { .. })) => Err(answer::error(
@@ -200,6 +212,10 @@
             "body_too_large",
             "the body is larger than allowed",
         )),
+        Ok(Err(BodyError::NoMemory)) => Err(answer::refusal(Refusal {
+            reason: RefusalReason::NotRun,
+            retry_after_ms: NO_MEMORY_RETRY_AFTER_MS,
+        })),
         Ok(Err(BodyError::Broken(_))) => Err(answer::error(
             StatusCode::BAD_REQUEST,
             "body_unreadable",
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -32,6 +32,7 @@
 use crate::inbox::Inbox;
 use crate::listing;
 use crate::logs::{self, Importance};
+use crate::memory::BodyMemory;
 use crate::orders::OrderSender;
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
@@ -254,7 +255,7 @@
         effects: RefCell::default(),
         clock,
         dialect,
-        pool: Pool::default(),
+        pool: Pool::new(BodyMemory::new(settings.body_memory_bytes)),
         settings,
         peers,
         writes: RefCell::default(),
@@ -399,7 +400,11 @@
 
 async fn publish(runtime: &ControlRuntime, request: Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
-    let body = body::read_whole(request.into_body(), MAX_DOCUMENT_BYTES);
+    let body = body::read_whole(
+        request.into_body(),
+        MAX_DOCUMENT_BYTES,
+        &runtime.pool.memory,
+    );
     let document = match tokio::time::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::error::Error;
 use crate::http::{ConnectionLimits, listen, serve};
 use crate::logs::{self, Importance};
+use crate::memory::BodyMemory;
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -171,7 +172,7 @@
     telemetry::start(&settings.metrics_address).await;
     let runtime = Rc::new(EntryRuntime {
         client: Client {
-            pool: Pool::default(),
+            pool: Pool::new(BodyMemory::new(settings.body_memory_bytes)),
             dialect,
             clock: Clock::start(),
         },
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -2,35 +2,50 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::memory::{BodyMemory, Reservation};
+
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// An event is larger than allowed.
+/// An event is larger than allowed, or larger than the memory that is left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+#[error("an event is larger than {MAX_EVENT_BYTES} bytes or than the memory that is left")]
 pub struct EventTooLarge;
 
 /// The position in a stream: the received bytes of an incomplete event, and the id of the last complete event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventCursor {
     partial: BytesMut,
+    /// Memory for the incomplete event.
+    reservation: Reservation,
     last_event_id: Option<String>,
 }
 
 impl EventCursor {
+    /// Creates a cursor at the start of a stream.
+    pub fn new(memory: &BodyMemory) -> Self {
+        Self {
+            partial: BytesMut::new(),
+            reservation: memory.reservation(),
+            last_event_id: None,
+        }
+    }
+
     /// Appends received bytes and returns the events that are complete now.
     ///
     /// # Errors
     /// Returns an error if the incomplete event is too large.
     pub fn push(&mut self, data: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
-        self.partial.extend_from_slice(data);
-        if self.partial.len() > MAX_EVENT_BYTES {
+        let bytes = self.partial.len() + data.len();
+        if bytes > MAX_EVENT_BYTES || !self.reservation.grow(bytes) {
             return Err(EventTooLarge);
         }
+        self.partial.extend_from_slice(data);
         let Some(end) = last_event_end(&self.partial) else {
             return Ok(None);
         };
         let complete = self.partial.split_to(end).freeze();
+        let complete = self.reservation.take().hold(complete);
         if let Some(id) = last_event_id(&complete) {
             self.last_event_id = Some(id);
         }
@@ -45,7 +60,8 @@
 
     /// Discards the incomplete event, which another upstream sends again.
     pub fn discard_incomplete(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.reservation.take();
     }
 
     /// Returns the id of the last complete event.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod inbox;
 mod listing;
 pub mod logs;
+pub mod memory;
 pub mod orders;
 mod peers;
 pub mod pool;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::body;
+use crate::memory::BodyMemory;
 
 /// Timeout of opening a connection. The kernel sends a lost SYN packet again after one second, so that the
 /// timeout allows for one lost packet.
@@ -36,6 +37,8 @@
 /// Number of unanswered probes after which a connection counts as dead.
 const MAX_PROBES: u32 = 2;
 
+/// Maximum size of the head of an answer, and of what is read of a body in advance, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum size of an answer to one of the instance's own calls, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -43,6 +46,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<Map<Name, Vec<IdleConnection>>>,
+    /// Memory for the bodies of answers.
+    pub memory: BodyMemory,
 }
 
 #[derive(Debug)]
@@ -69,6 +74,14 @@
 }
 
 impl Pool {
+    /// Creates a pool without connections.
+    pub fn new(memory: BodyMemory) -> Self {
+        Self {
+            idle: RefCell::default(),
+            memory,
+        }
+    }
+
     /// Returns an idle connection to `address`, or opens one. With `must_be_fresh`, a connection that has been idle for
     /// longer than `MAX_FRESH_IDLE` is not used.
     ///
@@ -108,7 +121,7 @@
             let sent = connection.sender.send_request(request).await;
             let response = sent.map_err(|error| error.to_string())?;
             let status = response.status();
-            let body = body::read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+            let body = body::read_whole(response.into_body(), MAX_ANSWER_BYTES, &self.memory).await;
             let body = body.map_err(|error| error.to_string())?;
             self.put(address, connection, None);
             Ok((status, body))
@@ -169,7 +182,10 @@
 async fn open(address: &Name) -> Result<Connection, Box<dyn std::error::Error>> {
     let stream = TcpStream::connect(address.as_str()).await?;
     configure_socket(&stream);
-    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let task = tokio::task::spawn_local(async move {
         // The call that uses the connection receives the error.
         let _ = connection.await;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -6,6 +6,8 @@
 use fleet::InstanceInfo;
 use gateway::budget::RetryBudgetSettings;
 
+use crate::memory;
+
 /// Time before the end of the grace period at which a stopping instance no longer waits, in milliseconds.
 const GRACE_MARGIN_MS: u64 = 400;
 
@@ -60,6 +62,8 @@
     pub retry_budget: RetryBudgetSettings,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
     pub grace_ms: u64,
+    /// Memory for the bodies of requests and answers together, in bytes.
+    pub body_memory_bytes: usize,
     /// Secret shared by all instances.
     pub peer_secret: Vec<u8>,
 }
@@ -88,6 +92,7 @@
             list_address: Name::default(),
             retry_budget: RetryBudgetSettings::default(),
             grace_ms: 8_000,
+            body_memory_bytes: memory::DEFAULT_BYTES,
             peer_secret: Vec::new(),
         }
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -28,7 +28,7 @@
     events: EventSender,
     deadline: Instant,
 ) {
-    let mut cursor = EventCursor::default();
+    let mut cursor = EventCursor::new(&exchange.runtime.client.pool.memory);
     loop {
         let end = tokio::select! {
             end = forward_events(&exchange, &mut upstream_stream, &mut cursor, &events, deadline) => end,
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -1,12 +1,13 @@
 //! Events in the body of a stream.
 
 use relay::events::{EventCursor, EventTooLarge};
+use relay::memory::BodyMemory;
 
 /// Guards against a stream that ends inside an event and counts as complete, for example one without a length whose
 /// upstream has crashed.
 #[test]
 fn a_stream_that_ends_inside_an_event_has_broken_off() {
-    let mut cursor = EventCursor::default();
+    let mut cursor = EventCursor::new(&BodyMemory::default());
     assert!(cursor.is_between_events());
     let complete = cursor
         .push(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -23,7 +24,7 @@
 /// Guards against the start of an event that reaches the caller twice after the stream was resumed.
 #[test]
 fn an_incomplete_event_is_not_forwarded() {
-    let mut cursor = EventCursor::default();
+    let mut cursor = EventCursor::new(&BodyMemory::default());
     assert_eq!(cursor.push(b"id: 1\r\ndata: a\r\n").unwrap(), None);
     cursor.discard_incomplete();
     let complete = cursor.push(b"id: 1\r\ndata: b\r\n\r\n").unwrap().unwrap();
@@ -33,7 +34,7 @@
 /// Guards against an event without an end that occupies the entry's memory.
 #[test]
 fn an_event_without_an_end_is_bounded() {
-    let mut cursor = EventCursor::default();
+    let mut cursor = EventCursor::new(&BodyMemory::default());
     let piece = [b'x'; 64 * 1024];
     let result = (0..32).find_map(|_| cursor.push(&piece).err());
     assert_eq!(result, Some(EventTooLarge));
