Take no request in a planned stop that may be cut off

Cause: a plain request was sent however late it came, its deadline was the moment at which the process ended, and the process ended when its exchanges had, which is when the HTTP library gets an answer and not when the caller has it. A replica ended at once, with the operators' calls in progress.

A stopping entry refuses as not run what may not end in time; answers begin 300 ms before the end; a listener ends with its last connection, and both kinds of process wait for that. A connection that has sent a part of its first request at the stop has half a second for the rest.

a_stopping_entry_sends_no_plain_request_that_it_may_cut, the_listener_ends_after_the_last_byte_of_an_answer and a_connection_with_a_part_of_a_request_is_closed_at_the_stop fail without it. Ruled out by the last one's first form: connections without any byte are closed at once by the HTTP library.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -568,13 +568,15 @@
         effects: &mut Vec<EntryEffect>,
     ) {
         if let Some(ends_ms) = self.ends_ms {
-            request.deadline_ms = request.deadline_ms.min(ends_ms);
-            let stream_ms = match request.kind {
+            let needed_ms = match request.kind {
                 RequestKind::Stream { .. } => (self.stream_ms * STREAM_TIME_MARGIN) as u64,
-                RequestKind::Idempotent | RequestKind::NonIdempotent => 0,
+                RequestKind::Idempotent => request.objective_ms.saturating_sub(now_ms),
+                // The end of the process must not leave it open whether the request has run.
+                RequestKind::NonIdempotent => request.deadline_ms.saturating_sub(now_ms),
             };
-            let begin_ms = ends_ms.saturating_sub(stream_ms);
+            let begin_ms = ends_ms.saturating_sub(needed_ms);
             request.begin_deadline_ms = request.begin_deadline_ms.min(begin_ms);
+            request.deadline_ms = request.deadline_ms.min(ends_ms);
         }
         let budget = self
             .retry_budgets
@@ -762,6 +764,12 @@
 
     fn place_plain(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let state = &self.exchanges[&exchange];
+        if self.ends_ms.is_some()
+            && state.runs == 0
+            && self.is_too_late(now_ms, &state.request, 0.0)
+        {
+            return self.refuse(now_ms, exchange, RefusalReason::TooLate, 0, effects);
+        }
         let context = self.placement_context(now_ms, state);
         let upstreams = self.service_upstreams(&state.request.service);
         let Some(upstream) = place::choose_plain(&context, upstreams) else {
--- a/crates/gateway/tests/entry.rs
+++ b/crates/gateway/tests/entry.rs
@@ -297,6 +297,29 @@
     assert!(refusal.reason.is_not_run(), "{refusal:?}");
 }
 
+/// Guards against a plain request that arrives late at a stopping entry and is sent to an upstream although its answer may be
+/// cut off, above all one that must not run twice.
+#[test]
+fn a_stopping_entry_sends_no_plain_request_that_it_may_cut() {
+    let mut driver = Driver::new(vec![plain("p-1", ZONE)]);
+    let ends_ms = driver.now_ms + 7_000;
+    driver.step(EntryEvent::Stopping { ends_ms });
+    // Requests of the driver have a deadline after 5 s and an objective of 400 ms.
+    let unsafe_request = driver.request(RequestKind::NonIdempotent, 0);
+    expect_call(driver.arrive(unsafe_request).1);
+    driver.now_ms += 2_500;
+    let unsafe_request = driver.request(RequestKind::NonIdempotent, 0);
+    let refusal = expect_refusal(driver.arrive(unsafe_request).1);
+    assert!(refusal.reason.is_not_run(), "{refusal:?}");
+    let safe = driver.request(RequestKind::Idempotent, 0);
+    let call = expect_call(driver.arrive(safe).1);
+    assert!(call.deadline_ms <= ends_ms);
+    driver.now_ms = ends_ms - 200;
+    let safe = driver.request(RequestKind::Idempotent, 0);
+    let refusal = expect_refusal(driver.arrive(safe).1);
+    assert!(refusal.reason.is_not_run(), "{refusal:?}");
+}
+
 /// Guards against requests to an engine that takes none while it changes its role.
 #[test]
 fn an_engine_that_changes_its_role_gets_no_requests() {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -19,7 +19,7 @@
 use node::persist::{self, TicketedWrite};
 use reducer::Event;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout_at};
 
 use crate::answer::{self, AnswerBody};
 use crate::blocked_parts::{self, BLOCKED_PARTS_PATH};
@@ -267,7 +267,7 @@
     runtime.weak_self.replace(Rc::downgrade(&runtime));
     let (shutdown_sender, shutdown) = watch::channel(false);
     let handler_runtime = runtime.clone();
-    tokio::task::spawn_local(async move {
+    let serving = tokio::task::spawn_local(async move {
         let handle = move |request| handle(handler_runtime.clone(), request);
         serve(operators, ConnectionLimits::default, handle, shutdown).await;
     });
@@ -294,15 +294,22 @@
             _ = disk_checks.tick() => runtime.check_disk(&mut disk_thread),
         }
     }
-    leave(&runtime).await;
+    let stop_ms = clock.now_ms() + runtime.settings.stop_wait_ms();
+    leave(&runtime, stop_ms).await;
     let _ = shutdown_sender.send(true);
+    if timeout_at(clock.instant(stop_ms), serving).await.is_err() {
+        logs::write(
+            Importance::Failure,
+            "process",
+            "outcome=cut listener=operators",
+        );
+    }
     Ok(())
 }
 
-/// Waits until the replica has left the member set, or until shortly before the end of the grace period.
-async fn leave(runtime: &ControlRuntime) {
+/// Waits until the replica has left the member set, or until `stop_ms`.
+async fn leave(runtime: &ControlRuntime, stop_ms: u64) {
     let clock = runtime.clock;
-    let stop_ms = clock.now_ms() + runtime.settings.stop_wait_ms();
     logs::write(Importance::StateChange, "process", "outcome=stopping");
     runtime.step(ControlEvent::Leave);
     // A replica whose disk has failed takes no part in the log.
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -14,7 +14,8 @@
 use node::probe;
 use reducer::Event;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, timeout_at};
 
 use crate::answer;
 use crate::call::Client;
@@ -41,6 +42,9 @@
 /// only after two failed readiness checks.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(3_000);
 
+/// Time before the end of a stopping process by which its answers are to begin being written, in milliseconds.
+const LAST_ANSWER_MS: u64 = 300;
+
 /// The reducer of an entry, and everything that carries out its effects. The runtime is used on one thread.
 pub struct EntryRuntime {
     /// Calls to upstreams.
@@ -190,7 +194,7 @@
     runtime.weak_self.replace(Rc::downgrade(&runtime));
     let (shutdown_sender, shutdown) = watch::channel(false);
     let (stopping_sender, stopping) = watch::channel(false);
-    tokio::task::spawn_local(serve_callers(
+    let serving = tokio::task::spawn_local(serve_callers(
         runtime.clone(),
         callers,
         stopping.clone(),
@@ -220,21 +224,29 @@
             SignalAction::Stop => break,
         }
     }
-    finish_exchanges(&runtime, &settings, &stopping_sender, &shutdown_sender).await;
+    finish_exchanges(
+        &runtime,
+        &settings,
+        &stopping_sender,
+        &shutdown_sender,
+        serving,
+    )
+    .await;
     Ok(())
 }
 
 /// Makes the readiness checks fail and lets answers close their connections, waits until the load balancer reacts, then
-/// accepts no further connections, closes idle ones and waits for the open exchanges until shortly before the end of the
-/// grace period.
+/// accepts no further connections, closes idle ones and waits until the answers to the open exchanges are written, or until
+/// shortly before the end of the grace period.
 async fn finish_exchanges(
     runtime: &EntryRuntime,
     settings: &Settings,
     stopping_sender: &watch::Sender<bool>,
     shutdown_sender: &watch::Sender<bool>,
+    serving: JoinHandle<()>,
 ) {
     let clock = runtime.client.clock;
-    let wait_until_ms = clock.now_ms() + settings.stop_wait_ms();
+    let stop_ms = clock.now_ms() + settings.stop_wait_ms();
     let open_exchanges = || runtime.entry.borrow().open_exchanges();
     logs::write(
         Importance::StateChange,
@@ -243,28 +255,15 @@
     );
     let _ = stopping_sender.send(true);
     runtime.step(EntryEvent::Stopping {
-        ends_ms: wait_until_ms,
+        ends_ms: stop_ms.saturating_sub(LAST_ANSWER_MS),
     });
     tokio::time::sleep(DEREGISTRATION_DELAY).await;
     let _ = shutdown_sender.send(true);
-    // The answers of exchanges that have just ended are still being written, so that the loop waits for several ticks
-    // without an open exchange.
-    let mut idle_ticks = 0;
-    while idle_ticks < 4 && clock.now_ms() < wait_until_ms {
-        tokio::time::sleep(TICK_INTERVAL).await;
-        idle_ticks = if open_exchanges() == 0 {
-            idle_ticks + 1
-        } else {
-            0
-        };
-    }
-    if open_exchanges() > 0 {
-        logs::write(
-            Importance::Failure,
-            "process",
-            &format!("outcome=cut open_exchanges={}", open_exchanges()),
-        );
-    }
+    let text = match timeout_at(clock.instant(stop_ms), serving).await {
+        Ok(_) => "outcome=stopped".to_owned(),
+        Err(_) => format!("outcome=cut open_exchanges={}", open_exchanges()),
+    };
+    logs::write(Importance::StateChange, "process", &text);
 }
 
 async fn serve_callers(
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, ServiceResult};
 use crate::error::Error;
@@ -20,6 +23,8 @@
 
 /// Delay after a failed accept. Its usual reason, a lack of free file descriptors, is temporary.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Time after the shutdown by which a connection without a request must have sent its first one.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -58,7 +63,8 @@
         })
 }
 
-/// Accepts and serves connections until shutdown, then closes the listener. `limits` is called for each connection.
+/// Accepts and serves connections until shutdown, then closes the listener and waits until all answers are written. `limits`
+/// is called for each connection.
 pub async fn serve<H, F>(
     socket: TcpListener,
     limits: impl Fn() -> ConnectionLimits,
@@ -70,16 +76,18 @@
 {
     let handle = Rc::new(handle);
     let mut shutdown_begins = shutdown.clone();
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
-            _ = shutdown_begins.wait_for(|is_shutdown| *is_shutdown) => return,
+            Some(_) = connections.join_next() => continue,
+            _ = shutdown_begins.wait_for(|is_shutdown| *is_shutdown) => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 let connection =
                     serve_connection(stream, limits(), handle.clone(), shutdown.clone());
-                tokio::task::spawn_local(connection);
+                connections.spawn_local(connection);
             }
             Err(error) => {
                 logs::write(
@@ -91,6 +99,8 @@
             }
         }
     }
+    drop(socket);
+    while connections.join_next().await.is_some() {}
 }
 
 async fn serve_connection<H, F>(
@@ -103,7 +113,10 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     configure_socket(&stream);
+    let has_request = Rc::new(Cell::new(false));
+    let request_seen = has_request.clone();
     let service = service_fn(move |request| {
+        request_seen.set(true);
         let handle = handle.clone();
         async move { ServiceResult::Ok(handle(request).await) }
     });
@@ -116,7 +129,15 @@
     // An error concerns this connection only. An open exchange ends as if the caller had disconnected.
     tokio::select! {
         _ = &mut connection => return,
-        _ = shutdown.wait_for(|is_shutdown| *is_shutdown) => connection.as_mut().graceful_shutdown(),
+        _ = shutdown.wait_for(|is_shutdown| *is_shutdown) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    // A caller that is slow to send its first request does not hold up the stop.
+    let has_ended = timeout(FIRST_REQUEST_TIMEOUT, connection.as_mut())
+        .await
+        .is_ok();
+    if has_ended || !has_request.get() {
+        return;
     }
     let _ = connection.await;
 }
--- a/crates/relay/tests/listener.rs
+++ b/crates/relay/tests/listener.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 /// Time that an answer takes.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
@@ -27,6 +27,12 @@
 
 /// Serves slow answers and returns the address and the sender of the shutdown signal.
 async fn start() -> (String, watch::Sender<bool>) {
+    let (address, stop, _) = start_with(Bytes::from_static(b"whole")).await;
+    (address, stop)
+}
+
+/// Serves slow answers with a body. Also returns the task of the listener.
+async fn start_with(body: Bytes) -> (String, watch::Sender<bool>, JoinHandle<()>) {
     let socket = listen("test", &"127.0.0.1:0".into())
         .await
         .expect("a loopback port is free");
@@ -34,10 +40,10 @@
     let (sender, shutdown) = watch::channel(false);
     let stopping = shutdown.clone();
     let handle = move |_: Request<Incoming>| {
-        let stopping = stopping.clone();
+        let (stopping, body) = (stopping.clone(), body.clone());
         async move {
             tokio::time::sleep(ANSWER_TIME).await;
-            let mut response = Response::new(AnswerBody::from(Bytes::from_static(b"whole")));
+            let mut response = Response::new(AnswerBody::from(body));
             if *stopping.borrow() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -45,8 +51,9 @@
             response
         }
     };
-    tokio::task::spawn_local(serve(socket, ConnectionLimits::default, handle, shutdown));
-    (address.to_string(), sender)
+    let serving =
+        tokio::task::spawn_local(serve(socket, ConnectionLimits::default, handle, shutdown));
+    (address.to_string(), sender, serving)
 }
 
 async fn read_to_end(stream: &mut TcpStream) -> String {
@@ -93,3 +100,40 @@
         assert!(answer.contains("connection: close"), "{answer}");
     });
 }
+
+/// Guards against a caller that has sent a part of a request and holds up the stop, or whose request is taken late.
+#[test]
+fn a_connection_with_a_part_of_a_request_is_closed_at_the_stop() {
+    run(async {
+        let (address, stop) = start().await;
+        let mut open = TcpStream::connect(&address).await.expect("it is accepted");
+        let (begin, end) = REQUEST.split_at(9);
+        open.write_all(begin).await.expect("it can be written");
+        tokio::time::sleep(ANSWER_TIME / 3).await;
+        stop.send(true).expect("the listener is running");
+        tokio::time::sleep(ANSWER_TIME * 3).await;
+        let mut answer = Vec::new();
+        // The connection is closed or reset, depending on when the rest arrives.
+        let _ = open.write_all(end).await;
+        let _ = open.read_to_end(&mut answer).await;
+        assert!(answer.is_empty(), "{}", String::from_utf8_lossy(&answer));
+    });
+}
+
+/// Guards against a process that ends while the answer of an exchange that has ended is still being written to a slow caller.
+#[test]
+fn the_listener_ends_after_the_last_byte_of_an_answer() {
+    const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+    run(async {
+        let (address, stop, serving) = start_with(vec![b'x'; ANSWER_BYTES].into()).await;
+        let mut caller = TcpStream::connect(&address).await.expect("it is accepted");
+        caller.write_all(REQUEST).await.expect("it can be written");
+        tokio::time::sleep(ANSWER_TIME / 3).await;
+        stop.send(true).expect("the listener is running");
+        tokio::time::sleep(ANSWER_TIME * 2).await;
+        assert!(!serving.is_finished());
+        let answer = read_to_end(&mut caller).await;
+        assert!(answer.len() > ANSWER_BYTES);
+        serving.await.expect("the listener ends");
+    });
+}
