--- a/crates/mustardstack/tests/soak_support/system.rs
+++ b/crates/mustardstack/tests/soak_support/system.rs
@@ -298,7 +298,8 @@
     let workers: Vec<_> = (0..WORKER_COUNT)
         .map(|worker| {
             json!({
-                "Id": format!("worker-{worker}"), "Service": "orders", "Zone": "zone-a", "Slots": 6, "State": "ready",
+                "Id": format!("worker-{worker}"), "Service": "orders", "Zone": "zone-a", "Version": "v1", "Slots": 6,
+                "State": "ready", "ColdRemainingMs": 0,
                 "Address": format!("{network}.{}:{RELAY_PORT}", 30 + worker),
             })
         })
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -18,6 +18,9 @@
 /// Maximum number of pages of the list, so that a list without an end is detected.
 const MAX_PAGES: usize = 200;
 
+/// Longest part of a reason in the log, in characters.
+const MAX_REASON_CHARS: usize = 160;
+
 /// Reads all pages of the list.
 ///
 /// # Errors
@@ -28,24 +31,52 @@
     dialect: &Rc<dyn Dialect>,
 ) -> Result<Vec<UpstreamRecord>, String> {
     let mut upstreams = Vec::new();
+    let mut unreadable = Unreadable::default();
     let mut page_token: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let path = dialect.listing_path(page_token.as_deref());
         let body = get_page(pool, address, &path).await?;
         let page = dialect.listing(&body)?;
-        for reason in &page.unreadable {
-            let text = format!("list_entry=unreadable reason={reason:?} outcome=skipped");
-            logs::write(Importance::Step, "list", &text);
-        }
+        unreadable.count += page.unreadable.len();
+        unreadable.first = unreadable.first.or(page.unreadable.into_iter().next());
         upstreams.extend(page.upstreams);
         match page.next {
             Some(next) => page_token = Some(next),
-            None => return Ok(upstreams),
+            None => return unreadable.check(upstreams),
         }
     }
     Err(format!("the list has more than {MAX_PAGES} pages"))
 }
 
+/// The records of a list that cannot be decoded.
+#[derive(Default)]
+struct Unreadable {
+    count: usize,
+    /// Reason for the first one.
+    first: Option<String>,
+}
+
+impl Unreadable {
+    /// Writes one log line for all unreadable records.
+    ///
+    /// # Errors
+    /// Fails if there is no other record: an empty list would be taken for the loss of all upstreams.
+    fn check(self, upstreams: Vec<UpstreamRecord>) -> Result<Vec<UpstreamRecord>, String> {
+        let Some(first) = self.first else {
+            return Ok(upstreams);
+        };
+        let reason: String = first.chars().take(MAX_REASON_CHARS).collect();
+        let count = self.count;
+        let text =
+            format!("list_entries=unreadable count={count} reason={reason:?} outcome=skipped");
+        logs::write(Importance::StateChange, "list", &text);
+        match upstreams.is_empty() {
+            true => Err(format!("none of {count} records can be read")),
+            false => Ok(upstreams),
+        }
+    }
+}
+
 async fn get_page(pool: &Pool, address: &Name, path: &str) -> Result<Bytes, String> {
     let request = Request::get(path).body(Full::new(Bytes::new()));
     let request = request.map_err(|error| error.to_string())?;
