Let each founder form the log in turn

Cause: only the founder with the lowest id formed the log, and it knew its role from the settings of the present start alone. Now the others follow in turn, each two longest election timeouts after the one before, if all founders report that they hold no log. The log is still formed by an election of the reported identities, so that two attempts cannot both win.

--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -280,3 +280,23 @@
     cluster.run(1_000);
     assert!(!cluster.stop(1));
 }
+
+/// Guards against a log that is never formed because the founder that would form it was killed, with or without its disk, in
+/// the first moments of the system and then no longer knows that it is a founder.
+#[test]
+fn the_log_is_formed_although_a_founder_was_restarted_before() {
+    for founder in 0..3 {
+        for is_wiped in [false, true] {
+            let mut cluster = Cluster::new(3, 3);
+            match is_wiped {
+                true => cluster.wipe(founder),
+                false => cluster.restart(founder),
+            }
+            cluster.run(8_000);
+            assert_eq!(
+                cluster.publish(5, "five"),
+                Some(Answer::Acknowledged { version: 5 })
+            );
+        }
+    }
+}
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -11,9 +11,13 @@
 /// Interval between two rounds of `Join` messages, in heartbeat intervals.
 const JOIN_INTERVAL_HEARTBEATS: u64 = 2;
 
+/// Time after which the initial voter with the next higher id may bootstrap the log, in longest election timeouts.
+const BOOTSTRAP_TURN_ELECTIONS: u64 = 2;
+
 /// What a replica knows of the other replicas for bootstrapping the log and for joining a member set.
 #[derive(Clone, Debug)]
 pub(crate) struct JoinState {
+    started_ms: u64,
     next_join_ms: u64,
     /// Instances whose latest `JoinReply` says that they hold no log, with their storage id and the arrival time of the
     /// reply in milliseconds.
@@ -31,6 +35,7 @@
 impl JoinState {
     pub(crate) fn new(now_ms: u64) -> Self {
         Self {
+            started_ms: now_ms,
             next_join_ms: now_ms,
             instances_without_log: BTreeMap::new(),
             members_index: 0,
@@ -108,13 +113,10 @@
         }
     }
 
-    /// Starts the bootstrap of the log if this is the initial voter with the lowest id and no initial voter holds a
-    /// log.
+    /// Starts the bootstrap of the log if no initial voter holds a log and it is this one's turn.
     fn bootstrap_if_ready(&mut self, out: &mut Vec<Output>) {
-        let is_lowest_initial_voter =
-            self.settings.initial_voters.iter().min() == Some(&self.settings.id.instance);
         let is_idle_follower = matches!(self.role, Role::Follower) && self.leader.is_none();
-        if self.holds_log() || !is_lowest_initial_voter || !is_idle_follower {
+        if self.holds_log() || !self.has_bootstrap_turn() || !is_idle_follower {
             return;
         }
         let Some(set) = self.initial_members() else {
@@ -125,6 +127,16 @@
         self.start_election(out);
     }
 
+    /// Returns whether this is the initial voter with the lowest id, or has run for long enough that those with lower ids
+    /// would have bootstrapped the log. One that was restarted may no longer know that it is an initial voter.
+    fn has_bootstrap_turn(&self) -> bool {
+        let own = &self.settings.id.instance;
+        let initial_voters = &self.settings.initial_voters;
+        let lower_ids = initial_voters.iter().filter(|voter| *voter < own).count() as u64;
+        let turn_ms = self.settings.election_timeout_max_ms * BOOTSTRAP_TURN_ELECTIONS * lower_ids;
+        initial_voters.contains(own) && self.now_ms >= self.join.started_ms + turn_ms
+    }
+
     /// Returns the member set of all initial voters, once each of them has reported that it holds no log.
     fn initial_members(&self) -> Option<MemberSet> {
         let mut instances = self.settings.initial_voters.clone();
