Forget replicas that asked to leave, and drop an unused function

The leader kept each replica that had asked to leave for its whole term; only those of the last election timeout count.

--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -107,11 +107,6 @@
         self.current.as_ref()
     }
 
-    /// Returns the number of known replicas.
-    pub fn known_replicas(&self) -> usize {
-        self.replicas.len()
-    }
-
     /// Returns the time since the replica last confirmed that its state is current, in milliseconds.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.confirmed_ms)
--- a/crates/quorum/src/leave.rs
+++ b/crates/quorum/src/leave.rs
@@ -107,10 +107,13 @@
         let is_released =
             can_change && (is_removed || self.keeps_majority_without(leader, set, id));
         let now_ms = self.now_ms;
+        let max_age_ms = self.settings.election_timeout_max_ms;
         let Role::Leader(leader) = &mut self.role else {
             return false;
         };
-        leader.leavers.retain(|leaver| leaver.id != *id);
+        leader
+            .leavers
+            .retain(|leaver| leaver.id != *id && now_ms - leaver.requested_ms <= max_age_ms);
         leader.leavers.push(Leaver {
             id: id.clone(),
             requested_ms: now_ms,
