--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -41,7 +41,6 @@
 /// Time for which a stopping instance still accepts new connections, since the load balancer stops using the instance
 /// only after two failed readiness checks.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(3_000);
-
 /// Time before the end of a stopping process by which its answers are to begin being written, in milliseconds.
 const LAST_ANSWER_MS: u64 = 300;
 
@@ -259,11 +258,14 @@
     });
     tokio::time::sleep(DEREGISTRATION_DELAY).await;
     let _ = shutdown_sender.send(true);
-    let text = match timeout_at(clock.instant(stop_ms), serving).await {
-        Ok(_) => "outcome=stopped".to_owned(),
-        Err(_) => format!("outcome=cut open_exchanges={}", open_exchanges()),
+    let (importance, text) = match timeout_at(clock.instant(stop_ms), serving).await {
+        Ok(_) => (Importance::StateChange, "outcome=stopped".to_owned()),
+        Err(_) => (
+            Importance::Failure,
+            format!("outcome=cut open_exchanges={}", open_exchanges()),
+        ),
     };
-    logs::write(Importance::StateChange, "process", &text);
+    logs::write(importance, "process", &text);
 }
 
 async fn serve_callers(
