--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -132,8 +132,7 @@
     /// Returns the member set without a replica whose instance has been replaced, once every instance of the set has a
     /// voter.
     fn remove_replaced_replica(&self, set: &MemberSet) -> Option<MemberSet> {
-        let has_voter = |instance: &FastStr| set.voters.iter().any(|id| id.instance == *instance);
-        if !set.instances.iter().all(has_voter) {
+        if !set.has_voter_on_each_instance() {
             return None;
         }
         let is_replaced = |id: &&ReplicaId| !set.instances.contains(&id.instance);
--- a/crates/quorum/src/leave.rs
+++ b/crates/quorum/src/leave.rs
@@ -162,10 +162,9 @@
     /// Records since when every instance of the committed member set has had a voter.
     fn observe_settled_members(&mut self) {
         let set = self.members.current();
-        let has_voter = |instance: &FastStr| set.voters.iter().any(|id| id.instance == *instance);
         let is_settled = self.changeable_members_index() != 0
             && set.voters.len() == set.instances.len()
-            && set.instances.iter().all(has_voter);
+            && set.has_voter_on_each_instance();
         let now_ms = self.now_ms;
         if let Role::Leader(leader) = &mut self.role {
             leader.settled_since_ms = match is_settled {
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -17,6 +17,12 @@
         self.is_voter(id) || self.learners.contains(id)
     }
 
+    /// Returns whether each instance of the set runs a voter.
+    pub(crate) fn has_voter_on_each_instance(&self) -> bool {
+        let has_voter = |instance: &FastStr| self.voters.iter().any(|id| id.instance == *instance);
+        self.instances.iter().all(has_voter)
+    }
+
     /// Returns the number of voters that make a majority.
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
