Name the client account of a request

Cause: keys, usage and shares of client accounts are built side by side and all need the account of a request. Change: Request has an account, which is none until keys are looked up. Nothing reads it yet.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,6 +49,8 @@
     pub route: Name,
     /// Service that is to answer the request.
     pub service: Name,
+    /// Client account whose key the request carries; none for a request without a key.
+    pub account: Option<Name>,
     /// Whether the request may be retried after it may have run.
     pub kind: RequestKind,
     /// Rank, 0 for the most urgent.
--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -153,6 +153,7 @@
             id: Name::from(format!("request-{}", self.next_exchange)),
             route: "route".into(),
             service: "plain".into(),
+            account: None,
             kind,
             rank,
             deadline_ms: self.now_ms + 5_000,
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -756,6 +756,7 @@
         id: Name::from(format!("{exchange:016x}")),
         route: "route".into(),
         service: "model".into(),
+        account: None,
         kind: RequestKind::Stream { resumable: false },
         rank: (exchange % 3) as u8,
         deadline_ms: now_ms + 6_000,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -172,6 +172,7 @@
         id: Name::from(id_text),
         route: route.name.clone(),
         service: service.clone(),
+        account: None,
         kind: route.kind,
         rank: route.rank,
         deadline_ms: arrived_ms + remaining_ms,
