Look up the keys of client accounts

Cause: documents list client accounts with API keys. Entries passed the key on to upstreams, served every caller, and let callers name their account themselves. Ruled out: typed decoding of accounts, whose errors quote values and so keys; look-ups at a replica. Change: a request on a route that is not public needs a key of an account, which is looked up before its body is read; 401 otherwise. Upstreams get the name of the account in a header that only the system sets, never the key. The rank of an account goes before that of the route. Keys are kept as hashes under a secret of the process. Documents in which accounts share a key are refused, and so are keys that a header cannot carry.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,10 @@
-//! The published configuration: routes and services.
+//! The published configuration: routes, services and client accounts.
 
 use conf::{Map, Name};
 use thiserror::Error;
 
+use crate::accounts::{Accounts, KeyCheck};
+
 /// Kind of a request, which decides whether the request may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -48,6 +50,8 @@
     pub targets: Vec<(Name, u32)>,
     /// Largest number of upstreams on which one request may run.
     pub max_runs: u32,
+    /// Whether requests need no API key although the configuration has client accounts.
+    pub is_public: bool,
 }
 
 /// Minimum time for which a caller waits for the next event of a stream, in milliseconds.
@@ -151,6 +155,16 @@
     /// The timeout of a route is 0.
     #[error("the timeout of route {route} is 0")]
     ZeroTimeout { route: Name },
+    /// Two client accounts have the same API key.
+    #[error("the client accounts {first} and {second} share a key")]
+    SharedKey { first: Name, second: Name },
+    /// A field of a client account is invalid.
+    #[error("the client account {account} is invalid: its {field} field has a value that {reason}")]
+    InvalidAccount {
+        account: Name,
+        field: &'static str,
+        reason: &'static str,
+    },
 }
 
 /// A valid configuration.
@@ -161,6 +175,8 @@
     limits: Limits,
     /// Routes of each host, longest path prefix first.
     hosts: Map<Name, Vec<Route>>,
+    /// Client accounts; none if requests need no API key.
+    accounts: Option<Accounts>,
 }
 
 impl Config {
@@ -202,9 +218,35 @@
             services,
             limits,
             hosts,
+            accounts: None,
         })
     }
 
+    /// Returns the configuration with client accounts, so that requests need an API key.
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Self {
+            accounts: Some(accounts),
+            ..self
+        }
+    }
+
+    /// Looks up the account of a request by the API keys that it carries, of which there must be one. Requests need no
+    /// key on a public route, or if the configuration has no list of client accounts; an empty list allows no key.
+    pub fn check_key<'a>(
+        &self,
+        route: &Route,
+        mut api_keys: impl Iterator<Item = &'a [u8]>,
+    ) -> KeyCheck<'_> {
+        let Some(accounts) = self.accounts.as_ref().filter(|_| !route.is_public) else {
+            return KeyCheck::NotNeeded;
+        };
+        let account = match (api_keys.next(), api_keys.next()) {
+            (Some(api_key), None) => accounts.find(api_key),
+            _ => None,
+        };
+        account.map_or(KeyCheck::Unknown, KeyCheck::Known)
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! and every event, and carries out the effects.
 #![forbid(unsafe_code)]
 
+pub mod accounts;
 pub mod budget;
 pub mod config;
 pub mod control;
@@ -22,6 +23,7 @@
 pub mod upstream;
 pub mod voters;
 
+pub use accounts::{Account, AccountKeys, Accounts, KeyCheck, KeyHasher};
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
 pub use duty::{DutyCall, DutyOutcome};
 pub use entry::{Entry, EntrySettings};
--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -252,6 +252,7 @@
         rank: 0,
         targets: vec![("plain".into(), 1)],
         max_runs: 2,
+        is_public: false,
     };
     let services = vec![
         service("plain", None),
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -780,6 +780,7 @@
         rank: 0,
         targets: vec![("model".into(), 1)],
         max_runs: 2,
+        is_public: false,
     };
     let service = Service {
         name: "model".into(),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::exchange::Task;
-use gateway::{Outcome, StatedLimit, UpstreamCall};
+use gateway::{Account, Outcome, StatedLimit, UpstreamCall};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -455,19 +455,26 @@
     }
 }
 
-/// Returns the headers of a caller's request that are forwarded to upstreams.
-pub fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+/// Returns the headers of a caller's request that are forwarded to upstreams, with the name of its client account.
+pub fn forwarded_headers(
+    mut headers: HeaderMap,
+    names: &HeaderNames,
+    account: Option<&Account>,
+) -> HeaderMap {
     remove_hop_headers(&mut headers);
     for name in &names.reserved {
         headers.remove(name);
     }
+    if let Some(account) = account {
+        insert_header(&mut headers, &names.account, &account.name);
+    }
     headers
 }
 
 /// Sets a header, or leaves it out if `value` is not a valid header value. The decoders check the values that come from
-/// upstreams and from the list, so that these are valid.
+/// upstreams, from the list and from the configuration, so that these are valid.
 fn insert_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         headers.insert(name.clone(), value);
     }
 }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,8 +8,8 @@
 use conf::Name;
 use gateway::entry::EntryEvent;
 use gateway::{
-    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, StatedLimit,
-    UpstreamCall,
+    Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
+    StatedLimit, UpstreamCall,
 };
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -125,8 +125,22 @@
             "no route has this host and path",
         );
     };
+    let api_key = &runtime.client.dialect.header_names().api_key;
+    let api_keys = request.headers().get_all(api_key).iter();
+    let account = match config.check_key(route, api_keys.map(HeaderValue::as_bytes)) {
+        KeyCheck::NotNeeded => None,
+        KeyCheck::Known(account) => Some(account.clone()),
+        KeyCheck::Unknown => {
+            log_refusal(request.headers(), &runtime, "unknown_key");
+            return answer::error(
+                StatusCode::UNAUTHORIZED,
+                "unknown_key",
+                "the request needs a key that belongs to a client account",
+            );
+        }
+    };
     let route = route.clone();
-    match read_request(&runtime, &config, &route, request, arrived_ms).await {
+    match read_request(&runtime, &config, &route, account, request, arrived_ms).await {
         Ok((request, forwarded)) => {
             let exchange = Exchange::open(runtime.clone());
             runtime.step(EntryEvent::Arrived {
@@ -144,6 +158,7 @@
     runtime: &EntryRuntime,
     config: &Config,
     route: &Route,
+    account: Option<Account>,
     request: Request<Incoming>,
     arrived_ms: u64,
 ) -> Result<(gateway::Request, ForwardedRequest), Response<AnswerBody>> {
@@ -172,9 +187,12 @@
         id: Name::from(id_text),
         route: route.name.clone(),
         service: service.clone(),
-        account: None,
+        account: account.as_ref().map(|account| account.name.clone()),
         kind: route.kind,
-        rank: route.rank,
+        rank: account
+            .as_ref()
+            .and_then(|account| account.rank)
+            .unwrap_or(route.rank),
         deadline_ms: arrived_ms + remaining_ms,
         begin_deadline_ms: arrived_ms + remaining_ms.min(route.begin_timeout_ms()),
         objective_ms: arrived_ms + route.objective_ms,
@@ -191,7 +209,7 @@
     let forwarded = ForwardedRequest {
         method: parts.method,
         target: origin_form(&parts.uri),
-        headers: forwarded_headers(parts.headers, names),
+        headers: forwarded_headers(parts.headers, names, account.as_ref()),
         body,
         id,
         is_stream: matches!(route.kind, RequestKind::Stream { .. }),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -12,6 +12,10 @@
     pub request_id: HeaderName,
     /// Time left for a request, in milliseconds.
     pub time_left_ms: HeaderName,
+    /// API key of the caller.
+    pub api_key: HeaderName,
+    /// Name of the client account that has the key.
+    pub account: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event_id: HeaderName,
     /// Signature that an upstream adds to its answers, which shows that an answer comes from an upstream.
