Refuse keys at entries that cannot confirm their document

Cause: where StrictRevoke is set, a key that has been taken away must stop working within RevokeMs at all entries, also at those that are cut off, which went on with their last document for ever. Ruled out: a sum of time-outs on is_current, which counts late heartbeats as fresh and depends on the platform's list; 401, which is false for keys that may be good. Change: replies of replicas state for how long their document may not have been the newest, counted from heartbeats that a majority has answered. Replicas and entries date each answer by when they asked. Without the setting nothing changes but 8 bytes in each reply. One check of the leader is shown by reasoning only.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -113,6 +113,9 @@
     pub is_current: bool,
     /// Version of the configuration document in force.
     pub version: u64,
+    /// Time since that version is known to have been the newest acknowledged one, in milliseconds; none if it is not
+    /// known.
+    pub document_age_ms: Option<u64>,
     /// The configuration document, if the subscriber holds an older version.
     pub document: Option<Bytes>,
     /// Version of the list of upstreams that the replica holds.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -230,6 +230,11 @@
         }
     }
 
+    /// Returns whether the configuration has client accounts, so that requests need an API key.
+    pub fn has_accounts(&self) -> bool {
+        self.accounts.is_some()
+    }
+
     /// Looks up the account of a request by the API keys that it carries, of which there must be one. Requests need no
     /// key on a public route, or if the configuration has no list of client accounts; an empty list allows no key.
     pub fn check_key<'a>(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
 use crate::replicas::KnownReplicas;
+use crate::revocation::Confirmation;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
@@ -194,6 +195,8 @@
     has_unsent_changes: bool,
     replicas: KnownReplicas,
     next_watch_ms: u64,
+    /// When the document is known to have been the newest.
+    confirmation: Confirmation,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
     /// Whether engines have accepted orders since the list was last marked.
@@ -249,6 +252,7 @@
             followed: None,
             has_unsent_changes: false,
             next_watch_ms: now_ms,
+            confirmation: Confirmation::default(),
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
             has_unmarked_engines: false,
@@ -491,6 +495,7 @@
 
     fn subscribe_to_replicas(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.sequence += 1;
+        self.confirmation.on_sent(now_ms, self.sequence);
         let watch = Watch {
             info: self.settings.info.clone(),
             sequence: self.sequence,
@@ -649,6 +654,9 @@
             None if reply.is_current => self.follow(now_ms, from, &reply, effects),
             _ => {}
         }
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, self.version);
         for info in reply.replicas {
             self.replicas.on_named(info, now_ms);
         }
@@ -712,6 +720,9 @@
             is_current: self.is_current(now_ms),
             is_confirmed_by_log: self.hears_leader() && self.has_current_listing(now_ms),
             version: self.version,
+            document_age_ms: self
+                .confirmation
+                .age_ms(now_ms, self.replica.confirmed_ms()),
             document: &self.document,
             listing: &self.listing,
             listing_age_ms: self.listing_age_ms(now_ms),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
 use crate::place::{self, Choice, PlacementContext};
+use crate::revocation::{Confirmation, KeyPolicy};
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
 
@@ -68,6 +69,8 @@
     pub contacts: Vec<InstanceInfo>,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
 }
 
 /// An input of the entry's reducer.
@@ -173,6 +176,9 @@
 pub struct Entry {
     settings: EntrySettings,
     subscription: Subscription,
+    /// When the configuration is known to have been the newest.
+    confirmation: Confirmation,
+    takes_keys: bool,
     config: Option<Arc<Config>>,
     /// Version of the list of upstreams, or [`NO_LISTING`].
     listing: u64,
@@ -210,6 +216,8 @@
         Self {
             subscription: Subscription::new(settings.info.clone(), contacts),
             settings,
+            confirmation: Confirmation::default(),
+            takes_keys: true,
             config: None,
             listing: NO_LISTING,
             has_listing: false,
@@ -240,6 +248,33 @@
         self.config.is_some() && self.has_listing
     }
 
+    /// Returns whether new callers are to be sent to the entry, as far as the age of its configuration allows.
+    pub fn is_confirmed(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.is_ready(age_ms)
+    }
+
+    /// Returns whether requests with keys may be taken: a key may have been taken away without the entry's knowledge.
+    pub fn takes_keys(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.takes_keys(age_ms)
+    }
+
+    fn has_accounts(&self) -> bool {
+        let accounts = self.config.as_ref().map(|config| config.has_accounts());
+        accounts.unwrap_or_default()
+    }
+
+    fn log_key_changes(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let takes_keys = self.takes_keys(now_ms);
+        if std::mem::replace(&mut self.takes_keys, takes_keys) != takes_keys {
+            let age_ms = self.confirmation.age_ms(now_ms, None);
+            let age = age_ms.map_or_else(|| "unknown".to_owned(), |age_ms| age_ms.to_string());
+            let text = format!("takes_keys={takes_keys} document_age_ms={age}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
     /// Returns the version of the list of upstreams.
     pub fn listing(&self) -> u64 {
         self.listing
@@ -312,9 +347,11 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                self.confirmation.on_sent(now_ms, watch.sequence);
                 send_watch(to, watch, effects);
             }
         }
+        self.log_key_changes(now_ms, effects);
         if now_ms >= self.next_dispatch_ms {
             self.dispatch_all_queues(now_ms, effects);
         }
@@ -332,6 +369,10 @@
         if let Some(config) = config {
             self.apply_config(config, from, effects);
         }
+        let held_version = self.config.as_ref().map_or(0, |config| config.version());
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, held_version);
         let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
         if let Some(update) = reply.listing_update {
             self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -115,6 +115,8 @@
 pub enum RefusalReason {
     /// The entry has no configuration yet.
     NoConfiguration,
+    /// The entry cannot tell whether the key of the request still works.
+    Unconfirmed,
     /// No upstream of the service can take the request.
     NoUpstream,
     /// The request cannot be answered in time.
@@ -136,6 +138,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::Unconfirmed => "unconfirmed",
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
@@ -150,6 +153,7 @@
     pub fn is_not_run(self) -> bool {
         match self {
             Self::NoConfiguration
+            | Self::Unconfirmed
             | Self::NoUpstream
             | Self::TooLate
             | Self::Quarantined
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod loads;
 pub mod place;
 pub mod replicas;
+pub mod revocation;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
@@ -30,3 +31,4 @@
 pub use exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, UpstreamCall,
 };
+pub use revocation::KeyPolicy;
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -43,6 +43,8 @@
     pub is_confirmed_by_log: bool,
     /// Version of the document in force.
     pub version: u64,
+    /// Time since the document is known to have been the newest, in milliseconds; none if it is not known.
+    pub document_age_ms: Option<u64>,
     /// The document in force.
     pub document: &'a Bytes,
     /// The list of upstreams.
@@ -344,6 +346,7 @@
                 false => published.is_confirmed_by_log,
             },
             version: published.version,
+            document_age_ms: published.document_age_ms,
             document: lacks_document.then(|| published.document.clone()),
             listing: published.listing.version(),
             listing_age_ms: published.listing_age_ms,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -57,6 +57,8 @@
     disk: Disk,
     control: Control,
     is_partitioned: bool,
+    /// Messages that wait until the process runs again; none if it runs.
+    held: Option<Vec<(Name, PeerMessage)>>,
 }
 
 /// Replicas that can reach each other unless they are partitioned.
@@ -121,6 +123,7 @@
             control: Control::new(settings, disk.recovered.clone(), self.now_ms),
             disk,
             is_partitioned: false,
+            held: None,
         }
     }
 
@@ -134,7 +137,9 @@
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             for index in 0..self.replicas.len() {
-                self.step(index, ControlEvent::Tick);
+                if self.replicas[index].held.is_none() {
+                    self.step(index, ControlEvent::Tick);
+                }
             }
             self.deliver();
         }
@@ -183,8 +188,12 @@
                 .replicas
                 .iter()
                 .position(|replica| replica.info.id == to);
-            if let Some(index) = index {
-                self.step(index, ControlEvent::Peer { from, message });
+            let Some(index) = index else {
+                continue;
+            };
+            match &mut self.replicas[index].held {
+                Some(held) => held.push((from, message)),
+                None => self.step(index, ControlEvent::Peer { from, message }),
             }
         }
     }
@@ -241,8 +250,10 @@
 
     /// Returns the leader among the replicas that are not partitioned.
     pub fn leader(&self) -> Option<usize> {
-        let is_leader =
-            |replica: &TestReplica| !replica.is_partitioned && replica.control.status().is_leader;
+        let is_leader = |replica: &TestReplica| {
+            let is_running = !replica.is_partitioned && replica.held.is_none();
+            is_running && replica.control.status().is_leader
+        };
         self.replicas.iter().position(is_leader)
     }
 
@@ -254,7 +265,34 @@
             .collect()
     }
 
-    /// Partitions a replica permanently.
+    /// Ends the partition of a replica.
+    pub fn heal(&mut self, index: usize) {
+        self.replicas[index].is_partitioned = false;
+    }
+
+    /// Freezes the process of a replica, so that messages to it wait.
+    pub fn pause(&mut self, index: usize) {
+        self.replicas[index].held.get_or_insert_default();
+    }
+
+    /// Lets the process of a replica run again, which handles the waiting messages first.
+    pub fn resume(&mut self, index: usize) {
+        for (from, message) in self.replicas[index].held.take().unwrap_or_default() {
+            self.step(index, ControlEvent::Peer { from, message });
+        }
+    }
+
+    /// Returns whether a replica is partitioned.
+    pub fn is_partitioned(&self, index: usize) -> bool {
+        self.replicas[index].is_partitioned
+    }
+
+    /// Returns whether the process of a replica runs.
+    pub fn is_running(&self, index: usize) -> bool {
+        self.replicas[index].held.is_none()
+    }
+
+    /// Partitions a replica until it is healed.
     pub fn partition(&mut self, index: usize) {
         self.replicas[index].is_partitioned = true;
     }
--- a/crates/quorum/src/read.rs
+++ b/crates/quorum/src/read.rs
@@ -57,6 +57,27 @@
         }
     }
 
+    /// Returns a time at which no entry that this replica has not applied was committed, in milliseconds: when the leader
+    /// sent the latest heartbeat round to which a majority has replied. Returns `None` on other replicas, and on a leader
+    /// that has not committed an entry of its own term yet.
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        if self.applied_index < leader.term_start_index {
+            return None;
+        }
+        let confirmed_ms = self.members.current().majority_value(|id| {
+            if *id == self.settings.id {
+                return u64::MAX;
+            }
+            let replied = leader.peer(id).map(|peer| peer.replied_sequence);
+            let sent_ms = replied.and_then(|sequence| leader.heartbeat_rounds.sent_ms(sequence));
+            sent_ms.unwrap_or(0)
+        });
+        Some(confirmed_ms.min(self.now_ms))
+    }
+
     /// Returns the number of the latest heartbeat round to which a majority of the voters has replied.
     fn confirmed_sequence(&self) -> u64 {
         let Role::Leader(leader) = &self.role else {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -66,6 +66,7 @@
 pub fn refusal(refusal: Refusal) -> Response<AnswerBody> {
     let status = match refusal.reason {
         RefusalReason::NoConfiguration
+        | RefusalReason::Unconfirmed
         | RefusalReason::NoUpstream
         | RefusalReason::TooLate
         | RefusalReason::Quarantined
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -11,7 +11,7 @@
     Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
     StatedLimit, UpstreamCall,
 };
-use http::header::HOST;
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -26,6 +26,9 @@
 
 /// Wait that a caller is told before it retries while the instance has no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
+/// Wait that a caller is told before it retries while the instance cannot tell which keys work, in milliseconds. The
+/// load balancer has turned to other instances by then, and one of them can take the retry at once.
+const UNCONFIRMED_RETRY_AFTER_MS: u64 = 100;
 /// Wait that a caller is told before it retries while other bodies hold the memory, in milliseconds.
 const NO_MEMORY_RETRY_AFTER_MS: u64 = 300;
 /// Timeout of receiving the body of a request.
@@ -125,6 +128,21 @@
             "no route has this host and path",
         );
     };
+    if config.has_accounts() && !route.is_public && !runtime.takes_keys() {
+        log_refusal(
+            request.headers(),
+            &runtime,
+            RefusalReason::Unconfirmed.name(),
+        );
+        let mut response = answer::refusal(Refusal {
+            reason: RefusalReason::Unconfirmed,
+            retry_after_ms: UNCONFIRMED_RETRY_AFTER_MS,
+        });
+        // The caller's next request goes to another instance.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        return response;
+    }
     let api_key = &runtime.client.dialect.header_names().api_key;
     let api_keys = request.headers().get_all(api_key).iter();
     let account = match config.check_key(route, api_keys.map(HeaderValue::as_bytes)) {
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -62,6 +62,12 @@
         self.entry.borrow().config().cloned()
     }
 
+    /// Returns whether requests with keys may be taken.
+    pub fn takes_keys(&self) -> bool {
+        let now_ms = self.client.clock.now_ms();
+        self.entry.borrow().takes_keys(now_ms)
+    }
+
     /// Opens an exchange and returns its id and the receiver of its directives.
     pub fn open_exchange(&self) -> (u64, mpsc::UnboundedReceiver<Directive>) {
         let id = self.last_exchange_id.get() + 1;
@@ -183,6 +189,7 @@
             info: settings.info.clone(),
             contacts: settings.contacts.clone(),
             retry_budget: settings.retry_budget.clone(),
+            key_policy: settings.key_policy,
         })),
         effects: RefCell::default(),
         directives: RefCell::default(),
@@ -305,7 +312,11 @@
     shutdown: watch::Receiver<bool>,
 ) {
     let handle = move |request: http::Request<hyper::body::Incoming>| {
-        let is_ready = runtime.entry.borrow().is_ready() && !*stopping.borrow();
+        let is_ready = {
+            let entry = runtime.entry.borrow();
+            let is_confirmed = entry.is_confirmed(runtime.client.clock.now_ms());
+            entry.is_ready() && is_confirmed && !*stopping.borrow()
+        };
         let path = runtime.client.dialect.paths().ready;
         let response = match (request.uri().path() == path, is_ready) {
             (false, _) => answer::error(
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,6 +4,7 @@
 
 use conf::Name;
 use fleet::InstanceInfo;
+use gateway::KeyPolicy;
 use gateway::budget::RetryBudgetSettings;
 
 use crate::memory;
@@ -58,6 +59,8 @@
     pub order_lease_ms: u64,
     /// Address of the platform's list of upstreams.
     pub list_address: Name,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
@@ -90,6 +93,7 @@
             target_voters: 3,
             order_lease_ms: 3_000,
             list_address: Name::default(),
+            key_policy: KeyPolicy::default(),
             retry_budget: RetryBudgetSettings::default(),
             grace_ms: 8_000,
             body_memory_bytes: memory::DEFAULT_BYTES,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -170,6 +170,8 @@
   }
   quarantine @16 :QuarantineUpdate;
   limitShares @17 :List(LimitShare);
+  # 2^64 - 1 if the age is not known.
+  documentAgeMs @18 :UInt64;
 }
 
 struct UpstreamLoad {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -10320,6 +10320,10 @@
         pub fn has_limit_shares(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_document_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> {
@@ -10328,7 +10332,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 7,
+                data: 8,
                 pointers: 8,
             };
     }
@@ -10673,6 +10677,14 @@
         pub fn has_limit_shares(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_document_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_document_age_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline {
@@ -10696,122 +10708,129 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 262] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
             ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
-            ::capnp::word(241, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10943,6 +10962,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+            ::capnp::word(65, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10960,6 +10988,7 @@
                 11 => <crate::peer_capnp::watch_reply::listing_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::peer_capnp::quarantine_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_share::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10979,9 +11008,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 7, 1, 13, 4, 5, 11, 9, 10, 12, 6, 0, 2, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[3, 14, 7, 1, 13, 4, 5, 11, 9, 10, 12, 6, 0, 2, 8];
         pub(crate) const TYPE_ID: u64 = 0xc761_f241_21bd_b018;
     }
 
@@ -11123,7 +11153,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 7,
+                    data: 8,
                     pointers: 8,
                 };
         }
@@ -11273,7 +11303,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 8, 0),
                 ::capnp::word(24, 176, 189, 33, 65, 242, 97, 199),
                 ::capnp::word(8, 0, 7, 0, 1, 0, 3, 0),
                 ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
@@ -11516,7 +11546,7 @@
             impl ::capnp::traits::HasStructSize for Builder<'_> {
                 const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                     ::capnp::private::layout::StructSize {
-                        data: 7,
+                        data: 8,
                         pointers: 8,
                     };
             }
@@ -11698,7 +11728,7 @@
                 pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
                     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                     ::capnp::word(120, 28, 248, 225, 189, 90, 218, 227),
-                    ::capnp::word(36, 0, 0, 0, 1, 0, 7, 0),
+                    ::capnp::word(36, 0, 0, 0, 1, 0, 8, 0),
                     ::capnp::word(165, 89, 247, 31, 215, 129, 67, 232),
                     ::capnp::word(8, 0, 7, 0, 1, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -17,6 +17,9 @@
 use crate::peer_capnp::watch_reply::listing_update::Which;
 use crate::quarantine;
 
+/// Age that stands for an unknown one.
+const UNKNOWN_AGE_MS: u64 = u64::MAX;
+
 pub fn write_watch(watch: &Watch, mut builder: schema::watch::Builder<'_>) {
     write_instance_info(&watch.info, builder.reborrow().init_info());
     builder.set_sequence(watch.sequence);
@@ -136,6 +139,7 @@
     builder.set_sequence(reply.sequence);
     builder.set_is_current(reply.is_current);
     builder.set_version(reply.version);
+    builder.set_document_age_ms(reply.document_age_ms.unwrap_or(UNKNOWN_AGE_MS));
     builder.set_listing(reply.listing);
     builder.set_listing_age_ms(reply.listing_age_ms);
     builder.set_entries(reply.entries);
@@ -191,6 +195,8 @@
         sequence: reader.get_sequence(),
         is_current: reader.get_is_current(),
         version: reader.get_version(),
+        document_age_ms: Some(reader.get_document_age_ms())
+            .filter(|age_ms| *age_ms != UNKNOWN_AGE_MS),
         document,
         listing: reader.get_listing(),
         listing_age_ms: reader.get_listing_age_ms(),
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -221,6 +221,7 @@
         sequence: number(g),
         is_current: flag(g),
         version: number(g),
+        document_age_ms: option(g, |g| u64::from(u32::arbitrary(g))),
         document: option(g, bytes),
         listing: number(g),
         listing_age_ms: number(g),
