Share the leader's lease between orders and duties

Cause: only orders to engines knew how a single holder acts: the hold-off, the validity of a call and the fenced term were inline in control. Calls to the platform need the same, and a log that holds more than documents. Ruled out: a second lease in the log beside the term. The term already increases with each holder, a leader without a majority steps down within half a second, and two leases can disagree. The hold-off now begins with the first tick of a term, up to 500 ms earlier than before; it is still the whole lease and 1 s.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use conf::{Map, Name};
 use fleet::{InstanceInfo, PeerMessage, UpstreamRecord, Watch, WatchReply};
 use quarantine::{Collector, Verdict};
@@ -10,6 +10,10 @@
     EntryBody, Input, Output, RecoveredState, Replica, ReplicaId, ReplicaSettings, Write,
 };
 
+use crate::command::{self, Command};
+use crate::duties::{Duties, DutyAction, DutySettings};
+use crate::duty::{DutyCall, DutyOutcome};
+use crate::lease::{LeaderLease, Subject};
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
 use crate::replicas::KnownReplicas;
 use crate::stages::{RoleOrder, RolePlanner};
@@ -44,11 +48,6 @@
 /// Interval between decisions on the member set, in milliseconds.
 const VOTER_CHANGE_INTERVAL_MS: u64 = 500;
 
-/// Time for which a new leader gives no orders, in addition to the lease of the previous leader, in milliseconds.
-const ORDER_HOLD_OFF_MARGIN_MS: u64 = 1_000;
-/// Divisor of the lease, which gives the time after a decision until which the order is sent. A leader that has lost its
-/// majority steps down within the rest of the lease, and its successor waits for the whole lease.
-const ORDER_VALIDITY_DIVISOR: u64 = 3;
 /// Interval between decisions on the roles of engines, in milliseconds.
 const ROLE_INTERVAL_MS: u64 = 500;
 
@@ -67,6 +66,8 @@
     pub target_voters: usize,
     /// Lease of the right to give orders to engines, in milliseconds.
     pub order_lease_ms: u64,
+    /// Calls to the platform that only the leader makes.
+    pub duties: DutySettings,
     /// Seed of the random election timeouts.
     pub seed: u64,
 }
@@ -98,6 +99,14 @@
     Listed { upstreams: Vec<UpstreamRecord> },
     /// The platform's list could not be read.
     ListingFailed { reason: String },
+    /// The time of day, in milliseconds since the Unix epoch.
+    TimeOfDay { unix_ms: u64 },
+    /// A call to the platform that only the leader makes has ended.
+    DutyEnded {
+        call: DutyCall,
+        term: u64,
+        outcome: DutyOutcome,
+    },
     /// A call with an order to an engine has ended.
     OrderEnded {
         upstream: Name,
@@ -154,6 +163,12 @@
         order: RoleOrder,
         valid_until_ms: u64,
     },
+    /// Calls the platform, with the term as fencing token. Nothing is to be sent after `valid_until_ms`.
+    Duty {
+        term: u64,
+        call: DutyCall,
+        valid_until_ms: u64,
+    },
     /// Writes a log line.
     Log { text: String },
 }
@@ -199,10 +214,10 @@
     /// Whether engines have accepted orders since the list was last marked.
     has_unmarked_engines: bool,
     next_role_orders_ms: u64,
-    /// Term in which this replica is the leader, and since when, in milliseconds.
-    leader_since: Option<(u64, u64)>,
-    /// Latest term in which an engine has seen a higher fencing token. The leader gives no further orders in that term.
-    fenced_term: u64,
+    /// The right to give orders to engines and to call the platform as the leader.
+    lease: LeaderLease,
+    /// Calls to the platform that only the leader makes.
+    duties: Duties,
     /// Parts of prompts under which engines crash.
     quarantine: Collector,
     /// Sequence number of the last subscription message to the other replicas.
@@ -231,6 +246,8 @@
         };
         let mut replica = Replica::new(replica_settings, recovered, now_ms);
         replica.set_join_targets(contact_ids(&settings));
+        let lease = LeaderLease::new(settings.order_lease_ms);
+        let duties = Duties::new(&settings.duties);
         Self {
             replicas: KnownReplicas::new(
                 settings.info.id.clone(),
@@ -253,8 +270,8 @@
             role_planner: RolePlanner::default(),
             has_unmarked_engines: false,
             next_role_orders_ms: now_ms,
-            leader_since: None,
-            fenced_term: 0,
+            lease,
+            duties,
             quarantine: Collector::default(),
             sequence: 0,
             calls: Map::default(),
@@ -296,7 +313,7 @@
                 outcome,
             } => {
                 if outcome == OrderOutcome::Fenced {
-                    self.fenced_term = self.fenced_term.max(term);
+                    self.lease.on_fenced(Subject::EngineRoles, term);
                 }
                 if outcome == OrderOutcome::Accepted {
                     self.role_planner.on_accepted(&upstream);
@@ -307,6 +324,18 @@
                     format!("upstream={upstream} term={term} order={outcome:?}"),
                 );
             }
+            ControlEvent::TimeOfDay { unix_ms } => self.duties.observe_time(now_ms, unix_ms),
+            ControlEvent::DutyEnded {
+                call,
+                term,
+                outcome,
+            } => {
+                let mut actions = Vec::new();
+                let lease = &mut self.lease;
+                self.duties
+                    .on_ended(now_ms, term, &call, outcome, lease, &mut actions);
+                self.perform(actions, effects);
+            }
             ControlEvent::ListingFailed { reason } => log(
                 effects,
                 format!(
@@ -365,6 +394,8 @@
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.queue_input(Input::Tick);
+        // A leader that was suspended steps down before it decides anything.
+        self.run_replica(now_ms, effects);
         // Many engines may accept their first orders between two ticks.
         if std::mem::take(&mut self.has_unmarked_engines) {
             self.mark_changing_engines(effects);
@@ -389,10 +420,38 @@
             self.next_voter_change_ms = now_ms + VOTER_CHANGE_INTERVAL_MS;
             self.change_voters(effects);
         }
+        self.observe_leadership(now_ms);
         if now_ms >= self.next_role_orders_ms {
             self.next_role_orders_ms = now_ms + ROLE_INTERVAL_MS;
             self.order_roles(now_ms, effects);
         }
+        let mut actions = Vec::new();
+        let has_document = self.version > 0;
+        self.duties
+            .on_tick(now_ms, &self.lease, has_document, &mut actions);
+        self.perform(actions, effects);
+    }
+
+    fn perform(&mut self, actions: Vec<DutyAction>, effects: &mut Vec<ControlEffect>) {
+        for action in actions {
+            match action {
+                DutyAction::Call {
+                    term,
+                    call,
+                    valid_until_ms,
+                } => effects.push(ControlEffect::Duty {
+                    term,
+                    call,
+                    valid_until_ms,
+                }),
+                DutyAction::Propose(command) => {
+                    let token = self.take_token();
+                    let command = command.encode();
+                    self.queue_input(Input::Propose { token, command });
+                }
+                DutyAction::Log(text) => log(effects, text),
+            }
+        }
     }
 
     /// Returns whether this replica reads the platform's list: the leader reads it for all replicas, which read it
@@ -410,29 +469,22 @@
         }
     }
 
-    /// Orders engines to change their roles, once no order of an earlier leader can still be in transit.
-    fn order_roles(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
+    fn observe_leadership(&mut self, now_ms: u64) {
         let status = self.replica.status();
-        if !status.is_leader {
-            self.leader_since = None;
-            return;
+        let leader_term = status.is_leader.then_some(status.term);
+        if self.lease.observe(now_ms, leader_term) {
+            self.role_planner = RolePlanner::default();
+            self.duties.on_leading();
         }
-        let leader_since_ms = match self.leader_since {
-            Some((term, since_ms)) if term == status.term => since_ms,
-            _ => {
-                self.leader_since = Some((status.term, now_ms));
-                self.role_planner = RolePlanner::default();
-                now_ms
-            }
-        };
-        let hold_off_ms = self.settings.order_lease_ms + ORDER_HOLD_OFF_MARGIN_MS;
+    }
+
+    /// Orders engines to change their roles, once no order of an earlier leader can still be in transit.
+    fn order_roles(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         let is_listing_current = self.listing_age_ms(now_ms) <= LISTING_MAX_AGE_MS;
-        if now_ms - leader_since_ms < hold_off_ms
-            || !is_listing_current
-            || self.fenced_term == status.term
-        {
+        let permit = self.lease.permit(now_ms, Subject::EngineRoles);
+        let Some(permit) = permit.filter(|_| is_listing_current) else {
             return;
-        }
+        };
         for order in self
             .role_planner
             .next_orders(now_ms, self.listing.records())
@@ -443,14 +495,14 @@
                     "upstream={} role={:?} term={} decision=order listing_age_ms={}",
                     order.upstream,
                     order.role,
-                    status.term,
+                    permit.term,
                     self.listing_age_ms(now_ms)
                 ),
             );
             effects.push(ControlEffect::Order {
-                term: status.term,
+                term: permit.term,
                 order,
-                valid_until_ms: now_ms + self.settings.order_lease_ms / ORDER_VALIDITY_DIVISOR,
+                valid_until_ms: permit.valid_until_ms,
             });
         }
     }
@@ -498,8 +550,9 @@
             quarantine: self.quarantine.report(now_ms),
             ..Watch::default()
         };
-        let leader = self.replica.status().leader;
-        let members = self.replica.status().members.instances;
+        let status = self.replica.status();
+        let (leader, term) = (status.leader, status.term);
+        let members = status.members.instances;
         for info in self.replicas.due(&members, now_ms) {
             let (version, listing) = match &leader {
                 // A member takes the document from the log.
@@ -507,9 +560,18 @@
                 None if self.may_follow(now_ms, &info.id) => (self.version, self.listing.version()),
                 _ => (u64::MAX, LISTING_NOT_NEEDED),
             };
+            let usage = match &leader {
+                Some(leader) if *leader == info.id => {
+                    let sequence = self.sequence;
+                    self.duties
+                        .unacknowledged_usage(now_ms, leader, term, sequence)
+                }
+                _ => Vec::new(),
+            };
             let watch = Watch {
                 version,
                 listing,
+                usage,
                 ..watch.clone()
             };
             effects.push(send(&info, PeerMessage::Watch(watch)));
@@ -584,6 +646,7 @@
             log(effects, format!("replica={id} outcome=discovered"));
             self.update_join_targets();
         }
+        self.duties.merge_usage(&watch.usage);
         let accepts_callers = watch.accepts_callers;
         let report = &watch.quarantine;
         let changed = self.quarantine.on_report(now_ms, report, accepts_callers);
@@ -642,6 +705,7 @@
         effects: &mut Vec<ControlEffect>,
     ) {
         self.replicas.set_entries(from, reply.entries);
+        self.duties.on_reply(from, reply.sequence);
         let changed = self.quarantine.merge(now_ms, &reply.quarantine.verdicts);
         self.log_verdicts(&changed, from, effects);
         match self.replica.status().leader {
@@ -805,10 +869,10 @@
             let read = Read::Publish { version, document };
             return self.confirm_read(now_ms, call, read);
         }
-        self.propose(now_ms, call, version, &document);
+        self.propose(now_ms, call, version, document);
     }
 
-    fn propose(&mut self, now_ms: u64, call: u64, version: u64, document: &Bytes) {
+    fn propose(&mut self, now_ms: u64, call: u64, version: u64, document: Bytes) {
         let pending = PendingCall::Publish {
             index: u64::MAX,
             term: 0,
@@ -817,7 +881,7 @@
         self.calls.insert(call, (now_ms + CALL_TIMEOUT_MS, pending));
         self.queue_input(Input::Propose {
             token: call,
-            command: encode(version, document),
+            command: Command::Document { version, document }.encode(),
         });
     }
 
@@ -896,7 +960,10 @@
             Output::Apply(entry) => {
                 self.applied_index = entry.index;
                 match entry.body {
-                    EntryBody::Command(command) => self.apply(command, effects),
+                    EntryBody::Command(command) => match Command::decode(command) {
+                        Some(command) => self.apply(command, effects),
+                        None => log(effects, "command=unreadable outcome=skipped".to_owned()),
+                    },
                     EntryBody::Members(set) => log(
                         effects,
                         format!("voters=changed index={} set={:?}", set.index, set.voters),
@@ -908,16 +975,18 @@
             }
             Output::Restore(snapshot) => {
                 self.applied_index = snapshot.index;
-                if !snapshot.state.is_empty() {
-                    self.apply(snapshot.state, effects);
+                match command::decode_snapshot(snapshot.state) {
+                    Some(commands) => {
+                        for command in commands {
+                            self.apply(command, effects);
+                        }
+                    }
+                    None => log(effects, "snapshot=unreadable outcome=skipped".to_owned()),
                 }
                 self.answer_reads(now_ms, effects);
             }
             Output::TakeSnapshot { index } => {
-                let state = match self.version {
-                    0 => Bytes::new(),
-                    version => encode(version, &self.document),
-                };
+                let state = command::encode_snapshot(&self.snapshot());
                 self.queue_input(Input::SnapshotState { index, state });
             }
             Output::LeaderChanged { term, leader } => {
@@ -947,14 +1016,30 @@
         effects.push(send(info, PeerMessage::Quorum { from, to, message }));
     }
 
-    /// Applies a committed document. The highest version stays in force; a lower or equal one changes nothing.
-    fn apply(&mut self, command: Bytes, effects: &mut Vec<ControlEffect>) {
-        match decode(command) {
-            Some((version, document)) => self.set_document(version, document, effects),
-            None => log(effects, "document=unreadable outcome=skipped".to_owned()),
+    /// Applies a committed command. The document with the highest version stays in force; a lower or equal one changes
+    /// nothing.
+    fn apply(&mut self, command: Command, effects: &mut Vec<ControlEffect>) {
+        match command {
+            Command::Document { version, document } => {
+                self.set_document(version, document, effects);
+            }
+            command => {
+                let mut actions = Vec::new();
+                self.duties.apply(command, &mut actions);
+                self.perform(actions, effects);
+            }
         }
     }
 
+    /// Returns the commands that lead to the present state.
+    fn snapshot(&self) -> Vec<Command> {
+        let document = (self.version > 0).then(|| Command::Document {
+            version: self.version,
+            document: self.document.clone(),
+        });
+        document.into_iter().chain(self.duties.snapshot()).collect()
+    }
+
     /// Puts a committed document in force, unless the same or a higher version is.
     fn set_document(&mut self, version: u64, document: Bytes, effects: &mut Vec<ControlEffect>) {
         if version <= self.version {
@@ -1021,7 +1106,7 @@
                     if version <= self.version {
                         self.answer(call, Answer::Acknowledged { version }, effects);
                     } else {
-                        self.propose(now_ms, call, version, &document);
+                        self.propose(now_ms, call, version, document);
                     }
                 }
             }
@@ -1048,16 +1133,3 @@
 fn log(effects: &mut Vec<ControlEffect>, text: String) {
     effects.push(ControlEffect::Log { text });
 }
-
-/// Encodes a document with its version, as a log entry and as the state in a snapshot.
-fn encode(version: u64, document: &Bytes) -> Bytes {
-    let mut bytes = BytesMut::with_capacity(8 + document.len());
-    bytes.put_u64_le(version);
-    bytes.put_slice(document);
-    bytes.freeze()
-}
-
-fn decode(mut bytes: Bytes) -> Option<(u64, Bytes)> {
-    let version = bytes.try_get_u64_le().ok()?;
-    Some((version, bytes))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,11 +6,14 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod command;
 pub mod config;
 pub mod control;
+pub mod duties;
 pub mod duty;
 pub mod entry;
 pub mod exchange;
+pub mod lease;
 pub mod limits;
 pub mod listing;
 pub mod loads;
@@ -20,7 +23,10 @@
 pub mod subscribers;
 pub mod subscription;
 pub mod upstream;
+pub mod usage;
+pub mod usage_reports;
 pub mod voters;
+pub mod wall_clock;
 
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
 pub use duty::{DutyCall, DutyOutcome};
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -238,6 +238,7 @@
             target_voters: 5,
             order_lease_ms: 3_000,
             seed: disk.storage_id,
+            ..ControlSettings::default()
         };
         TestReplica {
             info: replica_info(index),
@@ -446,6 +447,7 @@
                     }
                     ControlEffect::Answer { .. }
                     | ControlEffect::Order { .. }
+                    | ControlEffect::Duty { .. }
                     | ControlEffect::Log { .. } => {}
                 }
             }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -115,6 +115,7 @@
             target_voters: self.target_voters,
             order_lease_ms: 3_000,
             seed: disk.storage_id,
+            ..ControlSettings::default()
         };
         TestReplica {
             info: info(index),
@@ -160,7 +161,9 @@
                     ControlEffect::ReadList => events.push_back(ControlEvent::Listed {
                         upstreams: Vec::new(),
                     }),
-                    ControlEffect::Order { .. } | ControlEffect::Log { .. } => {}
+                    ControlEffect::Order { .. }
+                    | ControlEffect::Duty { .. }
+                    | ControlEffect::Log { .. } => {}
                 }
             }
         }
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -5,6 +5,11 @@
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+/// Interval at which the time of day is read.
+pub const TIME_OF_DAY_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time in which the two clocks are read, in milliseconds; a process that is suspended in between reads again.
+const MAX_READ_MS: u64 = 20;
+
 /// A clock that also counts the time for which the machine is suspended, so that leases and deadlines do not end late
 /// after a suspension.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +30,14 @@
         boottime_ms() - self.start_ms
     }
 
+    /// Returns the time of day, in milliseconds since the Unix epoch; none if the process was suspended meanwhile.
+    pub fn time_of_day_ms(&self) -> Option<u64> {
+        let before_ms = self.now_ms();
+        let time = clock_gettime(ClockId::Realtime);
+        let unix_ms = time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000;
+        (self.now_ms() - before_ms <= MAX_READ_MS).then_some(unix_ms)
+    }
+
     /// Returns the instant of the runtime's clock at which this clock reaches `deadline_ms`, unless the machine is
     /// suspended before.
     pub fn instant(&self, deadline_ms: u64) -> Instant {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -13,6 +13,7 @@
     Answer, Control, ControlEffect, ControlEvent, ControlSettings, OrderOutcome,
 };
 use gateway::stages::RoleOrder;
+use gateway::{DutyCall, DutyOutcome};
 use http::header::LOCATION;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -24,9 +25,10 @@
 use crate::answer::{self, AnswerBody};
 use crate::blocked_parts::{self, BLOCKED_PARTS_PATH};
 use crate::body;
-use crate::clock::Clock;
+use crate::clock::{Clock, TIME_OF_DAY_INTERVAL};
 use crate::compression::{self, MAX_DOCUMENT_BYTES};
 use crate::dialect::Dialect;
+use crate::duties::DutySender;
 use crate::error::Error;
 use crate::http::{ConnectionLimits, listen, serve};
 use crate::inbox::Inbox;
@@ -116,6 +118,11 @@
                 order,
                 valid_until_ms,
             } => self.send_order(term, order, valid_until_ms),
+            ControlEffect::Duty {
+                term,
+                call,
+                valid_until_ms,
+            } => self.send_duty(term, call, valid_until_ms),
             ControlEffect::Log { text } => logs::write(Importance::StateChange, "control", &text),
         }
     }
@@ -168,6 +175,32 @@
         });
     }
 
+    fn send_duty(&self, term: u64, call: DutyCall, valid_until_ms: u64) {
+        let Some(runtime) = self.weak_self.borrow().upgrade() else {
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            let sender = DutySender {
+                pool: &runtime.pool,
+                dialect: &runtime.dialect,
+                clock: runtime.clock,
+                address: &runtime.settings.list_address,
+                holder: &runtime.settings.info.id,
+            };
+            let result = sender.send(term, &call, valid_until_ms).await;
+            let outcome = result.unwrap_or_else(|reason| {
+                let text = format!("duty=unanswered term={term} reason={reason:?}");
+                logs::write(Importance::StateChange, "control", &text);
+                DutyOutcome::Unknown
+            });
+            runtime.step(ControlEvent::DutyEnded {
+                call,
+                term,
+                outcome,
+            });
+        });
+    }
+
     /// Starts the replica with the state on its disk.
     fn open_replica(&self) -> Result<JoinHandle<Result<(), node::Error>>, Error> {
         let OpenedStore {
@@ -190,6 +223,7 @@
             contacts: self.settings.contacts.clone(),
             target_voters: self.settings.target_voters,
             order_lease_ms: self.settings.order_lease_ms,
+            duties: self.settings.duties.clone(),
             seed: storage_id,
         };
         let control = Control::new(settings, recovered, self.clock.now_ms());
@@ -340,11 +374,16 @@
 async fn process_events(runtime: Rc<ControlRuntime>, mut queue: mpsc::Receiver<Event>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut times = interval(TIME_OF_DAY_INTERVAL);
+    times.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut inbox = Inbox::default();
     loop {
         tokio::select! {
             biased;
             _ = ticks.tick() => runtime.step(ControlEvent::Tick),
+            _ = times.tick() => if let Some(unix_ms) = runtime.clock.time_of_day_ms() {
+                runtime.step(ControlEvent::TimeOfDay { unix_ms });
+            },
             event = queue.recv() => match event {
                 Some(event) => inbox.push(event),
                 None => return,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use conf::{Name, Role};
 use fleet::UpstreamRecord;
-use gateway::{Config, ConfigError, Prompt};
+use gateway::{Config, ConfigError, DutyCall, Prompt};
 use http::{HeaderMap, HeaderName};
 
 /// Names of the headers that an instance reads or sets.
@@ -30,6 +30,10 @@
     pub fetch_from: HeaderName,
     /// Requests per second that the upstream takes from all instances together, in its answers.
     pub request_limit: HeaderName,
+    /// Instance id of the leader, in calls that only the leader makes.
+    pub holder: HeaderName,
+    /// Fencing token of the leader, in these calls.
+    pub fencing_token: HeaderName,
     /// Headers that only this system may set. An entry removes them from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
@@ -56,6 +60,15 @@
     pub next: Option<String>,
 }
 
+/// A call to the platform that only the leader makes, encoded for the wire.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedDuty {
+    /// Path of the call.
+    pub path: &'static str,
+    /// Body of the call.
+    pub body: String,
+}
+
 /// State that an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineReport {
@@ -114,6 +127,9 @@
     /// Encodes an order to change the role, valid only while the engine has accepted `sequence` orders.
     fn order(&self, role: Role, holder: &str, fencing_token: u64, sequence: u64) -> String;
 
+    /// Encodes a call to the platform that only the leader makes.
+    fn duty(&self, call: &DutyCall) -> EncodedDuty;
+
     /// Decodes the handle in the answer to a prefill call.
     fn handle(&self, body: &[u8]) -> Option<Name>;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod compression;
 mod control;
 pub mod dialect;
+pub mod duties;
 mod entry;
 mod error;
 pub mod events;
@@ -27,7 +28,7 @@
 mod stream;
 mod telemetry;
 
-pub use dialect::{Dialect, EngineReport, HeaderNames, ListingPage, Paths};
+pub use dialect::{Dialect, EncodedDuty, EngineReport, HeaderNames, ListingPage, Paths};
 pub use error::Error;
 pub use settings::{InstanceRole, Settings};
 
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -67,12 +67,10 @@
             )
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        if self.clock.now_ms() > valid_until_ms {
-            return Err("the order is not sent, since another leader may give orders".to_owned());
-        }
+        let is_valid = || self.clock.now_ms() <= valid_until_ms;
         let (status, _) = self
             .pool
-            .call(&order.address, request, CALL_TIMEOUT)
+            .call_if(&order.address, request, CALL_TIMEOUT, is_valid)
             .await?;
         Ok(match status {
             StatusCode::PRECONDITION_FAILED => OrderOutcome::Fenced,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -108,16 +108,34 @@
     /// # Errors
     /// Returns the reason if no complete answer arrives in time. The upstream may have carried out the call.
     pub async fn call(
+        &self,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        time_limit: Duration,
+    ) -> Result<(StatusCode, Bytes), String> {
+        self.call_if(address, request, time_limit, || true).await
+    }
+
+    /// Makes a call like [`Pool::call`], unless `may_send` returns false once the connection is open.
+    ///
+    /// # Errors
+    /// Returns the reason if the call was not sent or no complete answer arrives in time. Unless `may_send` returned false,
+    /// the upstream may have carried out the call.
+    pub async fn call_if(
         &self,
         address: &Name,
         mut request: Request<Full<Bytes>>,
         time_limit: Duration,
+        may_send: impl Fn() -> bool,
     ) -> Result<(StatusCode, Bytes), String> {
         let deadline = Instant::now() + time_limit;
         let host = HeaderValue::from_str(address).map_err(|error| error.to_string())?;
         request.headers_mut().insert(HOST, host);
         let call = async {
             let mut connection = self.connection(address, false, deadline).await?;
+            if !may_send() {
+                return Err("the call is not sent, since it is no longer valid".to_owned());
+            }
             let sent = connection.sender.send_request(request).await;
             let response = sent.map_err(|error| error.to_string())?;
             let status = response.status();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use conf::Name;
 use fleet::InstanceInfo;
 use gateway::budget::RetryBudgetSettings;
+use gateway::duties::DutySettings;
 
 use crate::memory;
 
@@ -56,7 +57,9 @@
     pub target_voters: usize,
     /// Lease of the right to give orders to engines, in milliseconds.
     pub order_lease_ms: u64,
-    /// Address of the platform's list of upstreams.
+    /// Calls to the platform that only the leader makes, and what entries gather for them.
+    pub duties: DutySettings,
+    /// Address of the platform's list of upstreams, and of the calls of the leader.
     pub list_address: Name,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
@@ -89,6 +92,7 @@
             founders: Vec::new(),
             target_voters: 3,
             order_lease_ms: 3_000,
+            duties: DutySettings::default(),
             list_address: Name::default(),
             retry_budget: RetryBudgetSettings::default(),
             grace_ms: 8_000,
