Keep new processes from holding a port that is being tried

Cause: free_address binds a port to see whether it is free. A child of another scenario that is forked at that moment holds the socket until it executes its binary, and the process that was given the port then finds it in use. Ruled out before: ports in TIME_WAIT. Change: a lock is held while a port is tried and while a process is started.

--- a/crates/mustardstack/tests/scenarios.rs
+++ b/crates/mustardstack/tests/scenarios.rs
@@ -6,7 +6,13 @@
 
 mod support;
 
-use support::runner::ScenarioRunner;
+use std::{
+    net::TcpListener,
+    process::Command,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use support::{port, runner::ScenarioRunner};
 
 fn run(name: &str) {
     let mut runner = ScenarioRunner::new()
@@ -137,3 +143,28 @@
 fn drained_entry() {
     run("drained_entry");
 }
+
+/// Guards against a port that is still held by a process which another scenario has just started.
+#[test]
+fn a_free_address_can_be_bound_while_processes_start() {
+    const ADDRESSES: usize = 2_000;
+    let is_done = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| {
+                while !is_done.load(Ordering::Relaxed) {
+                    let child = port::spawn(&mut Command::new("true"));
+                    child
+                        .and_then(|mut child| child.wait())
+                        .expect("the process runs");
+                }
+            });
+        }
+        let taken = (0..ADDRESSES)
+            .map(|_| port::free_address().expect("a port is free"))
+            .filter(|address| TcpListener::bind(address).is_err())
+            .count();
+        is_done.store(true, Ordering::Relaxed);
+        assert_eq!(taken, 0, "of {ADDRESSES} addresses");
+    });
+}
--- a/crates/mustardstack/tests/support/port.rs
+++ b/crates/mustardstack/tests/support/port.rs
@@ -2,7 +2,11 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::atomic::{AtomicU32, Ordering},
+    process::{Child, Command},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use super::Result;
@@ -19,6 +23,20 @@
 
 static NEXT_OFFSET: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a port is tried and while a process is started. Between fork and exec, a child holds all sockets of the
+/// test process, so that a port that is being tried would stay taken until the child has executed its binary.
+static DESCRIPTORS: Mutex<()> = Mutex::new(());
+
+/// Starts a process that inherits no socket of the search for a free port.
+///
+/// # Errors
+///
+/// Returns an error if the process cannot be started.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _guard = DESCRIPTORS.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Returns a loopback address that no process listens on.
 ///
 /// # Errors
@@ -30,6 +48,7 @@
         let offset = start.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
         let port = u16::try_from(FIRST_PORT + offset)?;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let _guard = DESCRIPTORS.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
         }
--- a/crates/mustardstack/tests/support/process.rs
+++ b/crates/mustardstack/tests/support/process.rs
@@ -6,7 +6,7 @@
     process::{Child, Command, ExitStatus, Stdio},
 };
 
-use super::{Result, wait};
+use super::{Result, port, wait};
 
 /// Number of log lines of each process that are printed when a scenario fails.
 const LOG_TAIL_LINES: usize = 40;
@@ -46,12 +46,13 @@
     /// Returns an error if the process cannot be started.
     pub fn start(arguments: &[&str], log_file: &Path) -> Result<Self> {
         let log = File::options().create(true).append(true).open(log_file)?;
-        let child = Command::new(env!("CARGO_BIN_EXE_mustardstack"))
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let child = port::spawn(
+            Command::new(env!("CARGO_BIN_EXE_mustardstack"))
+                .args(arguments)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone()?)
+                .stderr(log),
+        )?;
         Ok(Self {
             child,
             log_file: log_file.to_owned(),
@@ -68,9 +69,12 @@
         if let Some(status) = self.child.try_wait()? {
             return Err(format!("the process has ended with {status}").into());
         }
-        let sent = Command::new("kill")
-            .args(["-s", signal.name(), &self.child.id().to_string()])
-            .status()?;
+        let sent = port::spawn(Command::new("kill").args([
+            "-s",
+            signal.name(),
+            &self.child.id().to_string(),
+        ]))?
+        .wait()?;
         match sent.success() {
             true => Ok(()),
             false => Err(format!("the kill command failed with {sent}").into()),
