Count the requests of client accounts and report them

Cause: the platform expects, for each window of time, the requests of each account that upstreams began to run. Ruled out: totals that each replica adds up for its entries, which an entry that changes its replica would count twice or lose; sending a window's counts before the log has them, after which a successor could report others. Nothing runs without settings for it. Tests: usage (entry, table, clock) and duties (reports around lost, suspended and restarted leaders, a silent and a limiting platform), on the simulated network.

--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -13,6 +13,7 @@
 use gateway::config::{Config, EngineTraits, Limits, RequestKind, Route, Service};
 use gateway::entry::{Entry, EntryEffect, EntryEvent, EntrySettings};
 use gateway::listing::upstream_key;
+use gateway::usage::UsageSettings;
 use gateway::{Directive, Outcome, Prompt, Refusal, Request, UpstreamCall};
 
 pub const REPLICA: &str = "10.0.0.9";
@@ -32,6 +33,19 @@
 impl Driver {
     /// Creates an entry with configuration version 1 and the upstreams.
     pub fn new(upstreams: Vec<UpstreamRecord>) -> Self {
+        Self::with_settings(upstreams, EntrySettings::default())
+    }
+
+    /// Creates an entry that counts usage.
+    pub fn with_usage(upstreams: Vec<UpstreamRecord>, usage: UsageSettings) -> Self {
+        let settings = EntrySettings {
+            usage: Some(usage),
+            ..EntrySettings::default()
+        };
+        Self::with_settings(upstreams, settings)
+    }
+
+    fn with_settings(upstreams: Vec<UpstreamRecord>, settings: EntrySettings) -> Self {
         let replica = InstanceInfo {
             id: REPLICA.into(),
             availability_zone: ZONE.into(),
@@ -46,7 +60,7 @@
         let entry = Entry::new(EntrySettings {
             info,
             contacts: vec![replica],
-            ..EntrySettings::default()
+            ..settings
         });
         let mut driver = Self {
             entry,
@@ -75,8 +89,17 @@
     }
 
     fn reply(&mut self, reply: WatchReply, config: Option<Config>) -> Vec<EntryEffect> {
+        self.reply_from(REPLICA, reply, config)
+    }
+
+    fn reply_from(
+        &mut self,
+        replica: &'static str,
+        reply: WatchReply,
+        config: Option<Config>,
+    ) -> Vec<EntryEffect> {
         self.step(EntryEvent::WatchReply {
-            from: REPLICA.into(),
+            from: replica.into(),
             reply: Box::new(WatchReply {
                 sequence: self.last_watch,
                 is_current: true,
@@ -87,6 +110,11 @@
         })
     }
 
+    /// Gives the entry a replica's reply to its last message.
+    pub fn receive_from(&mut self, replica: &'static str) {
+        self.reply_from(replica, WatchReply::default(), None);
+    }
+
     /// Gives the entry a configuration with a version.
     pub fn configure(&mut self, version: u64) {
         self.reply(WatchReply::default(), Some(config(version)));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,14 +7,20 @@
 
 use bytes::Bytes;
 use conf::Name;
-use fleet::{InstanceInfo, PeerMessage, Watch, WatchReply};
+use fleet::{InstanceInfo, PeerMessage, UsageCount, Watch, WatchReply};
 use gateway::control::{Answer, Control, ControlEffect, ControlEvent, ControlSettings};
+use gateway::duties::DutySettings;
+use gateway::{DutyCall, DutyOutcome};
 use quorum::{RecoveredState, Write};
 
 const STEP_MS: u64 = 5;
 const CALL_TIMEOUT_MS: u64 = 3_000;
 /// Time from the stop signal to the end of a process, in milliseconds.
 const GRACE_MS: u64 = 7_600;
+/// Time after which a call to the platform without an answer ends, in milliseconds.
+const DUTY_TIMEOUT_MS: u64 = 1_000;
+/// Time of day at the start of the clock, in milliseconds since the Unix epoch.
+pub const START_UNIX_MS: u64 = 1_700_000_000_000;
 const ENTRY: &str = "entry";
 
 /// A simulated disk, on which every write is synced at once.
@@ -57,6 +63,25 @@
     disk: Disk,
     control: Control,
     is_partitioned: bool,
+    is_suspended: bool,
+}
+
+/// A call that the platform has received.
+#[derive(Clone, Debug)]
+pub struct ReceivedCall {
+    pub at_ms: u64,
+    pub replica: usize,
+    pub term: u64,
+    pub call: DutyCall,
+}
+
+/// A simulated platform, which answers every call in the same way.
+pub struct Platform {
+    /// How calls end; `Unknown` after a time-out.
+    pub outcome: DutyOutcome,
+    pub calls: Vec<ReceivedCall>,
+    /// Calls that have not ended, each with the time of its end and its replica.
+    open: Vec<(u64, usize, u64, DutyCall)>,
 }
 
 /// Replicas that can reach each other unless they are partitioned.
@@ -69,6 +94,8 @@
     answers: Vec<(u64, Answer)>,
     next_call: u64,
     next_storage_id: u64,
+    duties: DutySettings,
+    pub platform: Platform,
     /// Messages to the subscribed entry.
     pub sent_to_entry: Vec<PeerMessage>,
 }
@@ -76,6 +103,11 @@
 impl Cluster {
     /// Starts replicas, of which the first three are the founders.
     pub fn new(count: usize, target_voters: usize) -> Self {
+        Self::with_duties(count, target_voters, DutySettings::default())
+    }
+
+    /// Starts replicas that call the platform.
+    pub fn with_duties(count: usize, target_voters: usize, duties: DutySettings) -> Self {
         let mut cluster = Self {
             now_ms: 1,
             target_voters,
@@ -85,6 +117,12 @@
             answers: Vec::new(),
             next_call: 0,
             next_storage_id: 0,
+            duties,
+            platform: Platform {
+                outcome: DutyOutcome::Accepted,
+                calls: Vec::new(),
+                open: Vec::new(),
+            },
             sent_to_entry: Vec::new(),
         };
         for index in 0..count {
@@ -115,13 +153,14 @@
             target_voters: self.target_voters,
             order_lease_ms: 3_000,
             seed: disk.storage_id,
-            ..ControlSettings::default()
+            duties: self.duties.clone(),
         };
         TestReplica {
             info: info(index),
             control: Control::new(settings, disk.recovered.clone(), self.now_ms),
             disk,
             is_partitioned: false,
+            is_suspended: false,
         }
     }
 
@@ -135,13 +174,34 @@
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             for index in 0..self.replicas.len() {
+                let unix_ms = START_UNIX_MS + self.now_ms;
+                self.step(index, ControlEvent::TimeOfDay { unix_ms });
                 self.step(index, ControlEvent::Tick);
             }
+            self.end_calls();
             self.deliver();
         }
     }
 
+    fn end_calls(&mut self) {
+        let now_ms = self.now_ms;
+        let is_over = |open: &mut (u64, usize, u64, DutyCall)| open.0 <= now_ms;
+        let ended: Vec<_> = self.platform.open.extract_if(.., is_over).collect();
+        for (_, replica, term, call) in ended {
+            let outcome = self.platform.outcome;
+            let event = ControlEvent::DutyEnded {
+                call,
+                term,
+                outcome,
+            };
+            self.step(replica, event);
+        }
+    }
+
     fn step(&mut self, index: usize, event: ControlEvent) {
+        if self.replicas[index].is_suspended {
+            return;
+        }
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let mut effects = Vec::new();
@@ -161,9 +221,25 @@
                     ControlEffect::ReadList => events.push_back(ControlEvent::Listed {
                         upstreams: Vec::new(),
                     }),
-                    ControlEffect::Order { .. }
-                    | ControlEffect::Duty { .. }
-                    | ControlEffect::Log { .. } => {}
+                    ControlEffect::Duty {
+                        term,
+                        call,
+                        valid_until_ms,
+                    } => {
+                        assert!(valid_until_ms > self.now_ms);
+                        self.platform.calls.push(ReceivedCall {
+                            at_ms: self.now_ms,
+                            replica: index,
+                            term,
+                            call: call.clone(),
+                        });
+                        let ends_ms = match self.platform.outcome {
+                            DutyOutcome::Unknown => self.now_ms + DUTY_TIMEOUT_MS,
+                            _ => self.now_ms,
+                        };
+                        self.platform.open.push((ends_ms, index, term, call));
+                    }
+                    ControlEffect::Order { .. } | ControlEffect::Log { .. } => {}
                 }
             }
         }
@@ -177,7 +253,7 @@
             }
             let is_partitioned = |id: &Name| {
                 let replica = self.replicas.iter().find(|replica| replica.info.id == *id);
-                replica.is_none_or(|replica| replica.is_partitioned)
+                replica.is_none_or(|replica| replica.is_partitioned || replica.is_suspended)
             };
             if is_partitioned(&from) || is_partitioned(&to) {
                 continue;
@@ -244,8 +320,9 @@
 
     /// Returns the leader among the replicas that are not partitioned.
     pub fn leader(&self) -> Option<usize> {
-        let is_leader =
-            |replica: &TestReplica| !replica.is_partitioned && replica.control.status().is_leader;
+        let is_leader = |replica: &TestReplica| {
+            !replica.is_partitioned && !replica.is_suspended && replica.control.status().is_leader
+        };
         self.replicas.iter().position(is_leader)
     }
 
@@ -262,6 +339,32 @@
         self.replicas[index].is_partitioned = true;
     }
 
+    /// Lets a partitioned replica reach the others again.
+    pub fn heal(&mut self, index: usize) {
+        self.replicas[index].is_partitioned = false;
+    }
+
+    /// Suspends a replica, or lets it go on.
+    pub fn suspend(&mut self, index: usize, is_suspended: bool) {
+        self.replicas[index].is_suspended = is_suspended;
+    }
+
+    /// Delivers counts of usage of an entry to a replica.
+    pub fn deliver_usage(&mut self, index: usize, usage: Vec<UsageCount>) {
+        let watch = Watch {
+            info: InstanceInfo {
+                id: ENTRY.into(),
+                ..InstanceInfo::default()
+            },
+            accepts_callers: true,
+            usage,
+            ..Watch::default()
+        };
+        let message = PeerMessage::Watch(watch);
+        let from = Name::from(ENTRY);
+        self.step(index, ControlEvent::Peer { from, message });
+    }
+
     /// Stops the process of a replica as planned, which ends within the grace period. Returns whether the replica was let
     /// go before.
     pub fn stop(&mut self, index: usize) -> bool {
