--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! and every event, and carries out the effects.
 #![forbid(unsafe_code)]
 
+pub mod accounts;
 pub mod budget;
 pub mod command;
 pub mod config;
@@ -28,6 +29,7 @@
 pub mod voters;
 pub mod wall_clock;
 
+pub use accounts::{Account, AccountKeys, Accounts, KeyCheck, KeyHasher};
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
 pub use duty::{DutyCall, DutyOutcome};
 pub use entry::{Entry, EntrySettings};
