Let scenarios wait for what they take for granted

The scenario now waits until every request that was open at the drain has ended; after that, as before, no request may reach the engine.

--- a/crates/mustardstack/tests/support/condition.rs
+++ b/crates/mustardstack/tests/support/condition.rs
@@ -99,6 +99,10 @@
 
     pub(super) fn wait_drained(&mut self, upstream: &str) -> Result<()> {
         self.wait_draining(upstream, true)?;
+        // A request that an instance has sent to the upstream before the drain may reach it later.
+        if let Some(caller_pool) = &self.caller_pool {
+            caller_pool.wait_for_open_requests()?;
+        }
         wait::until("the upstream to be drained", || {
             let load = self.read_standin(upstream, "/load")?;
             Ok((load["running"] == 0 && load["waiting"] == 0).then_some(()))
--- a/crates/mustardstack/tests/support/workload.rs
+++ b/crates/mustardstack/tests/support/workload.rs
@@ -17,6 +17,8 @@
 };
 use tokio::{runtime::Handle, sync::watch, task::JoinHandle};
 
+use super::{Result, wait};
+
 /// Interval at which the load balancer probes the readiness of the instances.
 const READY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -71,6 +73,8 @@
 /// Running callers. Dropping the value aborts them.
 pub struct CallerPool {
     counts: Arc<Counts>,
+    /// Number of requests of each caller that have ended.
+    ended: Vec<Arc<AtomicU64>>,
     stop: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
     load_balancer: JoinHandle<()>,
@@ -86,10 +90,14 @@
         let instances = settings.instances.values().copied().collect();
         let load_balancer = runtime.spawn(publish_ready(client.clone(), instances, ready_sender));
         let next_index = Arc::new(AtomicUsize::new(0));
-        let callers = (0..settings.callers)
-            .map(|number| {
+        let ended: Vec<Arc<AtomicU64>> = (0..settings.callers).map(|_| Arc::default()).collect();
+        let callers = ended
+            .iter()
+            .enumerate()
+            .map(|(number, ended)| {
                 let caller = Caller {
                     number,
+                    ended: ended.clone(),
                     client: client.clone(),
                     settings: settings.clone(),
                     counts: counts.clone(),
@@ -102,6 +110,7 @@
             .collect();
         Self {
             counts,
+            ended,
             stop,
             callers,
             load_balancer,
@@ -114,6 +123,20 @@
         self.counts.complete.load(Ordering::Relaxed)
     }
 
+    /// Waits until every request that a caller has sent so far has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a request does not end in time.
+    pub fn wait_for_open_requests(&self) -> Result<()> {
+        let ended = || self.ended.iter().map(|ended| ended.load(Ordering::Relaxed));
+        let before: Vec<u64> = ended().collect();
+        wait::until("the open requests to end", || {
+            let have_ended = ended().zip(&before).all(|(now, before)| now > *before);
+            Ok(have_ended.then_some(()))
+        })
+    }
+
     /// Waits until the callers have finished their current requests and returns the summary.
     pub fn finish(mut self) -> Summary {
         self.stop.store(true, Ordering::Relaxed);
@@ -161,6 +184,7 @@
 
 struct Caller {
     number: usize,
+    ended: Arc<AtomicU64>,
     client: Client,
     settings: CallerPoolSettings,
     counts: Arc<Counts>,
@@ -184,6 +208,7 @@
             let headers = [("authorization", bearer.as_str())];
             let base_url = format!("http://{instance}");
             let exchange = self.client.chat(&base_url, &headers, &request).await;
+            self.ended.fetch_add(1, Ordering::Relaxed);
             if !self.count(&exchange, &request) {
                 tokio::time::sleep(RETRY_DELAY).await;
             }
