--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,11 +7,14 @@
 
 pub mod accounts;
 pub mod budget;
+pub mod command;
 pub mod config;
 pub mod control;
+pub mod duties;
 pub mod duty;
 pub mod entry;
 pub mod exchange;
+pub mod lease;
 pub mod limits;
 pub mod listing;
 pub mod loads;
@@ -22,7 +25,10 @@
 pub mod subscribers;
 pub mod subscription;
 pub mod upstream;
+pub mod usage;
+pub mod usage_reports;
 pub mod voters;
+pub mod wall_clock;
 
 pub use accounts::{Account, AccountKeys, Accounts, KeyCheck, KeyHasher};
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
