Send keys in the soak test

Cause: the soak test sent requests without keys, so that no check with processes covered accounts. Change: documents have accounts, one with a key that changes with each version. Callers send known, unknown, missing and old keys and name an account themselves; workers check the account and that no key arrives; a key that was taken away longer ago than the bound must not run.

--- a/crates/mustardstack/tests/soak_support/mod.rs
+++ b/crates/mustardstack/tests/soak_support/mod.rs
@@ -15,6 +15,17 @@
 /// Length of a run in seconds if `SOAK_SECONDS` is not set, as in CI.
 const DEFAULT_SECONDS: u64 = 6;
 const CALLER_COUNT: usize = 4;
+/// Time after an acknowledgement from which a key that it takes away must not work.
+pub const REVOKE: Duration = Duration::from_millis(2_500);
+/// Account and key that all versions of the configuration have.
+pub const LASTING: (&str, &str) = ("lasting", "key-lasting");
+/// Account whose key differs in each version of the configuration.
+pub const CHANGING: &str = "changing";
+
+/// Returns the key of the changing account in a version.
+pub fn key_of(version: u64) -> String {
+    format!("key-of-{version}")
+}
 
 /// Pseudorandom number generator (xorshift) that draws the same faults in each run with the same seed.
 pub struct Rng(u64);
@@ -37,6 +48,8 @@
 pub struct Outcome {
     pub answered: u64,
     pub not_run: u64,
+    /// Requests that were refused for their key.
+    pub unauthorized: u64,
     pub unknown: u64,
     pub published: u64,
     pub faults: u64,
@@ -48,11 +61,48 @@
 pub struct Records {
     /// Number of runs of each request, by request id.
     pub runs: HashMap<String, u32>,
+    /// Account that a worker must be told for each request; none for a request that must not run.
+    accounts: HashMap<String, Option<&'static str>>,
+    /// Acknowledged versions with the time of each acknowledgement.
+    acknowledged: Vec<(Instant, u64)>,
     /// Ids of the requests that were refused as not run.
     refused: Vec<String>,
     outcome: Outcome,
 }
 
+impl Records {
+    /// Records that a worker runs a request, of which it has been told an account and perhaps a key.
+    pub fn on_run(&mut self, id: &str, account: Option<&str>, key: Option<&str>) {
+        *self.runs.entry(id.to_owned()).or_insert(0) += 1;
+        let expected = self.accounts.get(id).copied().flatten();
+        if expected.is_none() || account != expected || key.is_some() {
+            let text = format!("{id} of {expected:?} ran as {account:?} with key {key:?}");
+            self.outcome.violations.push(text);
+        }
+    }
+
+    /// Chooses the key of a request that is sent now, and records what is expected of the request.
+    fn choose_key(&mut self, id: &str, number: usize) -> Option<String> {
+        let (account, key) = match number % 4 {
+            0 => (None, None),
+            1 => (None, Some("key-unknown".to_owned())),
+            2 => (Some(LASTING.0), Some(LASTING.1.to_owned())),
+            _ => {
+                let (_, version) = self.acknowledged[number / 4 % self.acknowledged.len()];
+                let mut newer = self
+                    .acknowledged
+                    .iter()
+                    .filter(|(_, newer)| *newer > version);
+                let is_revoked = newer.any(|(at, _)| at.elapsed() > REVOKE);
+                let account = (!is_revoked).then_some(CHANGING);
+                (account, Some(key_of(version)))
+            }
+        };
+        self.accounts.insert(id.to_owned(), account);
+        key
+    }
+}
+
 pub type SharedRecords = Arc<Mutex<Records>>;
 
 pub fn lock(records: &SharedRecords) -> MutexGuard<'_, Records> {
@@ -77,6 +127,7 @@
         .publish(1)
         .expect("the first configuration is acknowledged");
     system.wait_ready();
+    lock(&records).acknowledged.push((Instant::now(), 1));
     let end = Instant::now() + Duration::from_secs(seconds);
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|caller| {
@@ -108,7 +159,9 @@
             version += 1 + rng.below(3);
             if system.publish(version).is_ok() {
                 acknowledged = version;
-                lock(records).outcome.published += 1;
+                let mut records = lock(records);
+                records.outcome.published += 1;
+                records.acknowledged.push((Instant::now(), version));
             }
         }
     }
@@ -121,13 +174,11 @@
         number += 1;
         let id = format!("{caller:08x}{number:08x}");
         let entry = &entries[number % entries.len()];
-        let response = http::send(
-            entry,
-            "POST",
-            "/once/x",
-            &[("Request-Id", &id), ("Deadline-Ms", "800")],
-            b"",
-        );
+        let key = lock(records).choose_key(&id, number);
+        let mut headers = vec![("Request-Id", id.as_str()), ("Deadline-Ms", "800")];
+        headers.push(("Tenant-Id", "of the caller's choice"));
+        headers.extend(key.as_deref().map(|key| ("Credential", key)));
+        let response = http::send(entry, "POST", "/once/x", &headers, b"");
         let mut records = lock(records);
         match response {
             Ok(response) if response.status == 200 => {
@@ -143,6 +194,14 @@
                 records.outcome.not_run += 1;
                 records.refused.push(id);
             }
+            Ok(response) if response.status == 401 => {
+                records.outcome.unauthorized += 1;
+                if key.as_deref() == Some(LASTING.1) {
+                    let text = format!("{id} got {response:?} although its key is known");
+                    records.outcome.violations.push(text);
+                }
+                records.refused.push(id);
+            }
             Ok(_) | Err(_) => records.outcome.unknown += 1,
         }
     }
--- a/crates/mustardstack/tests/soak_support/system.rs
+++ b/crates/mustardstack/tests/soak_support/system.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use super::relay::{MODES, Mode, Relay};
-use super::{Rng, SharedRecords, http, lock};
+use super::{CHANGING, LASTING, REVOKE, Rng, SharedRecords, http, key_of, lock};
 
 const CONTROL_COUNT: usize = 3;
 const ENTRY_COUNT: usize = 2;
@@ -274,7 +274,8 @@
         "Bootstrap": is_first_start,
         "DataDir": is_control.then(|| folder.join(format!("data-{index}"))),
         "FaultTolerance": { "Machines": 1 },
-        "Bounds": { "GraceS": 8, "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50, "LeaseMs": 3000 },
+        "Bounds": { "GraceS": 8, "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50, "LeaseMs": 3000,
+            "StrictRevoke": true, "RevokeMs": REVOKE.as_millis() as u64 },
         "Cloud": { "Address": format!("{network}.40:{LIST_PORT}") },
     });
     let path = folder.join(format!("settings-{index}-{is_first_start}.yaml"));
@@ -290,6 +291,11 @@
             "TargetLatencyMs": 100, "Priority": 0, "Service": "orders", "MaxAttempts": 2,
         }],
         "Services": [{ "Name": "orders", "MaxConnections": 100 }],
+        "Tenants": [
+            { "Name": LASTING.0, "ApiKeys": [LASTING.1] },
+            { "Name": CHANGING, "ApiKeys": [key_of(version)] },
+            { "Name": "without keys", "ApiKeys": [] },
+        ],
     })
 }
 
@@ -322,7 +328,8 @@
                 Vec::new(),
             );
         }
-        *lock(&records).runs.entry(id.clone()).or_insert(0) += 1;
+        let (account, key) = (request.header("Tenant-Id"), request.header("Credential"));
+        lock(&records).on_run(&id, account, key);
         let signature = ("Server-Signature".to_owned(), "s".to_owned());
         (
             200,
