Send the usage that a replica outside of the log holds to the one that it follows

Change: such a replica sends its counts to the replica that it follows, which sends them to the leader. Test: counts_of_a_replica_that_is_no_member_reach_the_leader, which fails without the change.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -553,6 +553,11 @@
         let status = self.replica.status();
         let (leader, term) = (status.leader, status.term);
         let members = status.members.instances;
+        // A replica that is not a member of the log knows no leader.
+        let usage_receiver = match (&leader, &self.followed) {
+            (None, Some((followed, _))) if self.is_following(now_ms) => Some(followed.clone()),
+            (leader, _) => leader.clone(),
+        };
         for info in self.replicas.due(&members, now_ms) {
             let (version, listing) = match &leader {
                 // A member takes the document from the log.
@@ -560,11 +565,11 @@
                 None if self.may_follow(now_ms, &info.id) => (self.version, self.listing.version()),
                 _ => (u64::MAX, LISTING_NOT_NEEDED),
             };
-            let usage = match &leader {
-                Some(leader) if *leader == info.id => {
+            let usage = match &usage_receiver {
+                Some(receiver) if *receiver == info.id => {
                     let sequence = self.sequence;
                     self.duties
-                        .unacknowledged_usage(now_ms, leader, term, sequence)
+                        .unacknowledged_usage(now_ms, receiver, term, sequence)
                 }
                 _ => Vec::new(),
             };
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -14,19 +14,19 @@
 const WINDOW_MS: u64 = 2_000;
 const DUE_MS: u64 = 6_000;
 
+fn settings() -> DutySettings {
+    DutySettings {
+        usage: Some(UsageSettings {
+            window_ms: WINDOW_MS,
+            due_ms: DUE_MS,
+        }),
+        calls_per_s: 2.0,
+        ..DutySettings::default()
+    }
+}
+
 fn cluster(count: usize) -> Cluster {
-    Cluster::with_duties(
-        count,
-        count,
-        DutySettings {
-            usage: Some(UsageSettings {
-                window_ms: WINDOW_MS,
-                due_ms: DUE_MS,
-            }),
-            calls_per_s: 2.0,
-            ..DutySettings::default()
-        },
-    )
+    Cluster::with_duties(count, count, settings())
 }
 
 fn window(cluster: &Cluster) -> u64 {
@@ -153,6 +153,18 @@
     assert_eq!(check_calls(&cluster)[&present], 7);
 }
 
+/// Guards against counts that stay at a replica which is not a member of the log and knows no leader.
+#[test]
+fn counts_of_a_replica_that_is_no_member_reach_the_leader() {
+    let mut cluster = Cluster::with_duties(4, 3, settings());
+    cluster.run(8_000);
+    let outsider = 3;
+    let present = window(&cluster);
+    cluster.deliver_usage(outsider, vec![usage(1, present, 7)]);
+    cluster.run(15_000);
+    assert_eq!(check_calls(&cluster)[&present], 7);
+}
+
 /// Guards against a leader that acts on its earlier state when its machine goes on, while another one acts.
 #[test]
 fn a_suspended_leader_sends_nothing_when_it_goes_on() {
