Place by the speed of upstreams that state how long work takes

Cause: place.rs assumed 50 prompt tokens per ms at every engine. Some deployments have engines that differ in speed and share their machines, and that state how long work takes in a fourth figure of their load.

Change: each upstream has a speed with an age: the stated slowness, with a half-life of 300 ms towards its average, times a measured factor for prompts and one for output, which tend to 1 with a half-life of 4 s, so that a slow upstream is tried again. An entry sees few answers of each upstream, so that it reports what it observes with its subscription (16 bytes per upstream with news), and the replica passes the reports on to its other entries. Upstreams that state no slowness are placed as before.

Ruled out: readings of one entry only (less than one answer per second and engine where 25 entries share 20 engines, against states of 600 ms).

Tests seen to fail with a factor of 1, without the return to the usual speed, with old readings that count, and with unbounded outliers.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,8 @@
 pub use message::{
     ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LimitReport,
     LimitShare, ListingUpdate, LoadDigest, PeerMessage, PrefixUse, ProposeReply, ServiceDemand,
-    ServiceRate, UpstreamList, UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
+    ServiceRate, SpeedReport, UpstreamList, UpstreamLoad, UpstreamRecord, UsageCount, Watch,
+    WatchReply,
 };
 pub use order_gate::{EngineState, GateAction, OrderAnswer, OrderSender};
 pub use platform::{ListedState, PlatformList};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -71,6 +71,8 @@
     pub usage: Vec<UsageCount>,
     /// Work that callers of the subscriber, or of a replica's subscribers, ask for.
     pub demand: Vec<ServiceRate>,
+    /// What the subscriber has observed of the speed of upstreams since its previous message.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Requests of a client account that upstreams have begun to run in one window. Counts of a source only increase, so
@@ -136,6 +138,8 @@
     pub quarantine: quarantine::Update,
     /// The subscriber's shares of the limits on requests that upstreams have stated; empty in most replies.
     pub limit_shares: Vec<LimitShare>,
+    /// What other entry instances have observed of the speed of upstreams.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// What a subscriber lacks of a version of the list of upstreams.
@@ -202,6 +206,22 @@
     pub share_per_s: f64,
 }
 
+/// What an entry has observed of the speed of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpeedReport {
+    /// Hash of the upstream's instance id.
+    pub upstream_key: u64,
+    /// Duration of work that the upstream states, in percent of the usual; 0 if it has stated none.
+    pub stated_percent: u16,
+    /// Time since the upstream stated that, in milliseconds.
+    pub age_ms: u16,
+    /// Latest measured duration of prompts or plain requests, in percent of what the stated one leads to expect; 0 if
+    /// none was measured.
+    pub prompt_percent: u16,
+    /// Latest measured duration of output, likewise.
+    pub output_percent: u16,
+}
+
 /// Use of a shared prompt prefix at an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PrefixUse {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,8 +5,8 @@
 
 use conf::{Map, Name, Set};
 use fleet::{
-    InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad,
-    UpstreamRecord, Watch, WatchReply,
+    InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, SpeedReport,
+    UpstreamLoad, UpstreamRecord, Watch, WatchReply,
 };
 
 use quarantine::{Admission, Suspects};
@@ -18,7 +18,8 @@
 };
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
-use crate::place::{self, Choice, PlacementContext};
+use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
+use crate::speed::Expected;
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
 
@@ -30,8 +31,6 @@
 const MAX_BACKLOG_MS: f64 = 20.0;
 /// Minimum time that a caller needs to use an answer, in milliseconds.
 const CALLER_MARGIN_MS: u64 = 30;
-/// Time from the end of the prompt to the first event, in milliseconds.
-const FIRST_EVENT_MS: f64 = 40.0;
 /// Number added to the priority of a request that will miss its objective, so that the request delays no others.
 const LATE_PRIORITY_PENALTY: u8 = 5;
 /// Least urgent priority that engines accept.
@@ -97,6 +96,8 @@
     Closed { exchange: u64, is_complete: bool },
     /// The head of an upstream's answer states a limit on requests, or none.
     LimitStated { upstream: Name, stated: StatedLimit },
+    /// The head of an upstream's answer states how long work takes there, in percent of the usual duration.
+    SlownessStated { upstream: Name, percent: u16 },
     /// It has been checked whether an upstream has crashed.
     UpstreamChecked { upstream: Name, has_crashed: bool },
 }
@@ -159,6 +160,8 @@
     started_ms: Option<u64>,
     /// When the latest call was made.
     sent_ms: u64,
+    /// What the latest call is expected to take at the usual speed of its upstream.
+    expected: Option<Expected>,
     /// When the first event of the latest call's answer arrived.
     writing_since_ms: Option<u64>,
     /// Whether the request tries a part under which engines have crashed.
@@ -286,6 +289,11 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
+            EntryEvent::SlownessStated { upstream, percent } => {
+                if let Some(upstream) = self.upstreams.get_mut(&upstream) {
+                    upstream.speed.on_stated(now_ms, percent);
+                }
+            }
             EntryEvent::UpstreamChecked {
                 upstream,
                 has_crashed,
@@ -312,6 +320,7 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                watch.speeds = self.speed_reports(now_ms);
                 send_watch(to, watch, effects);
             }
         }
@@ -350,6 +359,7 @@
             self.set_others_loads(loads);
         }
         self.apply_limit_shares(now_ms, &reply.limit_shares);
+        self.apply_speeds(now_ms, &reply.speeds);
         for prefix_use in reply.prefix_uses {
             if let Some(id) = self.upstream_ids.get(&prefix_use.upstream_key)
                 && let Some(upstream) = self.upstreams.get_mut(id)
@@ -377,6 +387,23 @@
         reports
     }
 
+    /// Returns what this entry has observed of the speed of upstreams since the latest report.
+    fn speed_reports(&mut self, now_ms: u64) -> Vec<SpeedReport> {
+        let upstreams = self.upstreams.values_mut();
+        upstreams
+            .filter_map(|upstream| upstream.speed.take_report(now_ms, upstream.key))
+            .collect()
+    }
+
+    fn apply_speeds(&mut self, now_ms: u64, speeds: &[SpeedReport]) {
+        for report in speeds {
+            let id = self.upstream_ids.get(&report.upstream_key);
+            if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(id)) {
+                upstream.speed.on_report(now_ms, report);
+            }
+        }
+    }
+
     fn apply_limit_shares(&mut self, now_ms: u64, shares: &[LimitShare]) {
         for share in shares {
             let id = self.upstream_ids.get(&share.upstream_key);
@@ -598,6 +625,7 @@
             excludes_prefill_engines: false,
             started_ms: None,
             sent_ms: now_ms,
+            expected: None,
             writing_since_ms: None,
             is_trial: false,
             reserved_decoder: None,
@@ -907,7 +935,7 @@
     ) {
         let request = &self.exchanges[&exchange].request;
         let service = request.service.clone();
-        let queue_ms = self.queue_ms(&service, request.rank);
+        let queue_ms = self.queue_ms(now_ms, &service, request.rank);
         let expected_ms = choice.first_token_ms() + queue_ms + FIRST_EVENT_MS;
         if self.is_too_late(now_ms, request, expected_ms) {
             let reason = RefusalReason::TooLate;
@@ -924,7 +952,7 @@
 
     /// Returns the time to compute the queued requests of this and more urgent ranks in all entries of this zone, in
     /// milliseconds, assuming that each entry has queued as many as this one.
-    fn queue_ms(&self, service: &Name, rank: u8) -> f64 {
+    fn queue_ms(&self, now_ms: u64, service: &Name, rank: u8) -> f64 {
         let Some(queue) = self.queues.get(service) else {
             return 0.0;
         };
@@ -940,7 +968,7 @@
         };
         let tokens_per_ms: f64 = self
             .known_upstreams(&service.own_zone)
-            .map(place::prefill_tokens_per_ms)
+            .map(|upstream| place::prefill_tokens_per_ms(upstream, now_ms))
             .sum();
         let entries = f64::from(self.entry_count.max(1)) / service.zones.len().max(1) as f64;
         f64::from(tokens) * entries.max(1.0) / tokens_per_ms.max(place::PREFILL_TOKENS_PER_MS)
@@ -1020,6 +1048,7 @@
             return;
         };
         let request = &state.request;
+        state.expected = Expected::of(target, &task, request.prompt.as_ref(), tokens);
         target.add_request(tokens);
         // The request of a reserved hand-off was counted when its prompt was sent.
         if state.reserved_decoder.take().as_ref() != Some(upstream)
@@ -1100,6 +1129,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&source) {
             upstream.remove_request(assigned_work);
             upstream.on_success(now_ms);
+            observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         state.task = None;
         if self.refuse_if_blocked(now_ms, exchange, effects) {
@@ -1176,6 +1206,7 @@
             && let Some(upstream) = self.upstreams.get_mut(&assigned_work.upstream)
         {
             upstream.remove_prompt_tokens(assigned_work);
+            observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         self.dispatch_queue(now_ms, &service, effects);
     }
@@ -1350,6 +1381,7 @@
             upstream.remove_request(assigned_work);
             if is_complete {
                 upstream.on_success(now_ms);
+                observe_duration(now_ms, state.sent_ms, state.expected, upstream);
             }
         }
         if is_complete && let Some(prompt) = &state.request.prompt {
@@ -1534,6 +1566,22 @@
     keys.join(",")
 }
 
+/// Records how long an upstream took for a call.
+fn observe_duration(
+    now_ms: u64,
+    sent_ms: u64,
+    expected: Option<Expected>,
+    upstream: &mut Upstream,
+) {
+    if let Some(expected) = expected {
+        let duration_ms = now_ms.saturating_sub(sent_ms) as f64;
+        let Expected { work, usual_ms } = expected;
+        upstream
+            .speed
+            .on_measured(now_ms, work, duration_ms, usual_ms);
+    }
+}
+
 fn task_name(task: &Task) -> &'static str {
     match task {
         Task::Run => "run",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod loads;
 pub mod place;
 pub mod replicas;
+pub mod speed;
+pub mod speed_reports;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -11,6 +11,8 @@
 pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// Speed of a decode engine's own prefill, as a share of the speed of a prefill engine.
 const DECODE_PREFILL_SPEED_SHARE: f64 = 0.5;
+/// Time from the end of the prompt to the first event at the usual speed, in milliseconds.
+pub const FIRST_EVENT_MS: f64 = 40.0;
 /// Cost of handing off the KV cache to another engine, in milliseconds: a second call and the transfer.
 const HANDOFF_COST_MS: f64 = 25.0;
 /// Cost of handing off the KV cache to an engine in another availability zone, in milliseconds.
@@ -44,8 +46,9 @@
 const RESERVED_MAX_WORK_MS: f64 = 70.0;
 /// Share of taken slots from which an engine gets no further requests.
 const MAX_SLOT_SHARE: f64 = 0.95;
-/// Assumed duration of a plain request, in milliseconds, by which queues are weighed against the cost of other zones.
-const PLAIN_REQUEST_MS: f64 = 40.0;
+/// Duration of a plain request at the usual speed, in milliseconds, by which queues are weighed against the cost of other
+/// zones.
+pub const PLAIN_REQUEST_MS: f64 = 40.0;
 
 /// Range of the random part of an engine's cost, in milliseconds. Entries that know of the same load would otherwise
 /// all choose the same engine until each has received the reports of the others.
@@ -139,7 +142,8 @@
 ) -> Option<&'a Upstream> {
     let cost = |upstream: &Upstream| {
         let slots = f64::from(upstream.record.slots.max(1));
-        let queue_ms = f64::from(upstream.total_running() + 1) / slots * PLAIN_REQUEST_MS;
+        let queue_ms = f64::from(upstream.total_running() + 1) / slots
+            * plain_request_ms(upstream, context.now_ms);
         let queue_ms = match f64::from(upstream.total_running()) >= slots {
             // A full upstream rejects requests; any other upstream is better.
             true => queue_ms + 10.0 * CROSS_ZONE_COST_MS,
@@ -254,7 +258,7 @@
             (true, Some((_, shared_tokens))) => prompt.tokens - shared_tokens,
             _ => uncached_tokens(prompt, upstream, self.affinity),
         };
-        let tokens_per_ms = prefill_tokens_per_ms(upstream);
+        let tokens_per_ms = prefill_tokens_per_ms(upstream, context.now_ms);
         let is_own_zone = upstream.record.availability_zone.as_str() == context.zone;
         let may_leave = upstream.is_prefill() && self.may_hand_off_to_other_zones;
         let queue_ms = match is_own_zone && !may_leave {
@@ -273,7 +277,9 @@
         let extra_ms = match upstream.record.role {
             Some(Role::Prefill) if self.may_hand_off_to_other_zones => REMOTE_HANDOFF_COST_MS,
             Some(Role::Prefill) => HANDOFF_COST_MS,
-            Some(Role::Decode) => interference_cost_ms(context, upstream, work_ms),
+            Some(Role::Decode) => {
+                interference_cost_ms(context, upstream, work_ms) + slow_output_ms(upstream, context)
+            }
             _ => 0.0,
         };
         let cost_ms = wait_ms
@@ -386,8 +392,11 @@
     decoders: &[&'a Upstream],
 ) -> Option<&'a Upstream> {
     let load = |upstream: &Upstream| {
+        let slots = f64::from(upstream.record.slots);
+        let slow_factor = upstream.speed.output_factor(context.now_ms) - 1.0;
         f64::from(upstream.total_running())
-            + upstream.failure_rate(context.now_ms) * f64::from(upstream.record.slots)
+            + slow_factor * slots
+            + upstream.failure_rate(context.now_ms) * slots
             + context.jitter(upstream) * JITTER_REQUESTS
     };
     decoders
@@ -422,13 +431,28 @@
 }
 
 /// Returns the prompt tokens that an engine computes in a millisecond.
-pub fn prefill_tokens_per_ms(upstream: &Upstream) -> f64 {
+pub fn prefill_tokens_per_ms(upstream: &Upstream, now_ms: u64) -> f64 {
+    usual_prefill_tokens_per_ms(upstream) / upstream.speed.prompt_factor(now_ms)
+}
+
+/// Returns the prompt tokens that an engine computes in a millisecond at the usual speed.
+pub fn usual_prefill_tokens_per_ms(upstream: &Upstream) -> f64 {
     match upstream.record.role {
         Some(Role::Decode) => PREFILL_TOKENS_PER_MS * DECODE_PREFILL_SPEED_SHARE,
         _ => PREFILL_TOKENS_PER_MS,
     }
 }
 
+/// Returns the expected duration of a plain request, in milliseconds.
+fn plain_request_ms(upstream: &Upstream, now_ms: u64) -> f64 {
+    PLAIN_REQUEST_MS * upstream.speed.prompt_factor(now_ms)
+}
+
+/// Returns by how much the first event of an engine is later than at the usual speed, in milliseconds.
+fn slow_output_ms(upstream: &Upstream, context: &PlacementContext<'_>) -> f64 {
+    FIRST_EVENT_MS * (upstream.speed.output_factor(context.now_ms) - 1.0)
+}
+
 fn is_cached(context: &PlacementContext<'_>, prompt: &Prompt, upstream: &Upstream) -> bool {
     let shared_prefix = prompt.shared_prefix();
     shared_prefix.is_some_and(|(key, _)| upstream.has_shared_prefix(key, context.now_ms))
@@ -458,7 +482,12 @@
     } else {
         CROSS_ZONE_TRANSFER_FACTOR
     };
-    f64::from(tokens) / TRANSFER_TOKENS_PER_MS * factor
+    transfer_ms(tokens) * factor
+}
+
+/// Returns the time to transfer the KV cache of some tokens within a zone, in milliseconds.
+pub fn transfer_ms(tokens: u32) -> f64 {
+    f64::from(tokens) / TRANSFER_TOKENS_PER_MS
 }
 
 fn uncached_tokens(prompt: &Prompt, upstream: &Upstream, affinity: Option<&Upstream>) -> u32 {
--- a/crates/gateway/src/subscribers.rs
+++ b/crates/gateway/src/subscribers.rs
@@ -10,6 +10,7 @@
 use crate::limits::ReportedLimits;
 use crate::listing::{LISTING_NOT_NEEDED, Listing, NO_LISTING};
 use crate::loads::ZoneLoads;
+use crate::speed_reports::RecentSpeeds;
 
 /// Time without a message after which a subscriber is removed, in milliseconds: a few intervals of its messages.
 const SUBSCRIBER_TIMEOUT_MS: u64 = 3_000;
@@ -76,6 +77,8 @@
     loads: Vec<UpstreamLoad>,
     /// Number of the first prefix use that the subscriber has not received.
     next_prefix_use: u64,
+    /// Number of the first speed report that the subscriber has not received.
+    next_speed: u64,
     /// Number of replies to the subscriber.
     replies: u64,
     /// When the subscriber next gets its shares of limits.
@@ -139,6 +142,7 @@
     loads: ZoneLoads,
     limits: ReportedLimits,
     prefix_uses: RecentPrefixUses,
+    speeds: RecentSpeeds,
     /// Number of the first prefix use that has not been sent to the other replicas.
     next_unsent_prefix_use: u64,
 }
@@ -154,6 +158,7 @@
                 prefix_use,
             });
         }
+        self.speeds.push(now_ms, &id, watch.speeds);
         for report in &watch.limits {
             self.limits.on_report(now_ms, report);
         }
@@ -169,6 +174,7 @@
             trusted_sequence: 0,
             loads: watch.loads,
             next_prefix_use: self.prefix_uses.next,
+            next_speed: self.speeds.next(),
             replies: 0,
             next_shares_ms: 0,
             info: watch.info,
@@ -177,6 +183,7 @@
         let same_process = previous.filter(|previous| previous.sequence < subscriber.sequence);
         if let Some(previous) = same_process {
             subscriber.next_prefix_use = previous.next_prefix_use;
+            subscriber.next_speed = previous.next_speed;
             subscriber.replies = previous.replies;
             subscriber.next_shares_ms = previous.next_shares_ms;
             if subscriber.sequence < previous.trusted_sequence {
@@ -337,6 +344,12 @@
             true => self.prefix_uses.unknown_to(id, first_prefix_use),
             false => Vec::new(),
         };
+        let speeds = match accepts_callers {
+            true => self
+                .speeds
+                .unknown_to(published.now_ms, id, subscriber.next_speed),
+            false => Vec::new(),
+        };
         let reply = WatchReply {
             sequence: subscriber.sequence,
             is_current: match accepts_callers {
@@ -361,12 +374,14 @@
             loads: None,
             prefix_uses,
             limit_shares: Vec::new(),
+            speeds,
             quarantine: published
                 .quarantine
                 .update(published.now_ms, subscriber.verdicts),
         };
         subscriber.replies += 1;
         subscriber.next_prefix_use = self.prefix_uses.next;
+        subscriber.next_speed = self.speeds.next();
         if lacks_document {
             subscriber.version = published.version;
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::exchange::StatedLimit;
 use crate::limits::RequestLimit;
 use crate::listing;
+use crate::speed::Speed;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
 const CIRCUIT_FAILURES: u32 = 2;
@@ -61,6 +62,8 @@
     pub stated_limit: StatedLimit,
     /// Limit on requests that holds.
     pub limit: Option<RequestLimit>,
+    /// How fast the upstream works.
+    pub speed: Speed,
     /// When the limit was last logged.
     pub limit_logged_ms: u64,
     consecutive_failures: u32,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -109,8 +109,17 @@
     }
 }
 
-/// Receives the limit on requests that the answer of an upstream states.
-pub type LimitObserver<'a> = &'a dyn Fn(StatedLimit);
+/// What the head of an upstream's answer states besides the answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stated {
+    /// Limit on requests.
+    pub limit: StatedLimit,
+    /// How long work takes at the upstream now, in percent of the usual duration.
+    pub slowness_percent: Option<u16>,
+}
+
+/// Receives what the head of an upstream's answer states.
+pub type StatedObserver<'a> = &'a dyn Fn(Stated);
 
 /// Makes calls to upstreams.
 pub struct Client {
@@ -124,7 +133,7 @@
 
 impl Client {
     /// Calls an upstream. `last_event_id` is the id of the last event that the caller has received of a resumed stream.
-    /// `observe_limit` is called with what the head of the answer states.
+    /// `observe` is called with what the head of the answer states.
     ///
     /// # Errors
     /// Returns the outcome and its reason if there is no answer to forward.
@@ -133,7 +142,7 @@
         call: &UpstreamCall,
         forwarded: &ForwardedRequest,
         last_event_id: Option<&str>,
-        observe_limit: LimitObserver<'_>,
+        observe: StatedObserver<'_>,
     ) -> Result<CallAnswer, CallFailure> {
         let deadline = self.clock.instant(call.deadline_ms);
         let head_deadline = match call.head_deadline_ms {
@@ -148,9 +157,8 @@
         let request = self.build_request(call, forwarded, last_event_id);
         let (response, connection) = send_request(connection, request, head_deadline).await?;
         self.validate_request_id(forwarded, &response, connection.is_reused)?;
-        let names = self.dialect.header_names();
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            observe_limit(stated_limit(response.headers(), &names.request_limit));
+            observe(self.stated(response.headers()));
         }
         self.validate_head(call, &response)?;
         if call.task != Task::Prefill && forwarded.is_stream && response.status().is_success() {
@@ -266,6 +274,17 @@
         }
     }
 
+    fn stated(&self, headers: &HeaderMap) -> Stated {
+        let names = self.dialect.header_names();
+        let load = headers
+            .get(&names.load)
+            .and_then(|value| value.to_str().ok());
+        Stated {
+            limit: stated_limit(headers, &names.request_limit),
+            slowness_percent: load.and_then(|load| self.dialect.slowness_percent(load)),
+        }
+    }
+
     /// Checks the head of an answer: the answer must come from the chosen upstream.
     fn validate_head(
         &self,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -8,8 +8,7 @@
 use conf::Name;
 use gateway::entry::EntryEvent;
 use gateway::{
-    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, StatedLimit,
-    UpstreamCall,
+    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, UpstreamCall,
 };
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -18,7 +17,7 @@
 
 use crate::answer::{self, AnswerBody};
 use crate::body::{self, BodyError};
-use crate::call::{CallAnswer, ForwardedRequest, forwarded_headers};
+use crate::call::{CallAnswer, ForwardedRequest, Stated, forwarded_headers};
 use crate::entry::EntryRuntime;
 use crate::logs::{self, Importance};
 use crate::memory::BodyMemory;
@@ -71,11 +70,17 @@
             .step(EntryEvent::Prefilled { exchange, handle });
     }
 
-    /// Reports the limit that the answer to a call states.
-    pub fn observe_limit(&self, call: &UpstreamCall, stated: StatedLimit) {
+    /// Reports what the head of the answer to a call states.
+    pub fn observe(&self, call: &UpstreamCall, stated: Stated) {
         let upstream = call.upstream.clone();
-        self.runtime
-            .step(EntryEvent::LimitStated { upstream, stated });
+        self.runtime.step(EntryEvent::LimitStated {
+            upstream: upstream.clone(),
+            stated: stated.limit,
+        });
+        if let Some(percent) = stated.slowness_percent {
+            self.runtime
+                .step(EntryEvent::SlownessStated { upstream, percent });
+        }
     }
 
     /// Reports that the answer has been forwarded in full.
@@ -245,9 +250,9 @@
     loop {
         match exchange.next().await {
             Some(Directive::Call(call)) => {
-                let observe_limit = |stated| exchange.observe_limit(&call, stated);
+                let observe = |stated| exchange.observe(&call, stated);
                 let client = &exchange.runtime.client;
-                match client.call(&call, &forwarded, None, &observe_limit).await {
+                match client.call(&call, &forwarded, None, &observe).await {
                     Ok(CallAnswer::Prefilled(handle)) => exchange.prefilled(handle),
                     Ok(CallAnswer::Complete(response)) => {
                         exchange.finish();
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -28,6 +28,8 @@
     pub kv_source: HeaderName,
     /// Address of the engine from which the KV cache of the shared prefix is fetched first.
     pub fetch_from: HeaderName,
+    /// Load of the upstream, in its answers.
+    pub load: HeaderName,
     /// Requests per second that the upstream takes from all instances together, in its answers.
     pub request_limit: HeaderName,
     /// Headers that only this system may set. An entry removes them from the requests of callers.
@@ -96,6 +98,10 @@
     /// Decodes the properties of the prompt from the headers of a request.
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Decodes how long work takes at an upstream now, in percent of the usual duration, from the load that its answer
+    /// states.
+    fn slowness_percent(&self, load: &str) -> Option<u16>;
+
     /// Returns the value of the stage header that asks an engine to compute only the KV cache of the prompt.
     fn prefill_stage(&self) -> &'static str;
 
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -34,9 +34,11 @@
         };
         match self.watches.get_mut(&from) {
             Some(waiting) => {
-                // Each message carries only the prefix uses since the previous one.
+                // Each message carries only the prefix uses and speeds since the previous one.
                 waiting.prefix_uses.append(&mut watch.prefix_uses);
                 watch.prefix_uses = std::mem::take(&mut waiting.prefix_uses);
+                waiting.speeds.append(&mut watch.speeds);
+                watch.speeds = std::mem::take(&mut waiting.speeds);
                 *waiting = watch;
             }
             None => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -118,9 +118,9 @@
             return None;
         };
         let client = &exchange.runtime.client;
-        let observe_limit = |stated| exchange.observe_limit(&call, stated);
+        let observe = |stated| exchange.observe(&call, stated);
         let last_event_id = cursor.last_event_id();
-        let answer = client.call(&call, forwarded, last_event_id, &observe_limit);
+        let answer = client.call(&call, forwarded, last_event_id, &observe);
         let result = tokio::select! {
             result = answer => result,
             () = events.closed() => return None,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -62,6 +62,7 @@
   isProbe @9 :Bool;
   usage @10 :List(UsageCount);
   demand @11 :List(ServiceRate);
+  speeds @12 :List(SpeedReport);
 }
 
 # Requests of a client account that upstreams have begun to run in one window.
@@ -140,6 +141,15 @@
   trials @3 :List(UInt64);
 }
 
+# What an entry has observed of the speed of an upstream.
+struct SpeedReport {
+  upstreamKey @0 :UInt64;
+  statedPercent @1 :UInt16;
+  ageMs @2 :UInt16;
+  promptPercent @3 :UInt16;
+  outputPercent @4 :UInt16;
+}
+
 # Use of a shared prompt prefix at an engine.
 struct PrefixUse {
   key @0 :UInt64;
@@ -170,6 +180,7 @@
   }
   quarantine @16 :QuarantineUpdate;
   limitShares @17 :List(LimitShare);
+  speeds @18 :List(SpeedReport);
 }
 
 struct UpstreamLoad {
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, UpstreamList, UpstreamLoad,
-    UpstreamRecord, UsageCount, Watch, WatchReply,
+    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport, UpstreamList,
+    UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
 };
 
 use crate::compression;
@@ -56,11 +56,41 @@
         }
     }
     if !watch.demand.is_empty() {
-        let mut list = builder.init_demand(watch.demand.len() as u32);
+        let mut list = builder.reborrow().init_demand(watch.demand.len() as u32);
         for (index, rate) in (0..).zip(&watch.demand) {
             write_rate(rate, list.reborrow().get(index));
         }
     }
+    if !watch.speeds.is_empty() {
+        write_speeds(
+            &watch.speeds,
+            builder.init_speeds(watch.speeds.len() as u32),
+        );
+    }
+}
+
+fn write_speeds(
+    speeds: &[SpeedReport],
+    mut list: capnp::struct_list::Builder<'_, schema::speed_report::Owned>,
+) {
+    for (index, report) in (0..).zip(speeds) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_upstream_key(report.upstream_key);
+        builder.set_stated_percent(report.stated_percent);
+        builder.set_age_ms(report.age_ms);
+        builder.set_prompt_percent(report.prompt_percent);
+        builder.set_output_percent(report.output_percent);
+    }
+}
+
+fn read_speed(reader: schema::speed_report::Reader<'_>) -> SpeedReport {
+    SpeedReport {
+        upstream_key: reader.get_upstream_key(),
+        stated_percent: reader.get_stated_percent(),
+        age_ms: reader.get_age_ms(),
+        prompt_percent: reader.get_prompt_percent(),
+        output_percent: reader.get_output_percent(),
+    }
 }
 
 fn write_rate(rate: &ServiceRate, mut builder: schema::service_rate::Builder<'_>) {
@@ -126,6 +156,7 @@
             .iter()
             .map(read_rate)
             .collect::<Result<_, _>>()?,
+        speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
     })
 }
 
@@ -164,7 +195,9 @@
     );
     quarantine::write_update(&reply.quarantine, builder.reborrow().init_quarantine());
     if !reply.limit_shares.is_empty() {
-        let mut list = builder.init_limit_shares(reply.limit_shares.len() as u32);
+        let mut list = builder
+            .reborrow()
+            .init_limit_shares(reply.limit_shares.len() as u32);
         for (index, share) in (0..).zip(&reply.limit_shares) {
             let mut builder = list.reborrow().get(index);
             builder.set_upstream_key(share.upstream_key);
@@ -173,6 +206,12 @@
             builder.set_share_per_s(share.share_per_s);
         }
     }
+    if !reply.speeds.is_empty() {
+        write_speeds(
+            &reply.speeds,
+            builder.init_speeds(reply.speeds.len() as u32),
+        );
+    }
     Ok(())
 }
 
@@ -218,6 +257,7 @@
                 share_per_s: share.get_share_per_s(),
             })
             .collect(),
+        speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
     })
 }
 
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -124,6 +124,7 @@
         limits: list(g, limit_report),
         usage: list(g, usage_count),
         demand: list(g, service_rate),
+        speeds: list(g, speed_report),
     }
 }
 
@@ -147,6 +148,16 @@
     }
 }
 
+fn speed_report(g: &mut Gen) -> fleet::SpeedReport {
+    fleet::SpeedReport {
+        upstream_key: number(g),
+        stated_percent: u16::arbitrary(g),
+        age_ms: u16::arbitrary(g),
+        prompt_percent: u16::arbitrary(g),
+        output_percent: u16::arbitrary(g),
+    }
+}
+
 fn limit_report(g: &mut Gen) -> fleet::LimitReport {
     fleet::LimitReport {
         upstream_key: number(g),
@@ -232,6 +243,7 @@
         prefix_uses: list(g, prefix_use),
         quarantine: quarantine_update(g),
         limit_shares: list(g, limit_share),
+        speeds: list(g, speed_report),
     }
 }
 
