--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod place;
 pub mod replicas;
 pub mod revocation;
+pub mod speed;
+pub mod speed_reports;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
