--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::place::{self, Choice, PlacementContext};
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
+use crate::usage::{UsageCounter, UsageSettings};
 
 /// Backlog of an engine up to which the engine gets more requests of the most urgent rank, in milliseconds. Requests
 /// beyond this backlog stay in the entry's queue and are placed later, with newer load information.
@@ -68,6 +69,10 @@
     pub contacts: Vec<InstanceInfo>,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// Reports of usage, if the platform asks for them.
+    pub usage: Option<UsageSettings>,
+    /// Random number of the process.
+    pub process_number: u64,
 }
 
 /// An input of the entry's reducer.
@@ -81,6 +86,8 @@
         reply: Box<WatchReply>,
         config: Option<Arc<Config>>,
     },
+    /// The time of day, in milliseconds since the Unix epoch.
+    TimeOfDay { unix_ms: u64 },
     /// The settings have been read again and may name other replicas.
     Contacts(Vec<InstanceInfo>),
     /// The process ends at `ends_ms` at the latest. Until then, it answers the requests that still arrive.
@@ -155,6 +162,8 @@
     /// Whether prefill engines are excluded, since the budget allows no further prefill call or no engine could take
     /// the computed prompt.
     excludes_prefill_engines: bool,
+    /// Whether an upstream has begun to run the request, so that the request counts as usage.
+    is_counted: bool,
     /// When the first event or the whole answer arrived.
     started_ms: Option<u64>,
     /// When the latest call was made.
@@ -201,12 +210,16 @@
     stream_ms: f64,
     /// Parts of prompts under which engines crash.
     suspects: Suspects,
+    /// Requests that upstreams have begun to run; none if the platform asks for no reports.
+    usage: Option<UsageCounter>,
 }
 
 impl Entry {
     /// Creates an entry without a configuration or a list of upstreams.
     pub fn new(settings: EntrySettings) -> Self {
         let contacts = settings.contacts.clone();
+        let usage = settings.usage.clone();
+        let usage = usage.map(|usage| UsageCounter::new(usage, settings.process_number));
         Self {
             subscription: Subscription::new(settings.info.clone(), contacts),
             settings,
@@ -227,6 +240,7 @@
             ends_ms: None,
             stream_ms: 0.0,
             suspects: Suspects::default(),
+            usage,
         }
     }
 
@@ -250,6 +264,13 @@
         self.exchanges.len()
     }
 
+    /// Returns whether a replica has all counts of usage.
+    pub fn has_sent_usage(&self) -> bool {
+        self.usage
+            .as_ref()
+            .is_none_or(UsageCounter::is_acknowledged)
+    }
+
     /// Returns the prompt tokens that an upstream still has to compute for an open exchange.
     pub fn prompt_tokens(&self, exchange: u64) -> Option<u32> {
         let assigned_work = self.exchanges.get(&exchange)?.assigned_work.as_ref()?;
@@ -265,6 +286,11 @@
                 reply,
                 config,
             } => self.on_watch_reply(now_ms, &from, *reply, config, effects),
+            EntryEvent::TimeOfDay { unix_ms } => {
+                if let Some(usage) = &mut self.usage {
+                    usage.observe_time(now_ms, unix_ms);
+                }
+            }
             EntryEvent::Contacts(contacts) => self.subscription.set_contacts(contacts),
             EntryEvent::Stopping { ends_ms } => self.ends_ms = Some(ends_ms),
             EntryEvent::Arrived { exchange, request } => {
@@ -294,6 +320,7 @@
     }
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        self.advance_usage(now_ms, effects);
         let version = self.config.as_ref().map_or(0, |config| config.version());
         for (to, probe) in self.subscription.probes(now_ms, version, self.listing) {
             send_watch(to, probe, effects);
@@ -312,6 +339,9 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                if let Some(usage) = &mut self.usage {
+                    watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
+                }
                 send_watch(to, watch, effects);
             }
         }
@@ -320,6 +350,28 @@
         }
     }
 
+    fn advance_usage(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let Some(usage) = &mut self.usage else {
+            return;
+        };
+        let lost = usage.on_tick(now_ms);
+        if lost > 0 {
+            let text = format!("usage=lost requests={lost} reason=\"no replica took them\"");
+            log(effects, Importance::Failure, text);
+        }
+    }
+
+    /// Counts a request once, when an upstream has begun to run it.
+    fn count_usage(&mut self, now_ms: u64, exchange: u64) {
+        if let Some(usage) = &mut self.usage
+            && let Some(state) = self.exchanges.get_mut(&exchange)
+            && !std::mem::replace(&mut state.is_counted, true)
+            && let Some(account) = &state.request.account
+        {
+            usage.add(now_ms, account);
+        }
+    }
+
     fn on_watch_reply(
         &mut self,
         now_ms: u64,
@@ -329,6 +381,9 @@
         effects: &mut Vec<EntryEffect>,
     ) {
         let is_current = self.subscription.on_reply(now_ms, from, &reply);
+        if let Some(usage) = &mut self.usage {
+            usage.on_reply(from, reply.sequence);
+        }
         if let Some(config) = config {
             self.apply_config(config, from, effects);
         }
@@ -600,6 +655,7 @@
             sent_ms: now_ms,
             writing_since_ms: None,
             is_trial: false,
+            is_counted: false,
             reserved_decoder: None,
             task: None,
         };
@@ -1166,6 +1222,7 @@
     }
 
     fn on_started(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
+        self.count_usage(now_ms, exchange);
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
@@ -1187,6 +1244,13 @@
         outcome: Outcome,
         effects: &mut Vec<EntryEffect>,
     ) {
+        let task = self
+            .exchanges
+            .get(&exchange)
+            .and_then(|state| state.task.as_ref());
+        if outcome == Outcome::FailedAnswer && task != Some(&Task::Prefill) {
+            self.count_usage(now_ms, exchange);
+        }
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
@@ -1338,6 +1402,9 @@
         is_complete: bool,
         effects: &mut Vec<EntryEffect>,
     ) {
+        if is_complete {
+            self.count_usage(now_ms, exchange);
+        }
         let Some(state) = self.exchanges.remove(&exchange) else {
             return;
         };
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -6,9 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use conf::{Map, Name};
+use conf::{Map, Name, Set};
 use fleet::UsageCount;
 
+use crate::wall_clock::WallClock;
+
 /// Number of windows before the present one whose counts are kept, for a receiver that was lost or could not be reached.
 const RETAINED_WINDOWS: u64 = 12;
 /// Largest number of counts that are kept; the oldest windows are given up first. Each takes about 80 bytes.
@@ -177,6 +179,13 @@
             .all(|tallies| unacknowledged_requests(tallies) == 0)
     }
 
+    /// Returns the number of processes that have counted requests of a window.
+    pub fn sources(&self, window: u64) -> usize {
+        let tallies = self.windows.get(&window).into_iter().flatten();
+        let sources: Set<u64> = tallies.map(|((source, _), _)| *source).collect();
+        sources.len()
+    }
+
     /// Returns the requests of a window by account, sorted by name.
     pub fn totals(&self, window: u64) -> Vec<(Name, u64)> {
         let mut totals: BTreeMap<&Name, u64> = BTreeMap::new();
@@ -202,7 +211,7 @@
 pub struct UsageCounter {
     settings: UsageSettings,
     source: u64,
-    clock: crate::wall_clock::WallClock,
+    clock: WallClock,
     table: UsageTable,
     /// The latest window that has begun.
     present: u64,
--- a/crates/gateway/src/usage_reports.rs
+++ b/crates/gateway/src/usage_reports.rs
@@ -140,9 +140,17 @@
             )));
         }
         self.proposed = Some(window);
+        let counts = self.table.totals(window);
+        let requests: u64 = counts.iter().map(|(_, count)| count).sum();
+        actions.push(DutyAction::Log(format!(
+            "usage_window={window} decision=commit requests={requests} accounts={} entries={} age_ms={}",
+            counts.len(),
+            self.table.sources(window),
+            unix_ms - settings.end_ms(window),
+        )));
         actions.push(DutyAction::Propose(Command::CommitUsage {
             window,
-            counts: self.table.totals(window).into(),
+            counts: counts.into(),
             accepted: self.accepted.iter().copied().collect(),
         }));
     }
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry: an instance that receives the requests of callers.
 
 use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 use crate::answer;
 use crate::call::Client;
 use crate::caller;
-use crate::clock::Clock;
+use crate::clock::{Clock, TIME_OF_DAY_INTERVAL};
 use crate::compression;
 use crate::dialect::Dialect;
 use crate::error::Error;
@@ -183,6 +184,9 @@
             info: settings.info.clone(),
             contacts: settings.contacts.clone(),
             retry_budget: settings.retry_budget.clone(),
+            usage: settings.duties.usage.clone(),
+            // The keys of the hasher come from the operating system's random number generator.
+            process_number: RandomState::new().hash_one(()),
         })),
         effects: RefCell::default(),
         directives: RefCell::default(),
@@ -266,6 +270,16 @@
         ),
     };
     logs::write(importance, "process", &text);
+    while !runtime.entry.borrow().has_sent_usage() && clock.now_ms() < stop_ms {
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+    if !runtime.entry.borrow().has_sent_usage() {
+        logs::write(
+            Importance::Failure,
+            "process",
+            "usage=lost reason=\"no replica has taken it before the stop\"",
+        );
+    }
 }
 
 async fn serve_callers(
@@ -326,6 +340,8 @@
 async fn process_events(runtime: Rc<EntryRuntime>, mut queue: mpsc::Receiver<Event>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut times = interval(TIME_OF_DAY_INTERVAL);
+    times.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             event = queue.recv() => match event {
@@ -336,6 +352,9 @@
                 None => return,
             },
             _ = ticks.tick() => runtime.step(EntryEvent::Tick),
+            _ = times.tick() => if let Some(unix_ms) = runtime.client.clock.time_of_day_ms() {
+                runtime.step(EntryEvent::TimeOfDay { unix_ms });
+            },
         }
     }
 }
