--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -243,6 +243,8 @@
     pub role: Option<Role>,
     /// Whether the engine has been ordered to change its role and takes no requests until it has.
     pub is_changing: bool,
+    /// Whether the platform may take the upstream away at short notice.
+    pub is_reclaimable: bool,
 }
 
 /// Reply of a voter to a proposal.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -98,8 +98,44 @@
     pub handle_ttl_ms: u64,
 }
 
+/// Bounds and prices of a service's upstreams, which the platform starts and stops on order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// Smallest number of upstreams in an availability zone, of both kinds together.
+    pub min: u32,
+    /// Largest number of upstreams in an availability zone, of both kinds together.
+    pub max: u32,
+    /// Time from an order until a new upstream takes requests, in milliseconds.
+    pub boot_ms: u64,
+    /// Price of a reclaimable upstream, as a share of the price of the others.
+    pub reclaimable_price: f64,
+    /// Price of an upstream by availability zone.
+    pub zone_prices: Map<Name, f64>,
+}
+
+impl Scaling {
+    /// Returns what makes the values unusable, if anything does.
+    pub fn fault(&self) -> Option<&'static str> {
+        let is_price = |price: f64| price.is_finite() && price >= 0.0;
+        if self.max == 0 {
+            return Some("the maximum is 0");
+        }
+        if self.min > self.max {
+            return Some("the minimum is above the maximum");
+        }
+        if !is_price(self.reclaimable_price)
+            || !self.zone_prices.values().all(|price| is_price(*price))
+        {
+            return Some("a price is negative");
+        }
+        self.zone_prices
+            .is_empty()
+            .then_some("no availability zone has a price")
+    }
+}
+
 /// A group of interchangeable upstreams.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: Name,
@@ -107,6 +143,9 @@
     pub max_connections: u32,
     /// Properties of the service's engines; none for a plain service.
     pub engine: Option<EngineTraits>,
+    /// Bounds and prices of upstreams; none if the platform takes no orders for the service's upstreams, or if the
+    /// stated values cannot be used.
+    pub scaling: Option<Scaling>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -154,7 +193,7 @@
 }
 
 /// A valid configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
     version: u64,
     services: Map<Name, Service>,
@@ -220,6 +259,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the route of the host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.hosts
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::command::{self, Command};
+use crate::config::Service;
 use crate::duties::{Duties, DutyAction, DutySettings};
 use crate::duty::{DutyCall, DutyOutcome};
 use crate::lease::{LeaderLease, Subject};
@@ -99,6 +100,8 @@
     Listed { upstreams: Vec<UpstreamRecord> },
     /// The platform's list could not be read.
     ListingFailed { reason: String },
+    /// The services of the document in force have been decoded.
+    Services(Vec<Service>),
     /// The time of day, in milliseconds since the Unix epoch.
     TimeOfDay { unix_ms: u64 },
     /// A call to the platform that only the leader makes has ended.
@@ -169,6 +172,8 @@
         call: DutyCall,
         valid_until_ms: u64,
     },
+    /// Decodes the services of a document, which are then to be reported with `ControlEvent::Services`.
+    DecodeServices { document: Bytes },
     /// Writes a log line.
     Log { text: String },
 }
@@ -324,6 +329,7 @@
                     format!("upstream={upstream} term={term} order={outcome:?}"),
                 );
             }
+            ControlEvent::Services(services) => self.duties.set_services(services),
             ControlEvent::TimeOfDay { unix_ms } => self.duties.observe_time(now_ms, unix_ms),
             ControlEvent::DutyEnded {
                 call,
@@ -429,6 +435,11 @@
         let has_document = self.version > 0;
         self.duties
             .on_tick(now_ms, &self.lease, has_document, &mut actions);
+        if self.has_current_listing(now_ms) {
+            let upstreams = self.listing.records();
+            self.duties
+                .plan_upstreams(now_ms, &self.lease, upstreams, &mut actions);
+        }
         self.perform(actions, effects);
     }
 
@@ -568,7 +579,12 @@
                 }
                 _ => Vec::new(),
             };
+            let demand = match &leader {
+                Some(leader) if *leader == info.id => self.duties.own_demand(now_ms),
+                _ => Vec::new(),
+            };
             let watch = Watch {
+                demand,
                 version,
                 listing,
                 usage,
@@ -633,7 +649,7 @@
         }
     }
 
-    fn on_watch(&mut self, now_ms: u64, watch: Watch, effects: &mut Vec<ControlEffect>) {
+    fn on_watch(&mut self, now_ms: u64, mut watch: Watch, effects: &mut Vec<ControlEffect>) {
         let id = watch.info.id.clone();
         if watch.is_probe {
             let next_reply =
@@ -647,6 +663,9 @@
             self.update_join_targets();
         }
         self.duties.merge_usage(&watch.usage);
+        let demand = std::mem::take(&mut watch.demand);
+        self.duties
+            .on_demand(now_ms, &id, watch.accepts_callers, demand);
         let accepts_callers = watch.accepts_callers;
         let report = &watch.quarantine;
         let changed = self.quarantine.on_report(now_ms, report, accepts_callers);
@@ -1053,6 +1072,10 @@
                 document.len()
             ),
         );
+        if self.duties.needs_services() {
+            let document = document.clone();
+            effects.push(ControlEffect::DecodeServices { document });
+        }
         self.version = version;
         self.document = document;
         self.has_unsent_changes = true;
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -1,11 +1,14 @@
 //! The calls to the platform that only the leader of the log makes: when each is due, and the rate of all together.
 
 use conf::{Map, Name};
-use fleet::UsageCount;
+use fleet::{ServiceRate, UpstreamRecord, UsageCount};
 
 use crate::command::Command;
+use crate::config::Service;
+use crate::demand::ReportedDemand;
 use crate::duty::{DutyCall, DutyOutcome};
 use crate::lease::{LeaderLease, Subject};
+use crate::scaling::{ScalingPlanner, UpstreamCount};
 use crate::usage::UsageSettings;
 use crate::usage_reports::UsageReports;
 use crate::wall_clock::WallClock;
@@ -86,6 +89,9 @@
 pub struct Duties {
     clock: WallClock,
     usage: UsageReports,
+    orders_upstreams: bool,
+    scaling: ScalingPlanner,
+    demand: ReportedDemand,
     rate: CallRate,
     /// Calls in progress by subject, each with its term.
     in_progress: Map<Subject, u64>,
@@ -96,6 +102,7 @@
     pub fn new(settings: &DutySettings) -> Self {
         Self {
             usage: UsageReports::new(settings.usage.clone()),
+            orders_upstreams: settings.orders_upstreams,
             rate: CallRate::new(settings.calls_per_s),
             ..Self::default()
         }
@@ -132,6 +139,63 @@
         self.usage.on_reply(from, sequence);
     }
 
+    /// Returns whether the services of a document are needed.
+    pub fn needs_services(&self) -> bool {
+        self.orders_upstreams
+    }
+
+    /// Takes over the services of the document in force.
+    pub fn set_services(&mut self, services: Vec<Service>) {
+        self.scaling.set_services(services);
+    }
+
+    /// Records the demand at an entry, or the demand that another replica has summed.
+    pub fn on_demand(&mut self, now_ms: u64, from: &Name, is_entry: bool, rates: Vec<ServiceRate>) {
+        self.demand.on_report(now_ms, from, is_entry, rates);
+    }
+
+    /// Returns the demand at the entries that subscribe to this replica.
+    pub fn own_demand(&mut self, now_ms: u64) -> Vec<ServiceRate> {
+        self.demand.own_sums(now_ms)
+    }
+
+    /// Returns the numbers of upstreams that this replica has ordered as the leader, for metrics.
+    pub fn upstream_counts(&self) -> Vec<UpstreamCount> {
+        self.scaling.counts()
+    }
+
+    /// Plans the number of upstreams with a current list, and appends the order that is due.
+    pub fn plan_upstreams(
+        &mut self,
+        now_ms: u64,
+        lease: &LeaderLease,
+        upstreams: &[UpstreamRecord],
+        actions: &mut Vec<DutyAction>,
+    ) {
+        if !self.orders_upstreams || !self.scaling.is_active() {
+            return;
+        }
+        let Some(permit) = lease.permit(now_ms, Subject::UpstreamCount) else {
+            return;
+        };
+        let rates = self.demand.total_sums(now_ms);
+        self.scaling.plan(now_ms, upstreams, &rates);
+        if now_ms < self.rate.next_ms || self.in_progress.contains_key(&Subject::UpstreamCount) {
+            return;
+        }
+        if let Some(order) = self.scaling.next_order(now_ms) {
+            self.rate.on_call(now_ms);
+            self.in_progress.insert(Subject::UpstreamCount, permit.term);
+            let text = format!("{} term={} decision=order", order.reason, permit.term);
+            actions.push(DutyAction::Log(text));
+            actions.push(DutyAction::Call {
+                term: permit.term,
+                call: order.call,
+                valid_until_ms: permit.valid_until_ms,
+            });
+        }
+    }
+
     /// Appends what is to be done now. `has_document` tells whether a document has been published.
     pub fn on_tick(
         &mut self,
@@ -169,6 +233,7 @@
     /// Records that this replica has become the leader of a term. What an earlier term proposed or called may be lost.
     pub fn on_leading(&mut self) {
         self.in_progress.clear();
+        self.scaling.on_leading();
         self.usage.on_leading();
     }
 
@@ -204,7 +269,19 @@
                     outcome.name()
                 )));
             }
-            DutyCall::OrderUpstreams { .. } => {}
+            DutyCall::OrderUpstreams {
+                service,
+                availability_zone,
+                count,
+                is_reclaimable,
+            } => {
+                self.scaling.on_ended(now_ms, call, outcome);
+                actions.push(DutyAction::Log(format!(
+                    "service={service} zone={availability_zone} reclaimable={is_reclaimable} count={count} term={term} \
+                     order={}",
+                    outcome.name()
+                )));
+            }
         }
     }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
+use crate::demand::{DemandMeter, DemandedWork};
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
@@ -212,6 +213,8 @@
     suspects: Suspects,
     /// Requests that upstreams have begun to run; none if the platform asks for no reports.
     usage: Option<UsageCounter>,
+    /// Work that callers ask of services whose upstreams are ordered by demand.
+    demand: DemandMeter,
 }
 
 impl Entry {
@@ -241,6 +244,7 @@
             stream_ms: 0.0,
             suspects: Suspects::default(),
             usage,
+            demand: DemandMeter::default(),
         }
     }
 
@@ -339,6 +343,9 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                watch.demand = self
+                    .demand
+                    .rates(now_ms, &self.settings.info.availability_zone);
                 if let Some(usage) = &mut self.usage {
                     watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
                 }
@@ -659,12 +666,30 @@
             reserved_decoder: None,
             task: None,
         };
+        let prompt = state.request.prompt.as_ref();
+        let work = DemandedWork {
+            requests: 1,
+            output_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &state.request.service, work);
         self.exchanges.insert(exchange, state);
         if !self.refuse_if_blocked(now_ms, exchange, effects) {
             self.place(now_ms, exchange, effects);
         }
     }
 
+    /// Counts work for a service whose upstreams are ordered by demand.
+    fn count_demand(&mut self, now_ms: u64, service: &Name, work: DemandedWork) {
+        let config = self.config.as_ref();
+        let is_scaled = config
+            .and_then(|config| config.service(service))
+            .is_some_and(|service| service.scaling.is_some());
+        if is_scaled {
+            self.demand.add(now_ms, service, work);
+        }
+    }
+
     /// Refuses a request if a part of its prompt is blocked. Returns whether the request was refused.
     fn refuse_if_blocked(
         &mut self,
@@ -1133,9 +1158,15 @@
             request.deadline_ms.saturating_sub(now_ms),
             state.calls,
         );
+        let service = request.service.clone();
         state.task = Some(task);
         log(effects, Importance::Step, text);
         direct(effects, exchange, Directive::Call(call));
+        let work = DemandedWork {
+            prompt_tokens: tokens,
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &service, work);
     }
 
     fn on_prefilled(
@@ -1226,6 +1257,7 @@
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
+        let is_late = state.started_ms.is_none() && now_ms > state.request.objective_ms;
         state.started_ms.get_or_insert(now_ms);
         state.writing_since_ms = Some(now_ms);
         let service = state.request.service.clone();
@@ -1234,6 +1266,13 @@
         {
             upstream.remove_prompt_tokens(assigned_work);
         }
+        if is_late {
+            let work = DemandedWork {
+                late_requests: 1,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &service, work);
+        }
         self.dispatch_queue(now_ms, &service, effects);
     }
 
@@ -1480,6 +1519,18 @@
             self.subscription.age_ms(now_ms),
         );
         log(effects, Importance::Failure, text);
+        if matches!(reason, RefusalReason::NoUpstream | RefusalReason::TooLate) {
+            let prompt = request.prompt.as_ref().filter(|_| state.calls == 0);
+            let shared = prompt.and_then(Prompt::shared_prefix);
+            let work = DemandedWork {
+                late_requests: 1,
+                prompt_tokens: prompt.map_or(0, |prompt| {
+                    prompt.tokens - shared.map_or(0, |(_, tokens)| tokens)
+                }),
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &request.service, work);
+        }
         let refusal = Refusal {
             reason,
             retry_after_ms,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod command;
 pub mod config;
 pub mod control;
+pub mod demand;
 pub mod duties;
 pub mod duty;
 pub mod entry;
@@ -19,6 +20,7 @@
 pub mod loads;
 pub mod place;
 pub mod replicas;
+pub mod scaling;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
@@ -28,7 +30,7 @@
 pub mod voters;
 pub mod wall_clock;
 
-pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
+pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Scaling, Service};
 pub use duty::{DutyCall, DutyOutcome};
 pub use entry::{Entry, EntrySettings};
 pub use exchange::{
--- a/crates/gateway/tests/entry_support/mod.rs
+++ b/crates/gateway/tests/entry_support/mod.rs
@@ -240,6 +240,7 @@
         name: name.into(),
         max_connections: 100,
         engine,
+        scaling: None,
     };
     let route = Route {
         name: "route".into(),
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -787,6 +787,7 @@
         name: "model".into(),
         max_connections: 100,
         engine: Some(EngineTraits::default()),
+        scaling: None,
     };
     Config::new(version, vec![route], vec![service], Limits::default())
         .expect("the configuration is valid")
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -123,6 +123,7 @@
                 call,
                 valid_until_ms,
             } => self.send_duty(term, call, valid_until_ms),
+            ControlEffect::DecodeServices { document } => self.decode_services(&document),
             ControlEffect::Log { text } => logs::write(Importance::StateChange, "control", &text),
         }
     }
@@ -175,6 +176,37 @@
         });
     }
 
+    fn decode_services(&self, document: &[u8]) {
+        let Some(runtime) = self.weak_self.borrow().upgrade() else {
+            return;
+        };
+        let document = compression::decompress(document).map_err(|error| error.to_string());
+        let config = document.and_then(|document| {
+            let config = self.dialect.config(&document);
+            config.map_err(|error| error.to_string())
+        });
+        match config {
+            Ok(config) => {
+                let services: Vec<_> = config.services().cloned().collect();
+                let scaled = services.iter().filter(|service| service.scaling.is_some());
+                let names: Vec<&str> = scaled.map(|service| service.name.as_str()).collect();
+                let text = format!(
+                    "document=decoded version={} services={} scaled={names:?}",
+                    config.version(),
+                    services.len()
+                );
+                logs::write(Importance::StateChange, "control", &text);
+                tokio::task::spawn_local(async move {
+                    runtime.step(ControlEvent::Services(services));
+                });
+            }
+            Err(reason) => {
+                let text = format!("document=undecoded reason={reason:?}");
+                logs::write(Importance::StateChange, "control", &text);
+            }
+        }
+    }
+
     fn send_duty(&self, term: u64, call: DutyCall, valid_until_ms: u64) {
         let Some(runtime) = self.weak_self.borrow().upgrade() else {
             return;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -192,6 +192,7 @@
   bornMs @6 :UInt64;
   role @7 :Role;
   isChanging @8 :Bool;
+  isReclaimable @9 :Bool;
 }
 
 struct ReplicaId {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -12636,6 +12636,10 @@
         pub fn get_is_changing(self) -> bool {
             self.reader.get_bool_field(33)
         }
+        #[inline]
+        pub fn get_is_reclaimable(self) -> bool {
+            self.reader.get_bool_field(34)
+        }
     }
 
     pub struct Builder<'a> {
@@ -12874,6 +12878,14 @@
         pub fn set_is_changing(&mut self, value: bool) {
             self.builder.set_bool_field(33, value);
         }
+        #[inline]
+        pub fn get_is_reclaimable(self) -> bool {
+            self.builder.get_bool_field(34)
+        }
+        #[inline]
+        pub fn set_is_reclaimable(&mut self, value: bool) {
+            self.builder.set_bool_field(34, value);
+        }
     }
 
     pub struct Pipeline {
@@ -12888,7 +12900,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 173] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 7, 45, 70, 62, 121, 250, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -12898,7 +12910,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -12906,70 +12918,77 @@
             ::capnp::word(101, 97, 109, 82, 101, 99, 111, 114),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 33, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -13046,6 +13065,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 82, 101, 99, 108, 97, 105),
+            ::capnp::word(109, 97, 98, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -13058,6 +13086,7 @@
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::Role as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -13076,9 +13105,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 6, 5, 0, 8, 7, 1, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 6, 5, 0, 8, 9, 7, 1, 4];
         pub(crate) const TYPE_ID: u64 = 0xe7fa_793e_462d_0785;
     }
 }
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -354,6 +354,7 @@
     builder.set_born_ms(upstream.born_ms);
     builder.set_role(write_role(upstream.role));
     builder.set_is_changing(upstream.is_changing);
+    builder.set_is_reclaimable(upstream.is_reclaimable);
 }
 
 fn read_upstream_record(
@@ -369,5 +370,6 @@
         born_ms: reader.get_born_ms(),
         role: read_role(reader.get_role()?),
         is_changing: reader.get_is_changing(),
+        is_reclaimable: reader.get_is_reclaimable(),
     })
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -275,6 +275,7 @@
                 .unwrap()
         }),
         is_changing: flag(g),
+        is_reclaimable: flag(g),
     }
 }
 
