--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -496,6 +496,7 @@
         let Some(permit) = permit.filter(|_| is_listing_current) else {
             return;
         };
+        self.role_planner.set_scaled(self.duties.is_scaling());
         for order in self
             .role_planner
             .next_orders(now_ms, self.listing.records())
@@ -581,6 +582,8 @@
             };
             let demand = match &leader {
                 Some(leader) if *leader == info.id => self.duties.own_demand(now_ms),
+                // A replica that is not a member of the log does not know which one leads.
+                None => self.duties.own_demand(now_ms),
                 _ => Vec::new(),
             };
             let watch = Watch {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -144,6 +144,11 @@
         self.orders_upstreams
     }
 
+    /// Returns whether the leader orders upstreams of some service.
+    pub fn is_scaling(&self) -> bool {
+        self.orders_upstreams && self.scaling.is_active()
+    }
+
     /// Takes over the services of the document in force.
     pub fn set_services(&mut self, services: Vec<Service>) {
         self.scaling.set_services(services);
@@ -172,7 +177,7 @@
         upstreams: &[UpstreamRecord],
         actions: &mut Vec<DutyAction>,
     ) {
-        if !self.orders_upstreams || !self.scaling.is_active() {
+        if !self.is_scaling() {
             return;
         }
         let Some(permit) = lease.permit(now_ms, Subject::UpstreamCount) else {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -54,6 +54,8 @@
 const MAX_CALLS: u32 = 5;
 /// Weight of the latest stream in the moving average of the duration of streams.
 const STREAM_TIME_WEIGHT: f64 = 0.05;
+/// Time in which engines generate a token of a stream, in milliseconds.
+const GENERATION_MS: f64 = 10.0;
 /// Multiple of the average duration for which a stream may last that a stopping process still begins.
 const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
@@ -666,10 +668,8 @@
             reserved_decoder: None,
             task: None,
         };
-        let prompt = state.request.prompt.as_ref();
         let work = DemandedWork {
             requests: 1,
-            output_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
             ..DemandedWork::default()
         };
         self.count_demand(now_ms, &state.request.service, work);
@@ -1467,6 +1467,12 @@
         if is_complete && matches!(state.request.kind, RequestKind::Stream { .. }) {
             let stream_ms = (now_ms - started_ms) as f64;
             self.stream_ms += (stream_ms - self.stream_ms) * STREAM_TIME_WEIGHT;
+            // Callers state only the largest number of tokens, which is many times the usual one.
+            let work = DemandedWork {
+                output_tokens: (stream_ms / GENERATION_MS).ceil() as u32,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &state.request.service, work);
         }
         let in_objective = started_ms <= state.request.objective_ms;
         let (importance, outcome) = match is_complete {
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -18,53 +18,56 @@
 const PREFILL_SHARE: f64 = 0.75;
 /// Tokens that an engine generates in a second: 64 streams and a step of 10 ms.
 const DECODE_TOKENS_PER_S: f64 = 6_400.0;
-/// Share of the time in which engines are to be busy at the peak of the demand. Two of three zones then carry the
-/// demand of all.
-const TARGET_UTILIZATION: f64 = 0.5;
-/// Share of the time in which engines may be busy after the loss of an availability zone.
+/// Share of the time in which engines are to be busy at the peak of the demand. Urgent prompts wait behind long ones, so
+/// that much higher shares make them late.
+const TARGET_UTILIZATION: f64 = 0.65;
+/// The same share with reclaimable upstreams, which cost little.
+const RECLAIMABLE_UTILIZATION: f64 = 0.5;
+/// Share of the time in which engines may be busy on average after the loss of an availability zone.
 const LOSS_UTILIZATION: f64 = 0.85;
-/// Share of the needed upstreams that the platform may not reclaim. Without the reclaimable ones, these carry the demand
-/// until others have started.
-const BASE_SHARE: f64 = 0.5;
+/// Share of the planned total that the platform may not reclaim. These upstreams carry the mean demand until others have
+/// started.
+const BASE_SHARE: f64 = 0.4;
 /// Price from which reclaimable upstreams are not worth their risk, as a share of the price of the others.
 const RECLAIMABLE_MAX_PRICE: f64 = 0.8;
 /// Smallest number of engines for a zone with demand: two of each role.
 const MIN_ENGINES: u32 = 4;
+/// Increase of the need that is not followed, as a share of the planned total.
+const TOLERATED_SHORTAGE: f64 = 0.1;
 /// Window whose highest demand counts, in milliseconds: one period of the usual waves.
 const PEAK_WINDOW_MS: u64 = 12_000;
-/// Time for which there must have been demand before it counts, in milliseconds.
-const WARM_UP_MS: u64 = 4_000;
-/// Factor on the demand until it has been observed for a whole window: waves swing by up to 30% to either side.
-const UNSEEN_FACTOR: f64 = 1.6;
+/// Time from the first demand until it counts, in milliseconds: at first, nothing is cached.
+const WARM_UP_MS: u64 = 3_000;
+/// Time for which demand must have counted before it leads to orders, in milliseconds.
+const FIRST_PLAN_MS: u64 = 3_000;
+/// Factor on the demand until it has been observed for a whole window: waves swing by up to 30% to either side, and half of a window shows most of it.
+const UNSEEN_FACTOR: f64 = 1.3;
 /// Largest part of the present demand that its rise may add over the start of an upstream.
-const MAX_RISE: f64 = 0.5;
+const MAX_RISE: f64 = 0.25;
 /// Share of late requests from which engines are taken to be slower than assumed.
 const LATE_SHARE: f64 = 0.08;
 /// Growth of the assumed work per plan while too many requests are late.
-const WORK_GROWTH: f64 = 1.05;
+const WORK_GROWTH: f64 = 1.02;
 /// Decrease of the assumed work per plan otherwise.
-const WORK_DECAY: f64 = 0.99;
+const WORK_DECAY: f64 = 0.995;
 /// Largest factor on the assumed work.
-const MAX_WORK_FACTOR: f64 = 2.0;
+const MAX_WORK_FACTOR: f64 = 1.5;
 /// Interval between decreases in a zone, in milliseconds: entries and roles settle in between.
 const DECREASE_INTERVAL_MS: u64 = 3_000;
 /// Time after an increase in which a zone is not decreased, in milliseconds.
 const HOLD_AFTER_INCREASE_MS: u64 = 6_000;
 /// Share of the surplus that one decrease removes.
-const DECREASE_SHARE: f64 = 0.5;
+const DECREASE_SHARE: f64 = 0.7;
 /// Surplus that is not removed, as a share of the need.
-const TOLERATED_SURPLUS: f64 = 0.1;
-/// Time for which the count must be constant before the first decrease, in milliseconds: after a start of the whole
-/// system the list fills over some seconds.
-const STABLE_COUNT_MS: u64 = 2_500;
+const TOLERATED_SURPLUS: f64 = 0.2;
 /// Interval between orders of one kind in a zone, in milliseconds.
 const ORDER_INTERVAL_MS: u64 = 1_000;
 /// Time beyond the start of upstreams after which an order that the list does not show is repeated, in milliseconds.
 const REPEAT_MARGIN_MS: u64 = 4_000;
 /// Pause before upstreams are ordered again where none were available or where they were reclaimed, in milliseconds.
-const UNAVAILABLE_PAUSE_MIN_MS: u64 = 6_000;
+const UNAVAILABLE_PAUSE_MIN_MS: u64 = 30_000;
 /// Longest such pause, in milliseconds.
-const UNAVAILABLE_PAUSE_MAX_MS: u64 = 24_000;
+const UNAVAILABLE_PAUSE_MAX_MS: u64 = 120_000;
 
 /// Kind of upstreams, which are counted and ordered separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,8 +137,13 @@
     demand_since_ms: Option<u64>,
     /// Factor on the assumed work of a request.
     work_factor: f64,
-    /// Since when the count is constant, in milliseconds.
-    stable_since_ms: u64,
+    /// Latest demand.
+    rate: ServiceRate,
+    /// Highest number on the list before the first order, which stays in force while the demand is unknown.
+    initial: u32,
+    /// Planned number of both kinds together.
+    total: Option<u32>,
+    /// Until when the total is not decreased, in milliseconds.
     hold_until_ms: u64,
 }
 
@@ -151,10 +159,14 @@
         let Some(rate) = rate.filter(|rate| rate.requests_per_s > 0.0) else {
             return;
         };
-        self.demand_since_ms.get_or_insert(now_ms);
+        self.rate.clone_from(rate);
+        let since_ms = *self.demand_since_ms.get_or_insert(now_ms);
         let is_late = rate.late_requests_per_s > rate.requests_per_s * LATE_SHARE;
         let change = if is_late { WORK_GROWTH } else { WORK_DECAY };
         self.work_factor = (self.work_factor * change).clamp(1.0, MAX_WORK_FACTOR);
+        if now_ms.saturating_sub(since_ms) < WARM_UP_MS {
+            return;
+        }
         let prompts = rate.prompt_tokens_per_s / (PREFILL_TOKENS_PER_MS * 1_000.0) / PREFILL_SHARE;
         let outputs = rate.output_tokens_per_s / DECODE_TOKENS_PER_S / (1.0 - PREFILL_SHARE);
         let busy = prompts.max(outputs) * self.work_factor;
@@ -167,8 +179,8 @@
         self.busy.push_back((now_ms, forecast));
     }
 
-    /// Returns the highest number of busy engines in the window; none while the demand is unknown.
-    fn peak_busy(&mut self, now_ms: u64) -> Option<f64> {
+    /// Returns the highest and the mean number of busy engines in the window; none while the demand is unknown.
+    fn peak_and_mean_busy(&mut self, now_ms: u64) -> Option<(f64, f64)> {
         while self.busy.len() > 1
             && self
                 .busy
@@ -178,18 +190,39 @@
             self.busy.pop_front();
         }
         let observed_ms = now_ms.saturating_sub(self.demand_since_ms?);
-        if observed_ms < WARM_UP_MS {
+        if self.busy.is_empty() || observed_ms < WARM_UP_MS + FIRST_PLAN_MS {
             return None;
         }
         let peak = self.busy.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
-        Some(match observed_ms < PEAK_WINDOW_MS {
-            true => peak * UNSEEN_FACTOR,
-            false => peak,
+        let mean = self.busy.iter().map(|(_, busy)| *busy).sum::<f64>() / self.busy.len() as f64;
+        Some(match observed_ms < WARM_UP_MS + PEAK_WINDOW_MS {
+            true => (peak * UNSEEN_FACTOR, mean * UNSEEN_FACTOR),
+            false => (peak, mean),
         })
     }
 
-    fn ordered(&self) -> u32 {
-        self.permanent.ordered + self.reclaimable.ordered
+    /// Moves the planned total towards the need: up at once, down in steps.
+    fn plan_total(&mut self, now_ms: u64, need: u32) -> u32 {
+        let planned = self.total.unwrap_or(self.initial);
+        let shortage = need.saturating_sub(planned);
+        let total = match f64::from(shortage) > f64::from(planned) * TOLERATED_SHORTAGE {
+            true => {
+                self.hold_until_ms = now_ms + HOLD_AFTER_INCREASE_MS;
+                need
+            }
+            false => planned,
+        };
+        let surplus = total.saturating_sub(need);
+        let tolerated = (f64::from(need) * TOLERATED_SURPLUS).ceil() as u32;
+        let step = match surplus > tolerated && now_ms >= self.hold_until_ms {
+            true => (f64::from(surplus) * DECREASE_SHARE).ceil() as u32,
+            false => 0,
+        };
+        if step > 0 {
+            self.hold_until_ms = now_ms + DECREASE_INTERVAL_MS;
+        }
+        self.total = Some(total - step);
+        total - step
     }
 
     fn present(&self) -> u32 {
@@ -285,23 +318,22 @@
             let key = (service.clone(), zone.clone());
             let state = self.zones.entry(key).or_insert_with(|| ZoneState {
                 work_factor: 1.0,
-                stable_since_ms: now_ms,
                 ..ZoneState::default()
             });
-            let present = state.present();
             state.permanent.observe(counts[0][0], counts[0][1]);
-            let was_drained = state.reclaimable.draining > 0;
             state.reclaimable.observe(counts[1][0], counts[1][1]);
-            if state.present() != present {
-                state.stable_since_ms = now_ms;
+            if !state.permanent.has_ordered && !state.reclaimable.has_ordered {
+                state.initial = state.initial.max(state.present());
             }
             let reclaimable = &mut state.reclaimable;
-            let is_reclaimed = !was_drained
+            // The platform takes all of a zone away at once.
+            let is_reclaimed = reclaimable.present == 0
                 && reclaimable.draining > 0
-                && reclaimable.present < reclaimable.ordered;
+                && reclaimable.ordered > 0
+                && now_ms >= reclaimable.unavailable_until_ms;
             if is_reclaimed {
                 reclaimable.make_unavailable(now_ms);
-                reclaimable.ordered = reclaimable.present;
+                reclaimable.ordered = 0;
             }
             let rate = rates
                 .iter()
@@ -317,20 +349,25 @@
             .map(|(zone, price)| (zone.clone(), *price))
             .collect();
         zones.sort_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(&b.0)));
+        let uses_reclaimable = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE;
+        let utilization = match uses_reclaimable {
+            true => RECLAIMABLE_UTILIZATION,
+            false => TARGET_UTILIZATION,
+        };
         let mut needs: Vec<(Name, f64, u32)> = Vec::new();
         for (zone, _) in &zones {
             let Some(state) = self.zones.get_mut(&(service.clone(), zone.clone())) else {
                 continue;
             };
-            let (busy, need) = match state.peak_busy(now_ms) {
-                Some(busy) => {
-                    let need = (busy / TARGET_UTILIZATION).ceil() as u32;
-                    (busy, need.max(MIN_ENGINES))
+            let (mean, need) = match state.peak_and_mean_busy(now_ms) {
+                Some((peak, mean)) => {
+                    let need = (peak / utilization).ceil() as u32;
+                    (mean, need.max(MIN_ENGINES))
                 }
                 // Without demand, what is there stays.
-                None => (0.0, state.ordered()),
+                None => (0.0, state.total.unwrap_or(state.initial)),
             };
-            needs.push((zone.clone(), busy, need.clamp(scaling.min, scaling.max)));
+            needs.push((zone.clone(), mean, need.clamp(scaling.min, scaling.max)));
         }
         cover_zone_loss(&mut needs, scaling.max);
         for (zone, busy, need) in needs {
@@ -350,39 +387,48 @@
         let Some(state) = self.zones.get_mut(&(service.clone(), zone.clone())) else {
             return;
         };
-        if state.present() == 0 && state.demand_since_ms.is_none() {
+        if state.busy.is_empty() || state.initial == 0 {
             return;
         }
-        let is_available = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE
-            && now_ms >= state.reclaimable.unavailable_until_ms;
-        let base = match scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE {
-            true => (f64::from(need) * BASE_SHARE).ceil() as u32,
-            false => need,
+        let uses_reclaimable = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE;
+        let total = state.plan_total(now_ms, need);
+        let (base, without_reclaimable) = match uses_reclaimable {
+            true => (
+                share(total, BASE_SHARE),
+                share(total, RECLAIMABLE_UTILIZATION / TARGET_UTILIZATION),
+            ),
+            false => (total, total),
         };
-        let reclaimable = match is_available {
-            true => (need - base).min(scaling.max.saturating_sub(state.permanent.ordered)),
-            false => state.reclaimable.ordered.min(need - base),
+        let room = scaling.max.saturating_sub(state.permanent.ordered);
+        let reclaimable = match now_ms >= state.reclaimable.unavailable_until_ms {
+            true => (total - base).min(room.max(state.reclaimable.ordered)),
+            false => state.reclaimable.ordered.min(total - base),
         };
-        let replaced = state.reclaimable.present.min(reclaimable);
+        let present = state.reclaimable.present.min(reclaimable);
         let permanent = base
-            .max(need - replaced)
+            .max(without_reclaimable.saturating_sub(present))
             .max(scaling.min.saturating_sub(reclaimable));
         for (kind, wanted) in [
             (Kind::Permanent, permanent),
             (Kind::Reclaimable, reclaimable),
         ] {
-            let Some(count) = next_count(now_ms, state, kind, wanted, need, scaling.boot_ms) else {
+            let Some(count) = next_count(now_ms, state.kind(kind), wanted, scaling.boot_ms) else {
                 continue;
             };
             let counts = state.kind(kind).clone();
             let reason = format!(
                 "service={service} zone={zone} kind={} count={count} wanted={wanted} ordered={} present={} draining={} \
-                 need={need} busy={busy:.1} work_factor={:.2}",
+                 total={total} need={need} busy={busy:.1} work_factor={:.2} requests_per_s={:.0} prompt_tokens_per_s={:.0} \
+                 output_tokens_per_s={:.0} late_per_s={:.1}",
                 kind.name(),
                 counts.ordered,
                 counts.present,
                 counts.draining,
-                state.work_factor
+                state.work_factor,
+                state.rate.requests_per_s,
+                state.rate.prompt_tokens_per_s,
+                state.rate.output_tokens_per_s,
+                state.rate.late_requests_per_s,
             );
             let call = DutyCall::OrderUpstreams {
                 service: service.clone(),
@@ -412,14 +458,8 @@
             let key = (service.clone(), availability_zone.clone());
             let state = self.zones.get_mut(&key)?;
             let kind = state.kind(Kind::of(*is_reclaimable));
-            let is_increase = *count > kind.ordered;
             kind.unanswered = Some(*count);
             kind.ordered_ms = now_ms;
-            state.hold_until_ms = now_ms
-                + match is_increase {
-                    true => HOLD_AFTER_INCREASE_MS,
-                    false => DECREASE_INTERVAL_MS,
-                };
         }
         Some(order)
     }
@@ -490,40 +530,22 @@
     }
 }
 
+/// Returns a share of a number, rounded up.
+fn share(number: u32, share: f64) -> u32 {
+    (f64::from(number) * share).ceil() as u32
+}
+
 /// Returns the count to order now, if an order is due.
-fn next_count(
-    now_ms: u64,
-    state: &mut ZoneState,
-    kind: Kind,
-    wanted: u32,
-    need: u32,
-    boot_ms: u64,
-) -> Option<u32> {
-    let is_stable = now_ms.saturating_sub(state.stable_since_ms) >= STABLE_COUNT_MS;
-    let may_decrease = now_ms >= state.hold_until_ms;
-    let counts = state.kind(kind);
-    let since_order_ms = now_ms.saturating_sub(counts.ordered_ms);
-    let is_first = !counts.has_ordered;
-    if counts.unanswered.is_some() || (counts.ordered_ms > 0 && since_order_ms < ORDER_INTERVAL_MS)
-    {
+fn next_count(now_ms: u64, kind: &KindState, wanted: u32, boot_ms: u64) -> Option<u32> {
+    let since_order_ms = now_ms.saturating_sub(kind.ordered_ms);
+    let is_recent = kind.ordered_ms > 0 && since_order_ms < ORDER_INTERVAL_MS;
+    let is_unavailable = now_ms < kind.unavailable_until_ms;
+    if kind.unanswered.is_some() || is_recent || (wanted >= kind.ordered && is_unavailable) {
         return None;
     }
-    if wanted > counts.ordered {
-        return (now_ms >= counts.unavailable_until_ms).then_some(wanted);
-    }
-    let surplus = counts.ordered - wanted;
-    let tolerated = (f64::from(need) * TOLERATED_SURPLUS).ceil() as u32;
-    if surplus > tolerated {
-        if !may_decrease || (is_first && !is_stable) {
-            return None;
-        }
-        let step = (f64::from(surplus) * DECREASE_SHARE).ceil() as u32;
-        return Some(counts.ordered - step);
-    }
     // The platform may have carried out an earlier order late, or lost this one.
-    let is_off = counts.has_ordered && counts.present != counts.ordered;
-    (is_off
-        && since_order_ms >= boot_ms + REPEAT_MARGIN_MS
-        && now_ms >= counts.unavailable_until_ms)
-        .then_some(counts.ordered)
+    let is_off = kind.has_ordered
+        && kind.present != kind.ordered
+        && since_order_ms >= boot_ms + REPEAT_MARGIN_MS;
+    (wanted != kind.ordered || is_off).then_some(wanted)
 }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -21,6 +21,15 @@
 /// deviation.
 const ENGINES_PER_DEVIATION: usize = 16;
 
+/// Time for which the list must have shown a zone off its target where the number of engines follows the demand, in
+/// milliseconds: two readings of the list.
+const SCALED_OFF_TARGET_MS: u64 = 2_000;
+/// Minimum interval between orders in such a zone, in milliseconds.
+const SCALED_ORDER_INTERVAL_MS: u64 = 3_000;
+/// Time since its first listing in which an engine counts as new, in milliseconds. A new engine has little cached and
+/// few requests, so that a change of its role costs little.
+const NEW_ENGINE_MS: u64 = 2_000;
+
 /// An order to an engine to change its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoleOrder {
@@ -51,9 +60,18 @@
     engine_counts: Map<(Name, Name), (usize, u64)>,
     /// Since when each service and zone is off its target.
     off_target_since_ms: Map<(Name, Name), u64>,
+    /// Whether the leader orders engines by demand, so that their numbers change often.
+    is_scaled: bool,
+    /// When each engine was first on the list, in milliseconds.
+    first_listed_ms: Map<Name, u64>,
 }
 
 impl RolePlanner {
+    /// Sets whether the leader orders engines by demand.
+    pub fn set_scaled(&mut self, is_scaled: bool) {
+        self.is_scaled = is_scaled;
+    }
+
     /// Returns the orders that are due.
     pub fn next_orders(&mut self, now_ms: u64, upstreams: &[UpstreamRecord]) -> Vec<RoleOrder> {
         self.ordered_roles
@@ -68,6 +86,9 @@
         }
         self.off_target_since_ms
             .retain(|key, _| zones.contains_key(key));
+        if self.is_scaled {
+            self.observe_engines(now_ms, upstreams);
+        }
         let mut orders = Vec::new();
         for (key, engines) in zones {
             orders.extend(self.zone_orders(now_ms, &key, &engines));
@@ -75,6 +96,20 @@
         orders
     }
 
+    fn observe_engines(&mut self, now_ms: u64, upstreams: &[UpstreamRecord]) {
+        let previous = std::mem::take(&mut self.first_listed_ms);
+        for upstream in upstreams.iter().filter(|upstream| upstream.role.is_some()) {
+            let first_ms = previous.get(&upstream.id).copied().unwrap_or(now_ms);
+            self.first_listed_ms.insert(upstream.id.clone(), first_ms);
+        }
+    }
+
+    /// Returns whether an engine has been listed for the first time only recently.
+    fn is_new(&self, now_ms: u64, engine: &UpstreamRecord) -> bool {
+        let first_ms = self.first_listed_ms.get(&engine.id);
+        first_ms.is_some_and(|first_ms| now_ms - first_ms <= NEW_ENGINE_MS)
+    }
+
     fn zone_orders(
         &mut self,
         now_ms: u64,
@@ -88,7 +123,8 @@
         if counted.0 != engines.len() {
             *counted = (engines.len(), now_ms);
         }
-        if now_ms - counted.1 < STABLE_COUNT_MS {
+        let is_first = !self.last_order_ms.contains_key(key);
+        if now_ms - counted.1 < STABLE_COUNT_MS && (is_first || !self.is_scaled) {
             return Vec::new();
         }
         let target = decode_target(engines.len());
@@ -101,8 +137,12 @@
             decoders.len().saturating_sub(target),
             target.saturating_sub(decoders.len()),
         );
-        let is_first = !self.last_order_ms.contains_key(key);
-        let tolerated_deviation = match is_first || decoders.is_empty() {
+        let is_role_missing =
+            decoders.is_empty() || (surplus > 0 && decoders.len() == engines.len());
+        let new_decoders = decoders.iter().filter(|engine| self.is_new(now_ms, engine));
+        let new_decoders = new_decoders.count();
+        let is_urgent = self.is_scaled && (is_role_missing || (surplus > 0 && new_decoders > 0));
+        let tolerated_deviation = match is_first || decoders.is_empty() || is_urgent {
             true => 0,
             false => engines.len() / ENGINES_PER_DEVIATION,
         };
@@ -115,8 +155,13 @@
             .entry(key.clone())
             .or_insert(now_ms);
         let last_ms = self.last_order_ms.get(key).copied();
-        let is_due = last_ms.is_none_or(|last_ms| now_ms - last_ms >= ORDER_INTERVAL_MS);
-        if !is_due || (!is_first && now_ms - since_ms < OFF_TARGET_MS) {
+        let (interval_ms, off_target_ms) = match self.is_scaled {
+            true => (SCALED_ORDER_INTERVAL_MS, SCALED_OFF_TARGET_MS),
+            false => (ORDER_INTERVAL_MS, OFF_TARGET_MS),
+        };
+        let is_due = last_ms.is_none_or(|last_ms| now_ms - last_ms >= interval_ms);
+        let is_held = !is_due || (!is_first && now_ms - since_ms < off_target_ms);
+        if is_held && !is_urgent {
             return Vec::new();
         }
         let (mut candidates, role) = match surplus > 0 {
@@ -129,9 +174,16 @@
                 (prefill_engines.collect(), Role::Decode)
             }
         };
-        candidates.sort_by(|a, b| a.id.cmp(&b.id));
+        candidates.sort_by(|a, b| {
+            let is_older = self.is_new(now_ms, b).cmp(&self.is_new(now_ms, a));
+            is_older.then_with(|| a.id.cmp(&b.id))
+        });
         // Later orders are given one at a time, since each engine is unavailable for seconds while it changes.
-        let count = if is_first { surplus + shortage } else { 1 };
+        let count = match (is_first, is_urgent) {
+            (true, _) => surplus + shortage,
+            (false, true) => surplus.min(new_decoders).max(1),
+            (false, false) => 1,
+        };
         self.last_order_ms.insert(key.clone(), now_ms);
         let mut orders = Vec::new();
         for engine in candidates.into_iter().take(count) {
