--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -51,7 +51,10 @@
 /// Decrease of the assumed work per plan otherwise.
 const WORK_DECAY: f64 = 0.995;
 /// Largest factor on the assumed work.
-const MAX_WORK_FACTOR: f64 = 1.5;
+const MAX_WORK_FACTOR: f64 = 1.25;
+/// Weight of the latest demand in the moving average, per plan: about 3 s. A new engine starts and changes its role for
+/// longer than a burst of one class lasts.
+const DEMAND_WEIGHT: f64 = 0.15;
 /// Interval between decreases in a zone, in milliseconds: entries and roles settle in between.
 const DECREASE_INTERVAL_MS: u64 = 3_000;
 /// Time after an increase in which a zone is not decreased, in milliseconds.
@@ -65,9 +68,9 @@
 /// Time beyond the start of upstreams after which an order that the list does not show is repeated, in milliseconds.
 const REPEAT_MARGIN_MS: u64 = 4_000;
 /// Pause before upstreams are ordered again where none were available or where they were reclaimed, in milliseconds.
-const UNAVAILABLE_PAUSE_MIN_MS: u64 = 30_000;
+const UNAVAILABLE_PAUSE_MIN_MS: u64 = 6_000;
 /// Longest such pause, in milliseconds.
-const UNAVAILABLE_PAUSE_MAX_MS: u64 = 120_000;
+const UNAVAILABLE_PAUSE_MAX_MS: u64 = 48_000;
 
 /// Kind of upstreams, which are counted and ordered separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,7 +134,7 @@
 struct ZoneState {
     permanent: KindState,
     reclaimable: KindState,
-    /// Busy engines that the demand asked for, by time.
+    /// Moving average of the busy engines that the demand asks for, by time.
     busy: VecDeque<(u64, f64)>,
     /// Since when there is demand, in milliseconds.
     demand_since_ms: Option<u64>,
@@ -155,7 +158,7 @@
         }
     }
 
-    fn observe_demand(&mut self, now_ms: u64, boot_ms: u64, rate: Option<&ServiceRate>) {
+    fn observe_demand(&mut self, now_ms: u64, rate: Option<&ServiceRate>) {
         let Some(rate) = rate.filter(|rate| rate.requests_per_s > 0.0) else {
             return;
         };
@@ -170,13 +173,21 @@
         let prompts = rate.prompt_tokens_per_s / (PREFILL_TOKENS_PER_MS * 1_000.0) / PREFILL_SHARE;
         let outputs = rate.output_tokens_per_s / DECODE_TOKENS_PER_S / (1.0 - PREFILL_SHARE);
         let busy = prompts.max(outputs) * self.work_factor;
+        let previous = self.busy.back().map_or(busy, |(_, previous)| *previous);
+        let smoothed = previous + (busy - previous) * DEMAND_WEIGHT;
+        self.busy.push_back((now_ms, smoothed));
+    }
+
+    /// Returns the demand at the time at which an engine that is ordered now has started, in busy engines: the latest
+    /// demand and its rise over that time before.
+    fn forecast_busy(&self, now_ms: u64, boot_ms: u64) -> f64 {
+        let latest = self.busy.back().map_or(0.0, |(_, busy)| *busy);
         let earlier = self
             .busy
             .iter()
             .find(|(at_ms, _)| now_ms.saturating_sub(*at_ms) <= boot_ms);
-        let rise = earlier.map_or(0.0, |(_, earlier)| busy - earlier);
-        let forecast = busy + rise.clamp(0.0, busy * MAX_RISE);
-        self.busy.push_back((now_ms, forecast));
+        let rise = earlier.map_or(0.0, |(_, earlier)| latest - earlier);
+        latest + rise.clamp(0.0, latest * MAX_RISE)
     }
 
     /// Returns the highest and the mean number of busy engines in the window; none while the demand is unknown.
@@ -196,19 +207,19 @@
         let peak = self.busy.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
         let mean = self.busy.iter().map(|(_, busy)| *busy).sum::<f64>() / self.busy.len() as f64;
         Some(match observed_ms < WARM_UP_MS + PEAK_WINDOW_MS {
-            true => (peak * UNSEEN_FACTOR, mean * UNSEEN_FACTOR),
+            true => (peak * UNSEEN_FACTOR, mean),
             false => (peak, mean),
         })
     }
 
-    /// Moves the planned total towards the need: up at once, down in steps.
-    fn plan_total(&mut self, now_ms: u64, need: u32) -> u32 {
+    /// Moves the planned total: up at once if the demand needs more, and down in steps to the need at its peak.
+    fn plan_total(&mut self, now_ms: u64, shortest: u32, need: u32) -> u32 {
         let planned = self.total.unwrap_or(self.initial);
-        let shortage = need.saturating_sub(planned);
+        let shortage = shortest.saturating_sub(planned);
         let total = match f64::from(shortage) > f64::from(planned) * TOLERATED_SHORTAGE {
             true => {
                 self.hold_until_ms = now_ms + HOLD_AFTER_INCREASE_MS;
-                need
+                shortest
             }
             false => planned,
         };
@@ -338,7 +349,7 @@
             let rate = rates
                 .iter()
                 .find(|rate| rate.service == *service && rate.availability_zone == *zone);
-            state.observe_demand(now_ms, scaling.boot_ms, rate);
+            state.observe_demand(now_ms, rate);
         }
     }
 
@@ -354,24 +365,33 @@
             true => RECLAIMABLE_UTILIZATION,
             false => TARGET_UTILIZATION,
         };
+        let mut shortest: Vec<(Name, f64, u32)> = Vec::new();
         let mut needs: Vec<(Name, f64, u32)> = Vec::new();
         for (zone, _) in &zones {
             let Some(state) = self.zones.get_mut(&(service.clone(), zone.clone())) else {
                 continue;
             };
-            let (mean, need) = match state.peak_and_mean_busy(now_ms) {
-                Some((peak, mean)) => {
-                    let need = (peak / utilization).ceil() as u32;
-                    (mean, need.max(MIN_ENGINES))
-                }
-                // Without demand, what is there stays.
-                None => (0.0, state.total.unwrap_or(state.initial)),
+            let count = |busy: f64, utilization: f64| {
+                let count = (busy / utilization).ceil() as u32;
+                count.max(MIN_ENGINES).clamp(scaling.min, scaling.max)
+            };
+            let forecast = state.forecast_busy(now_ms, scaling.boot_ms);
+            let Some((peak, mean)) = state.peak_and_mean_busy(now_ms) else {
+                // While the demand is unknown, what is there stays.
+                let total = state.total.unwrap_or(state.initial);
+                shortest.push((zone.clone(), 0.0, total));
+                needs.push((zone.clone(), 0.0, total));
+                continue;
             };
-            needs.push((zone.clone(), mean, need.clamp(scaling.min, scaling.max)));
+            let lowest = count(forecast, TARGET_UTILIZATION);
+            shortest.push((zone.clone(), mean, lowest));
+            needs.push((zone.clone(), mean, count(peak, utilization).max(lowest)));
         }
+        cover_zone_loss(&mut shortest, scaling.max);
         cover_zone_loss(&mut needs, scaling.max);
-        for (zone, busy, need) in needs {
-            self.plan_zone(now_ms, service, scaling, &zone, busy, need);
+        for ((zone, busy, shortest), (_, _, need)) in shortest.into_iter().zip(needs) {
+            let need = need.max(shortest);
+            self.plan_zone(now_ms, service, scaling, &zone, busy, (shortest, need));
         }
     }
 
@@ -382,7 +402,7 @@
         scaling: &Scaling,
         zone: &Name,
         busy: f64,
-        need: u32,
+        (shortest, need): (u32, u32),
     ) {
         let Some(state) = self.zones.get_mut(&(service.clone(), zone.clone())) else {
             return;
@@ -391,13 +411,17 @@
             return;
         }
         let uses_reclaimable = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE;
-        let total = state.plan_total(now_ms, need);
-        let (base, without_reclaimable) = match uses_reclaimable {
-            true => (
+        let total = state.plan_total(now_ms, shortest, need);
+        let is_known = state.peak_and_mean_busy(now_ms).is_some();
+        let (base, without_reclaimable) = match (uses_reclaimable, is_known) {
+            (true, true) => (
                 share(total, BASE_SHARE),
-                share(total, RECLAIMABLE_UTILIZATION / TARGET_UTILIZATION),
+                share(total, RECLAIMABLE_UTILIZATION / TARGET_UTILIZATION)
+                    .max(shortest)
+                    .min(total),
             ),
-            false => (total, total),
+            (true, false) => (share(total, BASE_SHARE), total),
+            (false, _) => (total, total),
         };
         let room = scaling.max.saturating_sub(state.permanent.ordered);
         let reclaimable = match now_ms >= state.reclaimable.unavailable_until_ms {
@@ -418,7 +442,7 @@
             let counts = state.kind(kind).clone();
             let reason = format!(
                 "service={service} zone={zone} kind={} count={count} wanted={wanted} ordered={} present={} draining={} \
-                 total={total} need={need} busy={busy:.1} work_factor={:.2} requests_per_s={:.0} prompt_tokens_per_s={:.0} \
+                 total={total} need={need} shortest={shortest} busy={busy:.1} work_factor={:.2} requests_per_s={:.0} prompt_tokens_per_s={:.0} \
                  output_tokens_per_s={:.0} late_per_s={:.1}",
                 kind.name(),
                 counts.ordered,
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -448,6 +448,7 @@
                     ControlEffect::Answer { .. }
                     | ControlEffect::Order { .. }
                     | ControlEffect::Duty { .. }
+                    | ControlEffect::DecodeServices { .. }
                     | ControlEffect::Log { .. } => {}
                 }
             }
@@ -740,6 +741,7 @@
         born_ms: 1_780_000_000_000,
         role: Some(role),
         is_changing: false,
+        is_reclaimable: false,
     }
 }
 
--- a/crates/gateway/tests/stages.rs
+++ b/crates/gateway/tests/stages.rs
@@ -124,3 +124,29 @@
     }
     assert!(!is_changing(&planner, &upstreams, &accepted.upstream));
 }
+
+/// Guards against new engines that generate for seconds before they compute prompts, where orders by demand start many
+/// engines at once and the platform starts all of them in one role.
+#[test]
+fn new_engines_get_their_roles_at_once_where_numbers_follow_demand() {
+    let mut planner = RolePlanner::default();
+    planner.set_scaled(true);
+    let mut upstreams = engines(12);
+    run_planner(&mut planner, &mut upstreams, 0, 20_000);
+    assert_eq!(decoders(&upstreams), 3);
+    upstreams.extend((12..24).map(|index| engine(index, Role::Decode)));
+    let orders = run_planner(&mut planner, &mut upstreams, 20_000, 21_000);
+    assert_eq!((orders, decoders(&upstreams)), (9, 6));
+}
+
+/// Guards against a zone whose last generating engines have left by an order of fewer engines.
+#[test]
+fn a_role_that_has_left_is_replaced_at_once_where_numbers_follow_demand() {
+    let mut planner = RolePlanner::default();
+    planner.set_scaled(true);
+    let mut upstreams = engines(12);
+    run_planner(&mut planner, &mut upstreams, 0, 20_000);
+    upstreams.retain(|engine| engine.role == Some(Role::Prefill));
+    run_planner(&mut planner, &mut upstreams, 20_000, 20_500);
+    assert!(decoders(&upstreams) > 0);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -163,6 +163,7 @@
                     }),
                     ControlEffect::Order { .. }
                     | ControlEffect::Duty { .. }
+                    | ControlEffect::DecodeServices { .. }
                     | ControlEffect::Log { .. } => {}
                 }
             }
