--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,6 +16,7 @@
 use crate::lease::{LeaderLease, Subject};
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
 use crate::replicas::KnownReplicas;
+use crate::revocation::Confirmation;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
@@ -209,6 +210,8 @@
     has_unsent_changes: bool,
     replicas: KnownReplicas,
     next_watch_ms: u64,
+    /// When the document is known to have been the newest.
+    confirmation: Confirmation,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
     /// Whether engines have accepted orders since the list was last marked.
@@ -266,6 +269,7 @@
             followed: None,
             has_unsent_changes: false,
             next_watch_ms: now_ms,
+            confirmation: Confirmation::default(),
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
             has_unmarked_engines: false,
@@ -543,6 +547,7 @@
 
     fn subscribe_to_replicas(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.sequence += 1;
+        self.confirmation.on_sent(now_ms, self.sequence);
         let watch = Watch {
             info: self.settings.info.clone(),
             sequence: self.sequence,
@@ -718,6 +723,9 @@
             None if reply.is_current => self.follow(now_ms, from, &reply, effects),
             _ => {}
         }
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, self.version);
         for info in reply.replicas {
             self.replicas.on_named(info, now_ms);
         }
@@ -781,6 +789,9 @@
             is_current: self.is_current(now_ms),
             is_confirmed_by_log: self.hears_leader() && self.has_current_listing(now_ms),
             version: self.version,
+            document_age_ms: self
+                .confirmation
+                .age_ms(now_ms, self.replica.confirmed_ms()),
             document: &self.document,
             listing: &self.listing,
             listing_age_ms: self.listing_age_ms(now_ms),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod loads;
 pub mod place;
 pub mod replicas;
+pub mod revocation;
 pub mod speed;
 pub mod speed_reports;
 pub mod stages;
@@ -38,3 +39,4 @@
 pub use exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, UpstreamCall,
 };
+pub use revocation::KeyPolicy;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -181,6 +181,8 @@
   quarantine @16 :QuarantineUpdate;
   limitShares @17 :List(LimitShare);
   speeds @18 :List(SpeedReport);
+  # 2^64 - 1 if the age is not known.
+  documentAgeMs @19 :UInt64;
 }
 
 struct UpstreamLoad {
