--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,10 +18,10 @@
 pub use control::{ControlParts, ControlState, GateState, engines};
 pub use leader_client::LeaderClient;
 pub use message::{
-    ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LimitReport,
-    LimitShare, ListingUpdate, LoadDigest, PeerMessage, PrefixUse, ProposeReply, ServiceDemand,
-    ServiceRate, SpeedReport, UpstreamList, UpstreamLoad, UpstreamRecord, UsageCount, Watch,
-    WatchReply,
+    ClusterView, Gate, InstanceInfo, InstanceReport, InstanceView, LeaderReply, LeavingUpstream,
+    LimitReport, LimitShare, ListingUpdate, LoadDigest, PeerMessage, PrefixUse, ProposeReply,
+    ServiceDemand, ServiceRate, SpeedReport, UpstreamList, UpstreamLoad, UpstreamRecord,
+    UsageCount, Watch, WatchReply,
 };
 pub use order_gate::{EngineState, GateAction, OrderAnswer, OrderSender};
 pub use platform::{ListedState, PlatformList};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -73,6 +73,18 @@
     pub demand: Vec<ServiceRate>,
     /// What the subscriber has observed of the speed of upstreams since its previous message.
     pub speeds: Vec<SpeedReport>,
+    /// Upstreams that have announced their end to the sender.
+    pub leaving: Vec<LeavingUpstream>,
+}
+
+/// An upstream that has announced its end in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct LeavingUpstream {
+    /// Hash of the upstream's instance id.
+    pub upstream_key: u64,
+    /// Start time of the upstream in milliseconds since the Unix epoch, which tells it from a later incarnation with the
+    /// same id.
+    pub born_ms: u64,
 }
 
 /// Requests of a client account that upstreams have begun to run in one window. Counts of a source only increase, so
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,6 +15,7 @@
 use crate::duty::{DutyCall, DutyOutcome};
 use crate::lease::{LeaderLease, Subject};
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
+use crate::notices::LeavingUpstreams;
 use crate::replicas::KnownReplicas;
 use crate::revocation::Confirmation;
 use crate::stages::{RoleOrder, RolePlanner};
@@ -214,8 +215,10 @@
     confirmation: Confirmation,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
-    /// Whether engines have accepted orders since the list was last marked.
-    has_unmarked_engines: bool,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
+    /// Whether engines have accepted orders, or upstreams have announced their end, since the list was last marked.
+    has_unmarked_upstreams: bool,
     next_role_orders_ms: u64,
     /// The right to give orders to engines and to call the platform as the leader.
     lease: LeaderLease,
@@ -272,7 +275,8 @@
             confirmation: Confirmation::default(),
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
-            has_unmarked_engines: false,
+            leaving: LeavingUpstreams::default(),
+            has_unmarked_upstreams: false,
             next_role_orders_ms: now_ms,
             lease,
             duties,
@@ -321,7 +325,7 @@
                 }
                 if outcome == OrderOutcome::Accepted {
                     self.role_planner.on_accepted(&upstream);
-                    self.has_unmarked_engines = true;
+                    self.has_unmarked_upstreams = true;
                 }
                 log(
                     effects,
@@ -401,8 +405,8 @@
         // A leader that was suspended steps down before it decides anything.
         self.run_replica(now_ms, effects);
         // Many engines may accept their first orders between two ticks.
-        if std::mem::take(&mut self.has_unmarked_engines) {
-            self.mark_changing_engines(effects);
+        if std::mem::take(&mut self.has_unmarked_upstreams) {
+            self.mark_upstreams(now_ms, effects);
         }
         self.subscribers.expire(now_ms);
         self.block_parts(now_ms, effects);
@@ -553,6 +557,7 @@
             sequence: self.sequence,
             prefix_uses: self.subscribers.take_unsent_prefix_uses(),
             quarantine: self.quarantine.report(now_ms),
+            leaving: self.leaving.unlisted(),
             ..Watch::default()
         };
         let status = self.replica.status();
@@ -657,6 +662,7 @@
             self.update_join_targets();
         }
         self.duties.merge_usage(&watch.usage);
+        self.note_leaving(now_ms, &watch, effects);
         let accepts_callers = watch.accepts_callers;
         let report = &watch.quarantine;
         let changed = self.quarantine.on_report(now_ms, report, accepts_callers);
@@ -686,6 +692,23 @@
         self.send_update(now_ms, &id, next_reply, effects);
     }
 
+    /// Records the upstreams that have announced their end to a subscriber. The leader marks them in the list of all
+    /// instances; other replicas pass them on to it.
+    fn note_leaving(&mut self, now_ms: u64, watch: &Watch, effects: &mut Vec<ControlEffect>) {
+        for upstream in &watch.leaving {
+            if self.leaving.insert(now_ms, *upstream) {
+                self.has_unmarked_upstreams |= self.replica.status().is_leader;
+                log(
+                    effects,
+                    format!(
+                        "upstream_key={:016x} draining=true source={}",
+                        upstream.upstream_key, watch.info.id
+                    ),
+                );
+            }
+        }
+    }
+
     /// Blocks the parts of prompts against which there is enough evidence.
     fn block_parts(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         for condemned in self.quarantine.decide(now_ms) {
@@ -765,6 +788,7 @@
             self.listed_ms = Some(now_ms.saturating_sub(reply.listing_age_ms));
         }
         if self.listing.version() != previous {
+            self.leaving.on_listed(now_ms, self.listing.records());
             self.on_listing_changed(effects);
         }
     }
@@ -830,23 +854,27 @@
         effects: &mut Vec<ControlEffect>,
     ) {
         self.listed_ms = Some(now_ms);
-        self.set_listing(upstreams, effects);
+        self.set_listing(now_ms, upstreams, effects);
     }
 
-    /// Marks the engines that are changing their roles by an order of this leader, so that entries send them nothing.
-    fn mark_changing_engines(&mut self, effects: &mut Vec<ControlEffect>) {
+    /// Marks the engines that are changing their roles by an order of this leader, and the upstreams that have announced
+    /// their end, so that entries send them nothing.
+    fn mark_upstreams(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         let records = self.listing.records().to_vec();
-        self.set_listing(records, effects);
+        self.set_listing(now_ms, records, effects);
     }
 
     fn set_listing(
         &mut self,
+        now_ms: u64,
         mut upstreams: Vec<UpstreamRecord>,
         effects: &mut Vec<ControlEffect>,
     ) {
         for upstream in &mut upstreams {
             upstream.is_changing = self.role_planner.is_changing(upstream);
+            upstream.draining |= self.leaving.contains(upstream);
         }
+        self.leaving.on_listed(now_ms, &upstreams);
         if self.listing.replace(upstreams) {
             self.on_listing_changed(effects);
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,6 +18,7 @@
 };
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
+use crate::notices::{self, LeavingUpstreams, Notice, StatedPause};
 use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
 use crate::revocation::{Confirmation, KeyPolicy};
 use crate::speed::Expected;
@@ -57,6 +58,8 @@
 const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
 const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
+/// Divisor of the pause of upstreams, which gives the time over which the callers return that are told to wait for its end.
+const PAUSE_SPREAD_DIVISOR: u64 = 4;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -108,6 +111,8 @@
     LimitStated { upstream: Name, stated: StatedLimit },
     /// The head of an upstream's answer states how long work takes there, in percent of the usual duration.
     SlownessStated { upstream: Name, percent: u16 },
+    /// The head of an upstream's answer announces its end or a pause.
+    NoticeStated { upstream: Name, notice: Notice },
     /// It has been checked whether an upstream has crashed.
     UpstreamChecked { upstream: Name, has_crashed: bool },
 }
@@ -204,6 +209,8 @@
     services: Map<Name, ServiceUpstreams>,
     /// Instance ids of the upstreams by the keys that stand for them in load messages.
     upstream_ids: Map<u64, Name>,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
     /// Upstreams to which other entries have sent load.
     loaded_by_others: Vec<Name>,
     exchanges: Map<u64, ExchangeState>,
@@ -242,6 +249,7 @@
             upstreams: Map::default(),
             services: Map::default(),
             upstream_ids: Map::default(),
+            leaving: LeavingUpstreams::default(),
             loaded_by_others: Vec::new(),
             exchanges: Map::default(),
             queues: Map::default(),
@@ -350,6 +358,9 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
+            EntryEvent::NoticeStated { upstream, notice } => {
+                self.on_notice(now_ms, &upstream, notice, effects);
+            }
             EntryEvent::SlownessStated { upstream, percent } => {
                 if let Some(upstream) = self.upstreams.get_mut(&upstream) {
                     upstream.speed.on_stated(now_ms, percent);
@@ -387,6 +398,7 @@
                     watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
                 }
                 watch.speeds = self.speed_reports(now_ms);
+                watch.leaving = self.leaving.unlisted();
                 send_watch(to, watch, effects);
             }
         }
@@ -439,7 +451,7 @@
             .on_reply(reply.sequence, reply.version, age_ms, held_version);
         let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
         if let Some(update) = reply.listing_update {
-            self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
+            self.apply_newer_listing(now_ms, reply.listing, update, read_ms, from, effects);
         } else if reply.listing == self.listing && !self.is_older_listing(from, read_ms) {
             self.listing_source = Some((from.clone(), read_ms));
         }
@@ -574,6 +586,7 @@
     /// replica has sent a version that was read later.
     fn apply_newer_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         read_ms: u64,
@@ -586,7 +599,7 @@
             return;
         }
         self.listing_source = Some((from.clone(), read_ms));
-        self.apply_listing(version, update, from, effects);
+        self.apply_listing(now_ms, version, update, from, effects);
     }
 
     /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
@@ -598,6 +611,7 @@
     /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         from: &Name,
@@ -605,6 +619,7 @@
     ) {
         match update {
             ListingUpdate::Complete(list) => {
+                self.leaving.on_listed(now_ms, &list.records);
                 let listed: Set<&Name> = list.records.iter().map(|record| &record.id).collect();
                 self.upstreams.retain(|id, _| listed.contains(id));
                 for record in &list.records {
@@ -619,6 +634,7 @@
                 for id in removed {
                     self.upstreams.remove(&id);
                 }
+                self.leaving.on_listed(now_ms, &changed);
                 for record in changed {
                     self.update_upstream(record, from, effects);
                 }
@@ -651,7 +667,9 @@
         // The reason for a limit may outlast a restart. If it does not, the next answers say so.
         let limit = known.as_ref().and_then(|known| known.limit.clone());
         let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
+            let draining = record.draining || self.leaving.contains(&record);
             let mut upstream = Upstream::new(record);
+            upstream.record.draining = draining;
             upstream.limit = limit;
             self.upstreams.insert(id, upstream);
             return;
@@ -855,6 +873,50 @@
         upstream.stated_limit = stated;
     }
 
+    fn on_notice(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        notice: Notice,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if notice.is_leaving {
+            let key = notices::key(id, upstream.record.born_ms);
+            upstream.record.draining = true;
+            if self.leaving.insert(now_ms, key) {
+                let text = format!("upstream={id} draining=true source=answer");
+                log(effects, Importance::StateChange, text);
+            }
+        }
+        let was_paused = now_ms < upstream.paused_until_ms;
+        let text = match notice.pause {
+            StatedPause::Absent => return,
+            StatedPause::Until(until_ms) => {
+                upstream.paused_until_ms = upstream.paused_until_ms.max(until_ms);
+                format!("pause_ms={}", until_ms.saturating_sub(now_ms))
+            }
+            StatedPause::Invalid => "pause=invalid outcome=ignored".to_owned(),
+        };
+        if !was_paused && now_ms >= upstream.limit_logged_ms + LIMIT_LOG_INTERVAL_MS {
+            upstream.limit_logged_ms = now_ms;
+            let text = format!("upstream={id} {text}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
+    /// Returns the wait that a caller is told if no upstream of a service can take its request, in milliseconds: until the
+    /// first pause ends that an upstream has asked for. Callers are spread over a part of that time.
+    fn pause_wait_ms(&self, now_ms: u64, exchange: u64) -> u64 {
+        let state = &self.exchanges[&exchange];
+        let upstreams = self.service_upstreams(&state.request.service);
+        let wait_ms = place::pause_wait_ms(now_ms, upstreams);
+        let spread_ms = wait_ms / PAUSE_SPREAD_DIVISOR;
+        wait_ms + state.request_hash % (spread_ms + 1)
+    }
+
     fn on_upstream_checked(
         &mut self,
         now_ms: u64,
@@ -901,7 +963,10 @@
             let upstreams = self.service_upstreams(&state.request.service);
             let (reason, wait_ms) = match place::limit_wait_ms(&context, upstreams) {
                 Some(wait_ms) => (RefusalReason::Limited, wait_ms as u64),
-                None => (RefusalReason::NoUpstream, 0),
+                None => (
+                    RefusalReason::NoUpstream,
+                    self.pause_wait_ms(now_ms, exchange),
+                ),
             };
             let reason = self.after_runs(exchange, reason);
             return self.refuse(now_ms, exchange, reason, wait_ms, effects);
@@ -920,7 +985,9 @@
     fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let queued_ahead = self.queued_ahead(exchange);
         let Some(choice) = self.choose(now_ms, exchange, queued_ahead) else {
-            return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
+            let wait_ms = self.pause_wait_ms(now_ms, exchange);
+            let reason = RefusalReason::NoUpstream;
+            return self.refuse(now_ms, exchange, reason, wait_ms, effects);
         };
         let request = &self.exchanges[&exchange].request;
         let (service, rank) = (request.service.clone(), request.rank);
@@ -1103,7 +1170,11 @@
             }
             let rank = self.exchanges[&exchange].request.rank;
             match self.choose(now_ms, exchange, remaining.len()) {
-                None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
+                None => {
+                    let wait_ms = self.pause_wait_ms(now_ms, exchange);
+                    let reason = RefusalReason::NoUpstream;
+                    self.refuse(now_ms, exchange, reason, wait_ms, effects);
+                }
                 Some(choice) => {
                     let request = &self.exchanges[&exchange].request;
                     let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limits;
 pub mod listing;
 pub mod loads;
+pub mod notices;
 pub mod place;
 pub mod replicas;
 pub mod revocation;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -169,6 +169,16 @@
         .min_by(f64::total_cmp)
 }
 
+/// Returns the time until the first of the pauses ends that upstreams have asked for, in milliseconds; 0 if there is none.
+pub fn pause_wait_ms<'a>(now_ms: u64, upstreams: impl Iterator<Item = &'a Upstream>) -> u64 {
+    upstreams
+        .filter(|upstream| !upstream.record.draining)
+        .map(|upstream| upstream.paused_until_ms.saturating_sub(now_ms))
+        .filter(|wait_ms| *wait_ms > 0)
+        .min()
+        .unwrap_or_default()
+}
+
 /// Chooses the engine that computes the prompt, and possibly runs the request.
 ///
 /// Engines in other zones are considered only if every engine in this entry's zone costs more than the difference
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -62,6 +62,8 @@
     pub stated_limit: StatedLimit,
     /// Limit on requests that holds.
     pub limit: Option<RequestLimit>,
+    /// Until when the upstream wants no requests of this entry, in milliseconds.
+    pub paused_until_ms: u64,
     /// How fast the upstream works.
     pub speed: Speed,
     /// When the limit was last logged.
@@ -99,7 +101,9 @@
 
     /// Returns whether the upstream may get requests.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        !self.record.draining && !self.record.is_changing && now_ms >= self.circuit_open_until_ms
+        !self.record.draining
+            && !self.record.is_changing
+            && now_ms >= self.circuit_open_until_ms.max(self.paused_until_ms)
     }
 
     /// Returns whether the upstream is an engine that computes prompts for other engines.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use conf::Name;
-use fleet::{InstanceInfo, PeerMessage, UsageCount, Watch, WatchReply};
+use fleet::{InstanceInfo, PeerMessage, UpstreamRecord, UsageCount, Watch, WatchReply};
 use gateway::control::{Answer, Control, ControlEffect, ControlEvent, ControlSettings};
 use gateway::duties::DutySettings;
 use gateway::{DutyCall, DutyOutcome};
@@ -98,6 +98,8 @@
     next_storage_id: u64,
     duties: DutySettings,
     pub platform: Platform,
+    /// Upstreams on the platform's list.
+    pub upstreams: Vec<UpstreamRecord>,
     /// Messages to the subscribed entry.
     pub sent_to_entry: Vec<PeerMessage>,
 }
@@ -125,6 +127,7 @@
                 calls: Vec::new(),
                 open: Vec::new(),
             },
+            upstreams: Vec::new(),
             sent_to_entry: Vec::new(),
         };
         for index in 0..count {
@@ -224,7 +227,7 @@
                     }
                     ControlEffect::Answer { call, answer } => self.answers.push((call, answer)),
                     ControlEffect::ReadList => events.push_back(ControlEvent::Listed {
-                        upstreams: Vec::new(),
+                        upstreams: self.upstreams.clone(),
                     }),
                     ControlEffect::Duty {
                         term,
@@ -383,14 +386,24 @@
 
     /// Delivers counts of usage of an entry to a replica.
     pub fn deliver_usage(&mut self, index: usize, usage: Vec<UsageCount>) {
+        self.deliver_watch(
+            index,
+            Watch {
+                usage,
+                ..Watch::default()
+            },
+        );
+    }
+
+    /// Delivers a message of an entry to a replica.
+    pub fn deliver_watch(&mut self, index: usize, watch: Watch) {
         let watch = Watch {
             info: InstanceInfo {
                 id: ENTRY.into(),
                 ..InstanceInfo::default()
             },
             accepts_callers: true,
-            usage,
-            ..Watch::default()
+            ..watch
         };
         let message = PeerMessage::Watch(watch);
         let from = Name::from(ENTRY);
@@ -468,17 +481,7 @@
 
     /// Subscribes an entry to a replica.
     pub fn subscribe(&mut self, index: usize) {
-        let watch = Watch {
-            info: InstanceInfo {
-                id: ENTRY.into(),
-                ..InstanceInfo::default()
-            },
-            accepts_callers: true,
-            ..Watch::default()
-        };
-        let message = PeerMessage::Watch(watch);
-        let from = Name::from(ENTRY);
-        self.step(index, ControlEvent::Peer { from, message });
+        self.deliver_watch(index, Watch::default());
     }
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::exchange::Task;
+use gateway::notices::{Notice, StatedPause};
 use gateway::{Account, Outcome, StatedLimit, UpstreamCall};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -116,6 +117,8 @@
     pub limit: StatedLimit,
     /// How long work takes at the upstream now, in percent of the usual duration.
     pub slowness_percent: Option<u16>,
+    /// Announcements of the upstream.
+    pub notice: Notice,
 }
 
 /// Receives what the head of an upstream's answer states.
@@ -158,7 +161,7 @@
         let (response, connection) = send_request(connection, request, head_deadline).await?;
         self.validate_request_id(forwarded, &response, connection.is_reused)?;
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            observe(self.stated(response.headers()));
+            observe(self.stated(response.status(), response.headers()));
         }
         self.validate_head(call, &response)?;
         if call.task != Task::Prefill && forwarded.is_stream && response.status().is_success() {
@@ -274,7 +277,7 @@
         }
     }
 
-    fn stated(&self, headers: &HeaderMap) -> Stated {
+    fn stated(&self, status: StatusCode, headers: &HeaderMap) -> Stated {
         let names = self.dialect.header_names();
         let load = headers
             .get(&names.load)
@@ -282,6 +285,13 @@
         Stated {
             limit: stated_limit(headers, &names.request_limit),
             slowness_percent: load.and_then(|load| self.dialect.slowness_percent(load)),
+            notice: Notice {
+                is_leaving: is_announced(headers, &names.leaving),
+                pause: match status {
+                    StatusCode::SERVICE_UNAVAILABLE => stated_pause(self.clock.now_ms(), headers),
+                    _ => StatedPause::Absent,
+                },
+            },
         }
     }
 
@@ -446,6 +456,28 @@
     }
 }
 
+/// Returns whether an answer announces the end of its upstream, which a single header with the value 1 does.
+fn is_announced(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_some_and(|value| value == "1") && values.next().is_none()
+}
+
+/// Returns the pause that a rejection states, as a single number of seconds.
+fn stated_pause(now_ms: u64, headers: &HeaderMap) -> StatedPause {
+    let mut values = headers.get_all(RETRY_AFTER).iter();
+    let Some(value) = values.next() else {
+        return StatedPause::Absent;
+    };
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match seconds {
+        Some(seconds) if values.next().is_none() => StatedPause::from_seconds(now_ms, seconds),
+        _ => StatedPause::Invalid,
+    }
+}
+
 /// Removes the hop-by-hop headers, which apply to one connection only, and the content length, which the HTTP library
 /// sets itself.
 fn remove_hop_headers(headers: &mut HeaderMap) {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::entry::EntryEvent;
+use gateway::notices::Notice;
 use gateway::{
     Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
     UpstreamCall,
@@ -81,6 +82,12 @@
             upstream: upstream.clone(),
             stated: stated.limit,
         });
+        if stated.notice != Notice::default() {
+            self.runtime.step(EntryEvent::NoticeStated {
+                upstream: upstream.clone(),
+                notice: stated.notice,
+            });
+        }
         if let Some(percent) = stated.slowness_percent {
             self.runtime
                 .step(EntryEvent::SlownessStated { upstream, percent });
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -40,6 +40,8 @@
     pub holder: HeaderName,
     /// Fencing token of the leader, in these calls.
     pub fencing_token: HeaderName,
+    /// Announces, in the answers of an upstream, that the upstream is about to end.
+    pub leaving: HeaderName,
     /// Headers that only this system may set. An entry removes them from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -63,6 +63,13 @@
   usage @10 :List(UsageCount);
   demand @11 :List(ServiceRate);
   speeds @12 :List(SpeedReport);
+  leaving @13 :List(LeavingUpstream);
+}
+
+# An upstream that has announced its end in its answers.
+struct LeavingUpstream {
+  upstreamKey @0 :UInt64;
+  bornMs @1 :UInt64;
 }
 
 # Requests of a client account that upstreams have begun to run in one window.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -5067,6 +5067,21 @@
         pub fn has_speeds(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_leaving(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::leaving_upstream::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5076,7 +5091,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 8,
+                pointers: 9,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5466,6 +5481,42 @@
         pub fn has_speeds(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_leaving(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::leaving_upstream::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_leaving(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::leaving_upstream::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(8),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_leaving(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::leaving_upstream::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(8),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline {
@@ -5487,115 +5538,122 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 240] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 259] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -5728,6 +5786,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(83, 26, 11, 186, 245, 208, 156, 244),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5744,6 +5814,7 @@
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::usage_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::peer_capnp::service_rate::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::peer_capnp::speed_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::peer_capnp::leaving_upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5762,13 +5833,326 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 11, 0, 9, 8, 4, 5, 6, 7, 1, 12, 10, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 11, 0, 9, 13, 8, 4, 5, 6, 7, 1, 12, 10, 3];
         pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
     }
 }
 
+pub mod leaving_upstream {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_born_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_born_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_born_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(83, 26, 11, 186, 245, 208, 156, 244),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 101, 97, 118, 105),
+            ::capnp::word(110, 103, 85, 112, 115, 116, 114, 101),
+            ::capnp::word(97, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 77, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xf49c_d0f5_ba0b_1a53;
+    }
+}
+
 pub mod usage_count {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport, UpstreamList,
-    UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
+    LeavingUpstream, LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport,
+    UpstreamList, UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
 };
 
 use crate::compression;
@@ -67,9 +67,17 @@
     if !watch.speeds.is_empty() {
         write_speeds(
             &watch.speeds,
-            builder.init_speeds(watch.speeds.len() as u32),
+            builder.reborrow().init_speeds(watch.speeds.len() as u32),
         );
     }
+    if !watch.leaving.is_empty() {
+        let mut list = builder.init_leaving(watch.leaving.len() as u32);
+        for (index, leaving) in (0..).zip(&watch.leaving) {
+            let mut builder = list.reborrow().get(index);
+            builder.set_upstream_key(leaving.upstream_key);
+            builder.set_born_ms(leaving.born_ms);
+        }
+    }
 }
 
 fn write_speeds(
@@ -160,6 +168,14 @@
             .map(read_rate)
             .collect::<Result<_, _>>()?,
         speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
+        leaving: reader
+            .get_leaving()?
+            .iter()
+            .map(|leaving| LeavingUpstream {
+                upstream_key: leaving.get_upstream_key(),
+                born_ms: leaving.get_born_ms(),
+            })
+            .collect(),
     })
 }
 
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -125,6 +125,10 @@
         usage: list(g, usage_count),
         demand: list(g, service_rate),
         speeds: list(g, speed_report),
+        leaving: list(g, |g| fleet::LeavingUpstream {
+            upstream_key: number(g),
+            born_ms: number(g),
+        }),
     }
 }
 
