Wait longer for the usage of entries that are missing

Ruled out: a later commit in general, which leaves a successor of a lost leader no time. Change: a window for which over a tenth of the previous window's entries are missing is committed after three quarters of the time until it is due, in place of half. Sums of committed windows without counts are forgotten.

--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -12,7 +12,7 @@
 use crate::wall_clock::WallClock;
 
 /// Number of windows before the present one whose counts are kept, for a receiver that was lost or could not be reached.
-const RETAINED_WINDOWS: u64 = 12;
+pub const RETAINED_WINDOWS: u64 = 12;
 /// Largest number of counts that are kept; the oldest windows are given up first. Each takes about 80 bytes.
 const MAX_COUNTS: usize = 200_000;
 /// Largest number of counts in a message. Each takes about 40 bytes.
@@ -57,13 +57,29 @@
     pub unacknowledged: u64,
 }
 
-type WindowTallies = Map<(u64, Name), Tally>;
+/// Counts of one window.
+#[derive(Clone, Debug, Default)]
+struct WindowCounts {
+    /// Counts by process and account.
+    tallies: Map<(u64, Name), Tally>,
+    /// Processes that have counted.
+    sources: Set<u64>,
+}
+
+impl WindowCounts {
+    fn unacknowledged_requests(&self) -> u64 {
+        self.tallies
+            .values()
+            .map(|tally| u64::from(tally.count - tally.acknowledged.min(tally.count)))
+            .sum()
+    }
+}
 
 /// Counts of one instance, and what its receiver has of them. Entries send their counts to the replica to which they
 /// subscribe, replicas to the leader.
 #[derive(Clone, Debug, Default)]
 pub struct UsageTable {
-    windows: BTreeMap<u64, WindowTallies>,
+    windows: BTreeMap<u64, WindowCounts>,
     counts: usize,
     /// Receiver of the last message and its term; entries use term 0.
     receiver: Option<(Name, u64)>,
@@ -85,12 +101,13 @@
     }
 
     fn tally(&mut self, source: u64, window: u64, account: &Name) -> &mut Tally {
-        let tallies = self.windows.entry(window).or_default();
-        let before = tallies.len();
+        let counts = self.windows.entry(window).or_default();
+        counts.sources.insert(source);
+        let before = counts.tallies.len();
         let key = (source, account.clone());
-        tallies.entry(key.clone()).or_default();
-        self.counts += tallies.len() - before;
-        tallies.entry(key).or_default()
+        counts.tallies.entry(key.clone()).or_default();
+        self.counts += counts.tallies.len() - before;
+        counts.tallies.entry(key).or_default()
     }
 
     /// Forgets the windows that are no longer kept, given the present one. Returns each with the number of its requests and of
@@ -102,12 +119,16 @@
             && (*first.key() < oldest || self.counts > MAX_COUNTS)
         {
             let window = *first.key();
-            let tallies = first.remove();
-            self.counts -= tallies.len();
+            let counts = first.remove();
+            self.counts -= counts.tallies.len();
             expired.push(ExpiredWindow {
                 window,
-                requests: tallies.values().map(|tally| u64::from(tally.count)).sum(),
-                unacknowledged: unacknowledged_requests(&tallies),
+                requests: counts
+                    .tallies
+                    .values()
+                    .map(|tally| u64::from(tally.count))
+                    .sum(),
+                unacknowledged: counts.unacknowledged_requests(),
             });
         }
         expired
@@ -128,8 +149,9 @@
             self.forget_acknowledgements(..);
         }
         let windows = self.windows.range(..end_window);
-        let lacking = windows.flat_map(|(window, tallies)| {
-            tallies
+        let lacking = windows.flat_map(|(window, counts)| {
+            counts
+                .tallies
                 .iter()
                 .filter(|(_, tally)| tally.count > tally.acknowledged)
                 .map(|((source, account), tally)| UsageCount {
@@ -154,9 +176,9 @@
             return;
         };
         for usage in counts {
-            let tallies = self.windows.get_mut(&usage.window);
+            let counts = self.windows.get_mut(&usage.window);
             let key = (usage.source, usage.account);
-            if let Some(tally) = tallies.and_then(|tallies| tallies.get_mut(&key)) {
+            if let Some(tally) = counts.and_then(|counts| counts.tallies.get_mut(&key)) {
                 tally.acknowledged = tally.acknowledged.max(usage.count);
             }
         }
@@ -164,8 +186,9 @@
 
     /// Makes the counts of some windows be sent again, to a receiver that may have restarted unnoticed.
     pub fn forget_acknowledgements(&mut self, windows: impl std::ops::RangeBounds<u64>) {
-        for (_, tallies) in self.windows.range_mut(windows) {
-            tallies
+        for (_, counts) in self.windows.range_mut(windows) {
+            counts
+                .tallies
                 .values_mut()
                 .for_each(|tally| tally.acknowledged = 0);
         }
@@ -176,20 +199,20 @@
     pub fn is_acknowledged(&self) -> bool {
         self.windows
             .values()
-            .all(|tallies| unacknowledged_requests(tallies) == 0)
+            .all(|counts| counts.unacknowledged_requests() == 0)
     }
 
     /// Returns the number of processes that have counted requests of a window.
     pub fn sources(&self, window: u64) -> usize {
-        let tallies = self.windows.get(&window).into_iter().flatten();
-        let sources: Set<u64> = tallies.map(|((source, _), _)| *source).collect();
-        sources.len()
+        let counts = self.windows.get(&window);
+        counts.map_or(0, |counts| counts.sources.len())
     }
 
     /// Returns the requests of a window by account, sorted by name.
     pub fn totals(&self, window: u64) -> Vec<(Name, u64)> {
         let mut totals: BTreeMap<&Name, u64> = BTreeMap::new();
-        for ((_, account), tally) in self.windows.get(&window).into_iter().flatten() {
+        let counts = self.windows.get(&window).into_iter();
+        for ((_, account), tally) in counts.flat_map(|counts| &counts.tallies) {
             *totals.entry(account).or_default() += u64::from(tally.count);
         }
         totals
@@ -199,13 +222,6 @@
     }
 }
 
-fn unacknowledged_requests(tallies: &WindowTallies) -> u64 {
-    tallies
-        .values()
-        .map(|tally| u64::from(tally.count - tally.acknowledged.min(tally.count)))
-        .sum()
-}
-
 /// The requests that an entry has counted.
 #[derive(Clone, Debug, Default)]
 pub struct UsageCounter {
--- a/crates/gateway/src/usage_reports.rs
+++ b/crates/gateway/src/usage_reports.rs
@@ -11,11 +11,15 @@
 use crate::command::{Command, WindowCounts};
 use crate::duties::DutyAction;
 use crate::duty::DutyCall;
-use crate::usage::{UsageSettings, UsageTable};
-
-/// Divisor of the time until a report is due, which gives the time after the end of a window at which its counts are
-/// fixed. The rest is left for the election of another leader, the end of its predecessor's lease and the call.
-const GATHERING_DIVISOR: u64 = 2;
+use crate::usage::{RETAINED_WINDOWS, UsageSettings, UsageTable};
+
+/// Share of the time until a report is due after which the counts of a window are fixed. The rest is left for the election
+/// of another leader, the end of its predecessor's lease and the call.
+const GATHERING_SHARE: f64 = 0.5;
+/// The same if entries are missing that have counted in the previous window. The rest is left for the call.
+const EXTENDED_GATHERING_SHARE: f64 = 0.75;
+/// Share of the entries of the previous window at which no further ones are waited for. An entry may have counted nothing.
+const COMPLETE_SHARE: f64 = 0.9;
 /// Time for which a new leader waits for the counts that other replicas hold, in milliseconds: a few intervals of the
 /// messages between replicas.
 const LEADER_GATHERING_MS: u64 = 1_500;
@@ -23,11 +27,8 @@
 const MAX_PENDING_WINDOWS: usize = 1_024;
 /// Largest number of counts in them. Snapshots hold them all.
 const MAX_PENDING_COUNTS: usize = 50_000;
-/// Windows without a commit above which the oldest ones are skipped, since no instance holds their counts any more.
-const MAX_UNCOMMITTED_WINDOWS: u64 = 12;
-
 /// The reports of one replica.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct UsageReports {
     /// None if the platform asks for no reports.
     settings: Option<UsageSettings>,
@@ -111,6 +112,9 @@
                 )));
             }
         }
+        // Windows without counts do not expire above.
+        self.committed
+            .retain(|window, _| window + RETAINED_WINDOWS >= present);
     }
 
     /// Records that this replica has become the leader. What it proposed in an earlier term may be lost.
@@ -128,13 +132,18 @@
             0 => self.first_window.unwrap_or(present),
             next_window => next_window,
         };
-        let gathered_ms = settings.end_ms(next_window) + settings.due_ms / GATHERING_DIVISOR;
+        let expected = self.table.sources(next_window.saturating_sub(1)) as f64 * COMPLETE_SHARE;
+        let share = match self.table.sources(next_window) as f64 >= expected {
+            true => GATHERING_SHARE,
+            false => EXTENDED_GATHERING_SHARE,
+        };
+        let gathered_ms = settings.end_ms(next_window) + (settings.due_ms as f64 * share) as u64;
         if unix_ms < gathered_ms || leader_age_ms < LEADER_GATHERING_MS || self.proposed.is_some() {
             return;
         }
         let mut window = next_window;
-        if present - window > MAX_UNCOMMITTED_WINDOWS {
-            window = present - MAX_UNCOMMITTED_WINDOWS;
+        if present - window > RETAINED_WINDOWS {
+            window = present - RETAINED_WINDOWS;
             actions.push(DutyAction::Log(format!(
                 "usage_windows={next_window}..{window} outcome=skipped reason=\"their counts are gone\""
             )));
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeMap;
 
 use fleet::UsageCount;
-use gateway::duties::DutySettings;
+use gateway::command::Command;
+use gateway::duties::{DutyAction, DutySettings};
 use gateway::usage::UsageSettings;
+use gateway::usage_reports::UsageReports;
 use gateway::{DutyCall, DutyOutcome};
 use support::{Cluster, START_UNIX_MS};
 
@@ -153,6 +155,94 @@
     assert_eq!(check_calls(&cluster)[&present], 7);
 }
 
+fn commits(actions: &[DutyAction]) -> Vec<(u64, u64)> {
+    let commit = |action: &DutyAction| match action {
+        DutyAction::Propose(Command::CommitUsage { window, counts, .. }) => {
+            Some((*window, counts.iter().map(|(_, count)| count).sum()))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(commit).collect()
+}
+
+/// Guards against counts that are fixed while entries are cut off which have counted in the window before, and against a
+/// window that waits for them until its report is late.
+#[test]
+fn missing_entries_are_waited_for_but_not_for_long() {
+    let mut reports = UsageReports::new(settings().usage);
+    let proposed = |reports: &mut UsageReports, age_ms: u64, window: u64| {
+        let mut actions = Vec::new();
+        let unix_ms = (window + 1) * WINDOW_MS + age_ms;
+        reports.propose_due(unix_ms, 60_000, &mut actions);
+        commits(&actions)
+    };
+    reports.restore(100, Vec::new());
+    let counts = |window, sources: std::ops::Range<u64>| -> Vec<UsageCount> {
+        sources.map(|source| usage(source, window, 1)).collect()
+    };
+    reports.merge(&counts(100, 0..10));
+    reports.merge(&counts(101, 0..5));
+    assert_eq!(proposed(&mut reports, 2_900, 100), []);
+    assert_eq!(proposed(&mut reports, 3_000, 100), [(100, 10)]);
+    reports.apply(100, [].into(), &[], &mut Vec::new());
+    assert_eq!(
+        proposed(&mut reports, 4_400, 101),
+        [],
+        "half of the entries are missing"
+    );
+    let mut later = reports.clone();
+    assert_eq!(proposed(&mut later, 4_500, 101), [(101, 5)]);
+    reports.merge(&counts(101, 5..9));
+    assert_eq!(proposed(&mut reports, 4_400, 101), [(101, 9)]);
+}
+
+/// Guards against a new leader that fixes counts before the other replicas have sent theirs, that waits for ever for what it
+/// proposed in an earlier term, and against a window that is fixed twice.
+#[test]
+fn a_new_leader_gathers_anew_and_keeps_what_is_committed() {
+    let mut reports = UsageReports::new(settings().usage);
+    reports.restore(100, Vec::new());
+    reports.merge(&[usage(1, 100, 3)]);
+    let unix_ms = 101 * WINDOW_MS + DUE_MS;
+    let propose = |reports: &mut UsageReports, leader_age_ms| {
+        let mut actions = Vec::new();
+        reports.propose_due(unix_ms, leader_age_ms, &mut actions);
+        commits(&actions)
+    };
+    reports.on_leading();
+    assert_eq!(propose(&mut reports, 1_000), []);
+    assert_eq!(propose(&mut reports, 2_000), [(100, 3)]);
+    assert_eq!(propose(&mut reports, 2_100), [], "it is under way");
+    reports.on_leading();
+    assert_eq!(propose(&mut reports, 2_000), [(100, 3)]);
+    let first: [(conf::Name, u64); 1] = [("a".into(), 3)];
+    reports.apply(100, first.clone().into(), &[], &mut Vec::new());
+    reports.apply(100, [("a".into(), 4)].into(), &[], &mut Vec::new());
+    let report = DutyCall::ReportUsage {
+        window: 100,
+        counts: first.into(),
+    };
+    assert_eq!(reports.next_report(unix_ms), Some(report));
+}
+
+/// Guards against windows that are left out after a restart from snapshots, since the platform was down for long before.
+#[test]
+fn snapshots_hold_what_is_not_reported() {
+    let mut cluster = cluster(3);
+    cluster.run(10_000);
+    cluster.platform.outcome = DutyOutcome::Unknown;
+    let present = window(&cluster);
+    cluster.deliver_usage(0, vec![usage(1, present, 5)]);
+    cluster.run(140_000);
+    (0..3).for_each(|replica| cluster.restart(replica));
+    cluster.platform.outcome = DutyOutcome::Accepted;
+    cluster.run(60_000);
+    let totals = check_calls(&cluster);
+    assert_eq!(totals.get(&present), Some(&5));
+    let windows: Vec<u64> = totals.keys().copied().collect();
+    assert!(windows.windows(2).all(|pair| pair[1] == pair[0] + 1));
+}
+
 /// Guards against counts that stay at a replica which is not a member of the log and knows no leader.
 #[test]
 fn counts_of_a_replica_that_is_no_member_reach_the_leader() {
