--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,7 +16,9 @@
 use crate::duty::{DutyCall, DutyOutcome};
 use crate::lease::{LeaderLease, Subject};
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
+use crate::notices::LeavingUpstreams;
 use crate::replicas::KnownReplicas;
+use crate::revocation::Confirmation;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
@@ -214,10 +216,14 @@
     has_unsent_changes: bool,
     replicas: KnownReplicas,
     next_watch_ms: u64,
+    /// When the document is known to have been the newest.
+    confirmation: Confirmation,
     next_voter_change_ms: u64,
     role_planner: RolePlanner,
-    /// Whether engines have accepted orders since the list was last marked.
-    has_unmarked_engines: bool,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
+    /// Whether engines have accepted orders, or upstreams have announced their end, since the list was last marked.
+    has_unmarked_upstreams: bool,
     next_role_orders_ms: u64,
     /// The right to give orders to engines and to call the platform as the leader.
     lease: LeaderLease,
@@ -271,9 +277,11 @@
             followed: None,
             has_unsent_changes: false,
             next_watch_ms: now_ms,
+            confirmation: Confirmation::default(),
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
-            has_unmarked_engines: false,
+            leaving: LeavingUpstreams::default(),
+            has_unmarked_upstreams: false,
             next_role_orders_ms: now_ms,
             lease,
             duties,
@@ -322,7 +330,7 @@
                 }
                 if outcome == OrderOutcome::Accepted {
                     self.role_planner.on_accepted(&upstream);
-                    self.has_unmarked_engines = true;
+                    self.has_unmarked_upstreams = true;
                 }
                 log(
                     effects,
@@ -403,8 +411,8 @@
         // A leader that was suspended steps down before it decides anything.
         self.run_replica(now_ms, effects);
         // Many engines may accept their first orders between two ticks.
-        if std::mem::take(&mut self.has_unmarked_engines) {
-            self.mark_changing_engines(effects);
+        if std::mem::take(&mut self.has_unmarked_upstreams) {
+            self.mark_upstreams(now_ms, effects);
         }
         self.subscribers.expire(now_ms);
         self.block_parts(now_ms, effects);
@@ -555,16 +563,23 @@
 
     fn subscribe_to_replicas(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         self.sequence += 1;
+        self.confirmation.on_sent(now_ms, self.sequence);
         let watch = Watch {
             info: self.settings.info.clone(),
             sequence: self.sequence,
             prefix_uses: self.subscribers.take_unsent_prefix_uses(),
             quarantine: self.quarantine.report(now_ms),
+            leaving: self.leaving.unlisted(),
             ..Watch::default()
         };
         let status = self.replica.status();
         let (leader, term) = (status.leader, status.term);
         let members = status.members.instances;
+        // A replica that is not a member of the log knows no leader.
+        let usage_receiver = match (&leader, &self.followed) {
+            (None, Some((followed, _))) if self.is_following(now_ms) => Some(followed.clone()),
+            (leader, _) => leader.clone(),
+        };
         for info in self.replicas.due(&members, now_ms) {
             let (version, listing) = match &leader {
                 // A member takes the document from the log.
@@ -572,11 +587,11 @@
                 None if self.may_follow(now_ms, &info.id) => (self.version, self.listing.version()),
                 _ => (u64::MAX, LISTING_NOT_NEEDED),
             };
-            let usage = match &leader {
-                Some(leader) if *leader == info.id => {
+            let usage = match &usage_receiver {
+                Some(receiver) if *receiver == info.id => {
                     let sequence = self.sequence;
                     self.duties
-                        .unacknowledged_usage(now_ms, leader, term, sequence)
+                        .unacknowledged_usage(now_ms, receiver, term, sequence)
                 }
                 _ => Vec::new(),
             };
@@ -669,6 +684,7 @@
         let demand = std::mem::take(&mut watch.demand);
         self.duties
             .on_demand(now_ms, &id, watch.accepts_callers, demand);
+        self.note_leaving(now_ms, &watch, effects);
         let accepts_callers = watch.accepts_callers;
         let report = &watch.quarantine;
         let changed = self.quarantine.on_report(now_ms, report, accepts_callers);
@@ -698,6 +714,23 @@
         self.send_update(now_ms, &id, next_reply, effects);
     }
 
+    /// Records the upstreams that have announced their end to a subscriber. The leader marks them in the list of all
+    /// instances; other replicas pass them on to it.
+    fn note_leaving(&mut self, now_ms: u64, watch: &Watch, effects: &mut Vec<ControlEffect>) {
+        for upstream in &watch.leaving {
+            if self.leaving.insert(now_ms, *upstream) {
+                self.has_unmarked_upstreams |= self.replica.status().is_leader;
+                log(
+                    effects,
+                    format!(
+                        "upstream_key={:016x} draining=true source={}",
+                        upstream.upstream_key, watch.info.id
+                    ),
+                );
+            }
+        }
+    }
+
     /// Blocks the parts of prompts against which there is enough evidence.
     fn block_parts(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         for condemned in self.quarantine.decide(now_ms) {
@@ -735,6 +768,9 @@
             None if reply.is_current => self.follow(now_ms, from, &reply, effects),
             _ => {}
         }
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, self.version);
         for info in reply.replicas {
             self.replicas.on_named(info, now_ms);
         }
@@ -774,6 +810,7 @@
             self.listed_ms = Some(now_ms.saturating_sub(reply.listing_age_ms));
         }
         if self.listing.version() != previous {
+            self.leaving.on_listed(now_ms, self.listing.records());
             self.on_listing_changed(effects);
         }
     }
@@ -798,6 +835,9 @@
             is_current: self.is_current(now_ms),
             is_confirmed_by_log: self.hears_leader() && self.has_current_listing(now_ms),
             version: self.version,
+            document_age_ms: self
+                .confirmation
+                .age_ms(now_ms, self.replica.confirmed_ms()),
             document: &self.document,
             listing: &self.listing,
             listing_age_ms: self.listing_age_ms(now_ms),
@@ -836,23 +876,27 @@
         effects: &mut Vec<ControlEffect>,
     ) {
         self.listed_ms = Some(now_ms);
-        self.set_listing(upstreams, effects);
+        self.set_listing(now_ms, upstreams, effects);
     }
 
-    /// Marks the engines that are changing their roles by an order of this leader, so that entries send them nothing.
-    fn mark_changing_engines(&mut self, effects: &mut Vec<ControlEffect>) {
+    /// Marks the engines that are changing their roles by an order of this leader, and the upstreams that have announced
+    /// their end, so that entries send them nothing.
+    fn mark_upstreams(&mut self, now_ms: u64, effects: &mut Vec<ControlEffect>) {
         let records = self.listing.records().to_vec();
-        self.set_listing(records, effects);
+        self.set_listing(now_ms, records, effects);
     }
 
     fn set_listing(
         &mut self,
+        now_ms: u64,
         mut upstreams: Vec<UpstreamRecord>,
         effects: &mut Vec<ControlEffect>,
     ) {
         for upstream in &mut upstreams {
             upstream.is_changing = self.role_planner.is_changing(upstream);
+            upstream.draining |= self.leaving.contains(upstream);
         }
+        self.leaving.on_listed(now_ms, &upstreams);
         if self.listing.replace(upstreams) {
             self.on_listing_changed(effects);
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,8 +5,8 @@
 
 use conf::{Map, Name, Set};
 use fleet::{
-    InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, UpstreamLoad,
-    UpstreamRecord, Watch, WatchReply,
+    InstanceInfo, LimitReport, LimitShare, ListingUpdate, PeerMessage, PrefixUse, SpeedReport,
+    UpstreamLoad, UpstreamRecord, Watch, WatchReply,
 };
 
 use quarantine::{Admission, Suspects};
@@ -19,7 +19,10 @@
 };
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
-use crate::place::{self, Choice, PlacementContext};
+use crate::notices::{self, LeavingUpstreams, Notice, StatedPause};
+use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
+use crate::revocation::{Confirmation, KeyPolicy};
+use crate::speed::Expected;
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
 use crate::usage::{UsageCounter, UsageSettings};
@@ -32,8 +35,6 @@
 const MAX_BACKLOG_MS: f64 = 20.0;
 /// Minimum time that a caller needs to use an answer, in milliseconds.
 const CALLER_MARGIN_MS: u64 = 30;
-/// Time from the end of the prompt to the first event, in milliseconds.
-const FIRST_EVENT_MS: f64 = 40.0;
 /// Number added to the priority of a request that will miss its objective, so that the request delays no others.
 const LATE_PRIORITY_PENALTY: u8 = 5;
 /// Least urgent priority that engines accept.
@@ -60,6 +61,8 @@
 const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
 const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
+/// Divisor of the pause of upstreams, which gives the time over which the callers return that are told to wait for its end.
+const PAUSE_SPREAD_DIVISOR: u64 = 4;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -72,6 +75,8 @@
     pub contacts: Vec<InstanceInfo>,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
     /// Reports of usage, if the platform asks for them.
     pub usage: Option<UsageSettings>,
     /// Random number of the process.
@@ -107,6 +112,10 @@
     Closed { exchange: u64, is_complete: bool },
     /// The head of an upstream's answer states a limit on requests, or none.
     LimitStated { upstream: Name, stated: StatedLimit },
+    /// The head of an upstream's answer states how long work takes there, in percent of the usual duration.
+    SlownessStated { upstream: Name, percent: u16 },
+    /// The head of an upstream's answer announces its end or a pause.
+    NoticeStated { upstream: Name, notice: Notice },
     /// It has been checked whether an upstream has crashed.
     UpstreamChecked { upstream: Name, has_crashed: bool },
 }
@@ -171,6 +180,8 @@
     started_ms: Option<u64>,
     /// When the latest call was made.
     sent_ms: u64,
+    /// What the latest call is expected to take at the usual speed of its upstream.
+    expected: Option<Expected>,
     /// When the first event of the latest call's answer arrived.
     writing_since_ms: Option<u64>,
     /// Whether the request tries a part under which engines have crashed.
@@ -185,6 +196,9 @@
 pub struct Entry {
     settings: EntrySettings,
     subscription: Subscription,
+    /// When the configuration is known to have been the newest.
+    confirmation: Confirmation,
+    takes_keys: bool,
     config: Option<Arc<Config>>,
     /// Version of the list of upstreams, or [`NO_LISTING`].
     listing: u64,
@@ -198,6 +212,8 @@
     services: Map<Name, ServiceUpstreams>,
     /// Instance ids of the upstreams by the keys that stand for them in load messages.
     upstream_ids: Map<u64, Name>,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
     /// Upstreams to which other entries have sent load.
     loaded_by_others: Vec<Name>,
     exchanges: Map<u64, ExchangeState>,
@@ -228,6 +244,8 @@
         Self {
             subscription: Subscription::new(settings.info.clone(), contacts),
             settings,
+            confirmation: Confirmation::default(),
+            takes_keys: true,
             config: None,
             listing: NO_LISTING,
             has_listing: false,
@@ -236,6 +254,7 @@
             upstreams: Map::default(),
             services: Map::default(),
             upstream_ids: Map::default(),
+            leaving: LeavingUpstreams::default(),
             loaded_by_others: Vec::new(),
             exchanges: Map::default(),
             queues: Map::default(),
@@ -260,6 +279,33 @@
         self.config.is_some() && self.has_listing
     }
 
+    /// Returns whether new callers are to be sent to the entry, as far as the age of its configuration allows.
+    pub fn is_confirmed(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.is_ready(age_ms)
+    }
+
+    /// Returns whether requests with keys may be taken: a key may have been taken away without the entry's knowledge.
+    pub fn takes_keys(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.takes_keys(age_ms)
+    }
+
+    fn has_accounts(&self) -> bool {
+        let accounts = self.config.as_ref().map(|config| config.has_accounts());
+        accounts.unwrap_or_default()
+    }
+
+    fn log_key_changes(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let takes_keys = self.takes_keys(now_ms);
+        if std::mem::replace(&mut self.takes_keys, takes_keys) != takes_keys {
+            let age_ms = self.confirmation.age_ms(now_ms, None);
+            let age = age_ms.map_or_else(|| "unknown".to_owned(), |age_ms| age_ms.to_string());
+            let text = format!("takes_keys={takes_keys} document_age_ms={age}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
     /// Returns the version of the list of upstreams.
     pub fn listing(&self) -> u64 {
         self.listing
@@ -318,6 +364,14 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
+            EntryEvent::NoticeStated { upstream, notice } => {
+                self.on_notice(now_ms, &upstream, notice, effects);
+            }
+            EntryEvent::SlownessStated { upstream, percent } => {
+                if let Some(upstream) = self.upstreams.get_mut(&upstream) {
+                    upstream.speed.on_stated(now_ms, percent);
+                }
+            }
             EntryEvent::UpstreamChecked {
                 upstream,
                 has_crashed,
@@ -348,12 +402,16 @@
                 watch.demand = self
                     .demand
                     .rates(now_ms, &self.settings.info.availability_zone);
+                self.confirmation.on_sent(now_ms, watch.sequence);
                 if let Some(usage) = &mut self.usage {
                     watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
                 }
+                watch.speeds = self.speed_reports(now_ms);
+                watch.leaving = self.leaving.unlisted();
                 send_watch(to, watch, effects);
             }
         }
+        self.log_key_changes(now_ms, effects);
         if now_ms >= self.next_dispatch_ms {
             self.dispatch_all_queues(now_ms, effects);
         }
@@ -396,9 +454,13 @@
         if let Some(config) = config {
             self.apply_config(config, from, effects);
         }
+        let held_version = self.config.as_ref().map_or(0, |config| config.version());
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, held_version);
         let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
         if let Some(update) = reply.listing_update {
-            self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
+            self.apply_newer_listing(now_ms, reply.listing, update, read_ms, from, effects);
         } else if reply.listing == self.listing && !self.is_older_listing(from, read_ms) {
             self.listing_source = Some((from.clone(), read_ms));
         }
@@ -414,6 +476,7 @@
             self.set_others_loads(loads);
         }
         self.apply_limit_shares(now_ms, &reply.limit_shares);
+        self.apply_speeds(now_ms, &reply.speeds);
         for prefix_use in reply.prefix_uses {
             if let Some(id) = self.upstream_ids.get(&prefix_use.upstream_key)
                 && let Some(upstream) = self.upstreams.get_mut(id)
@@ -441,6 +504,23 @@
         reports
     }
 
+    /// Returns what this entry has observed of the speed of upstreams since the latest report.
+    fn speed_reports(&mut self, now_ms: u64) -> Vec<SpeedReport> {
+        let upstreams = self.upstreams.values_mut();
+        upstreams
+            .filter_map(|upstream| upstream.speed.take_report(now_ms, upstream.key))
+            .collect()
+    }
+
+    fn apply_speeds(&mut self, now_ms: u64, speeds: &[SpeedReport]) {
+        for report in speeds {
+            let id = self.upstream_ids.get(&report.upstream_key);
+            if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(id)) {
+                upstream.speed.on_report(now_ms, report);
+            }
+        }
+    }
+
     fn apply_limit_shares(&mut self, now_ms: u64, shares: &[LimitShare]) {
         for share in shares {
             let id = self.upstream_ids.get(&share.upstream_key);
@@ -515,6 +595,7 @@
     /// replica has sent a version that was read later.
     fn apply_newer_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         read_ms: u64,
@@ -527,7 +608,7 @@
             return;
         }
         self.listing_source = Some((from.clone(), read_ms));
-        self.apply_listing(version, update, from, effects);
+        self.apply_listing(now_ms, version, update, from, effects);
     }
 
     /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
@@ -539,6 +620,7 @@
     /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         from: &Name,
@@ -546,6 +628,7 @@
     ) {
         match update {
             ListingUpdate::Complete(list) => {
+                self.leaving.on_listed(now_ms, &list.records);
                 let listed: Set<&Name> = list.records.iter().map(|record| &record.id).collect();
                 self.upstreams.retain(|id, _| listed.contains(id));
                 for record in &list.records {
@@ -560,6 +643,7 @@
                 for id in removed {
                     self.upstreams.remove(&id);
                 }
+                self.leaving.on_listed(now_ms, &changed);
                 for record in changed {
                     self.update_upstream(record, from, effects);
                 }
@@ -592,7 +676,9 @@
         // The reason for a limit may outlast a restart. If it does not, the next answers say so.
         let limit = known.as_ref().and_then(|known| known.limit.clone());
         let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
+            let draining = record.draining || self.leaving.contains(&record);
             let mut upstream = Upstream::new(record);
+            upstream.record.draining = draining;
             upstream.limit = limit;
             self.upstreams.insert(id, upstream);
             return;
@@ -662,6 +748,7 @@
             excludes_prefill_engines: false,
             started_ms: None,
             sent_ms: now_ms,
+            expected: None,
             writing_since_ms: None,
             is_trial: false,
             is_counted: false,
@@ -811,6 +898,50 @@
         upstream.stated_limit = stated;
     }
 
+    fn on_notice(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        notice: Notice,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if notice.is_leaving {
+            let key = notices::key(id, upstream.record.born_ms);
+            upstream.record.draining = true;
+            if self.leaving.insert(now_ms, key) {
+                let text = format!("upstream={id} draining=true source=answer");
+                log(effects, Importance::StateChange, text);
+            }
+        }
+        let was_paused = now_ms < upstream.paused_until_ms;
+        let text = match notice.pause {
+            StatedPause::Absent => return,
+            StatedPause::Until(until_ms) => {
+                upstream.paused_until_ms = upstream.paused_until_ms.max(until_ms);
+                format!("pause_ms={}", until_ms.saturating_sub(now_ms))
+            }
+            StatedPause::Invalid => "pause=invalid outcome=ignored".to_owned(),
+        };
+        if !was_paused && now_ms >= upstream.limit_logged_ms + LIMIT_LOG_INTERVAL_MS {
+            upstream.limit_logged_ms = now_ms;
+            let text = format!("upstream={id} {text}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
+    /// Returns the wait that a caller is told if no upstream of a service can take its request, in milliseconds: until the
+    /// first pause ends that an upstream has asked for. Callers are spread over a part of that time.
+    fn pause_wait_ms(&self, now_ms: u64, exchange: u64) -> u64 {
+        let state = &self.exchanges[&exchange];
+        let upstreams = self.service_upstreams(&state.request.service);
+        let wait_ms = place::pause_wait_ms(now_ms, upstreams);
+        let spread_ms = wait_ms / PAUSE_SPREAD_DIVISOR;
+        wait_ms + state.request_hash % (spread_ms + 1)
+    }
+
     fn on_upstream_checked(
         &mut self,
         now_ms: u64,
@@ -857,7 +988,10 @@
             let upstreams = self.service_upstreams(&state.request.service);
             let (reason, wait_ms) = match place::limit_wait_ms(&context, upstreams) {
                 Some(wait_ms) => (RefusalReason::Limited, wait_ms as u64),
-                None => (RefusalReason::NoUpstream, 0),
+                None => (
+                    RefusalReason::NoUpstream,
+                    self.pause_wait_ms(now_ms, exchange),
+                ),
             };
             let reason = self.after_runs(exchange, reason);
             return self.refuse(now_ms, exchange, reason, wait_ms, effects);
@@ -876,7 +1010,9 @@
     fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let queued_ahead = self.queued_ahead(exchange);
         let Some(choice) = self.choose(now_ms, exchange, queued_ahead) else {
-            return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
+            let wait_ms = self.pause_wait_ms(now_ms, exchange);
+            let reason = RefusalReason::NoUpstream;
+            return self.refuse(now_ms, exchange, reason, wait_ms, effects);
         };
         let request = &self.exchanges[&exchange].request;
         let (service, rank) = (request.service.clone(), request.rank);
@@ -988,7 +1124,7 @@
     ) {
         let request = &self.exchanges[&exchange].request;
         let service = request.service.clone();
-        let queue_ms = self.queue_ms(&service, request.rank);
+        let queue_ms = self.queue_ms(now_ms, &service, request.rank);
         let expected_ms = choice.first_token_ms() + queue_ms + FIRST_EVENT_MS;
         if self.is_too_late(now_ms, request, expected_ms) {
             let reason = RefusalReason::TooLate;
@@ -1005,7 +1141,7 @@
 
     /// Returns the time to compute the queued requests of this and more urgent ranks in all entries of this zone, in
     /// milliseconds, assuming that each entry has queued as many as this one.
-    fn queue_ms(&self, service: &Name, rank: u8) -> f64 {
+    fn queue_ms(&self, now_ms: u64, service: &Name, rank: u8) -> f64 {
         let Some(queue) = self.queues.get(service) else {
             return 0.0;
         };
@@ -1021,7 +1157,7 @@
         };
         let tokens_per_ms: f64 = self
             .known_upstreams(&service.own_zone)
-            .map(place::prefill_tokens_per_ms)
+            .map(|upstream| place::prefill_tokens_per_ms(upstream, now_ms))
             .sum();
         let entries = f64::from(self.entry_count.max(1)) / service.zones.len().max(1) as f64;
         f64::from(tokens) * entries.max(1.0) / tokens_per_ms.max(place::PREFILL_TOKENS_PER_MS)
@@ -1059,7 +1195,11 @@
             }
             let rank = self.exchanges[&exchange].request.rank;
             match self.choose(now_ms, exchange, remaining.len()) {
-                None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
+                None => {
+                    let wait_ms = self.pause_wait_ms(now_ms, exchange);
+                    let reason = RefusalReason::NoUpstream;
+                    self.refuse(now_ms, exchange, reason, wait_ms, effects);
+                }
                 Some(choice) => {
                     let request = &self.exchanges[&exchange].request;
                     let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
@@ -1101,6 +1241,7 @@
             return;
         };
         let request = &state.request;
+        state.expected = Expected::of(target, &task, request.prompt.as_ref(), tokens);
         target.add_request(tokens);
         // The request of a reserved hand-off was counted when its prompt was sent.
         if state.reserved_decoder.take().as_ref() != Some(upstream)
@@ -1187,6 +1328,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&source) {
             upstream.remove_request(assigned_work);
             upstream.on_success(now_ms);
+            observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         state.task = None;
         if self.refuse_if_blocked(now_ms, exchange, effects) {
@@ -1265,6 +1407,7 @@
             && let Some(upstream) = self.upstreams.get_mut(&assigned_work.upstream)
         {
             upstream.remove_prompt_tokens(assigned_work);
+            observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         if is_late {
             let work = DemandedWork {
@@ -1456,6 +1599,7 @@
             upstream.remove_request(assigned_work);
             if is_complete {
                 upstream.on_success(now_ms);
+                observe_duration(now_ms, state.sent_ms, state.expected, upstream);
             }
         }
         if is_complete && let Some(prompt) = &state.request.prompt {
@@ -1658,6 +1802,22 @@
     keys.join(",")
 }
 
+/// Records how long an upstream took for a call.
+fn observe_duration(
+    now_ms: u64,
+    sent_ms: u64,
+    expected: Option<Expected>,
+    upstream: &mut Upstream,
+) {
+    if let Some(expected) = expected {
+        let duration_ms = now_ms.saturating_sub(sent_ms) as f64;
+        let Expected { work, usual_ms } = expected;
+        upstream
+            .speed
+            .on_measured(now_ms, work, duration_ms, usual_ms);
+    }
+}
+
 fn task_name(task: &Task) -> &'static str {
     match task {
         Task::Run => "run",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! and every event, and carries out the effects.
 #![forbid(unsafe_code)]
 
+pub mod accounts;
 pub mod budget;
 pub mod command;
 pub mod config;
@@ -18,9 +19,13 @@
 pub mod limits;
 pub mod listing;
 pub mod loads;
+pub mod notices;
 pub mod place;
 pub mod replicas;
+pub mod revocation;
 pub mod scaling;
+pub mod speed;
+pub mod speed_reports;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
@@ -30,9 +35,11 @@
 pub mod voters;
 pub mod wall_clock;
 
+pub use accounts::{Account, AccountKeys, Accounts, KeyCheck, KeyHasher};
 pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Scaling, Service};
 pub use duty::{DutyCall, DutyOutcome};
 pub use entry::{Entry, EntrySettings};
 pub use exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, UpstreamCall,
 };
+pub use revocation::KeyPolicy;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::exchange::StatedLimit;
 use crate::limits::RequestLimit;
 use crate::listing;
+use crate::speed::Speed;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
 const CIRCUIT_FAILURES: u32 = 2;
@@ -61,6 +62,10 @@
     pub stated_limit: StatedLimit,
     /// Limit on requests that holds.
     pub limit: Option<RequestLimit>,
+    /// Until when the upstream wants no requests of this entry, in milliseconds.
+    pub paused_until_ms: u64,
+    /// How fast the upstream works.
+    pub speed: Speed,
     /// When the limit was last logged.
     pub limit_logged_ms: u64,
     consecutive_failures: u32,
@@ -96,7 +101,9 @@
 
     /// Returns whether the upstream may get requests.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        !self.record.draining && !self.record.is_changing && now_ms >= self.circuit_open_until_ms
+        !self.record.draining
+            && !self.record.is_changing
+            && now_ms >= self.circuit_open_until_ms.max(self.paused_until_ms)
     }
 
     /// Returns whether the upstream is an engine that computes prompts for other engines.
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -12,6 +12,10 @@
     pub request_id: HeaderName,
     /// Time left for a request, in milliseconds.
     pub time_left_ms: HeaderName,
+    /// API key of the caller.
+    pub api_key: HeaderName,
+    /// Name of the client account that has the key.
+    pub account: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event_id: HeaderName,
     /// Signature that an upstream adds to its answers, which shows that an answer comes from an upstream.
@@ -28,12 +32,16 @@
     pub kv_source: HeaderName,
     /// Address of the engine from which the KV cache of the shared prefix is fetched first.
     pub fetch_from: HeaderName,
+    /// Load of the upstream, in its answers.
+    pub load: HeaderName,
     /// Requests per second that the upstream takes from all instances together, in its answers.
     pub request_limit: HeaderName,
     /// Instance id of the leader, in calls that only the leader makes.
     pub holder: HeaderName,
     /// Fencing token of the leader, in these calls.
     pub fencing_token: HeaderName,
+    /// Announces, in the answers of an upstream, that the upstream is about to end.
+    pub leaving: HeaderName,
     /// Headers that only this system may set. An entry removes them from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
@@ -109,6 +117,10 @@
     /// Decodes the properties of the prompt from the headers of a request.
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Decodes how long work takes at an upstream now, in percent of the usual duration, from the load that its answer
+    /// states.
+    fn slowness_percent(&self, load: &str) -> Option<u16>;
+
     /// Returns the value of the stage header that asks an engine to compute only the KV cache of the prompt.
     fn prefill_stage(&self) -> &'static str;
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -5053,6 +5053,35 @@
         pub fn has_demand(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_speeds(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::speed_report::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_speeds(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_leaving(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer_capnp::leaving_upstream::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -5062,7 +5091,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 7,
+                pointers: 9,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5416,6 +5445,78 @@
         pub fn has_demand(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_speeds(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::speed_report::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_speeds(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::speed_report::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(7),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_speeds(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::speed_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(7),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_speeds(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_leaving(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::leaving_upstream::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_leaving(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::leaving_upstream::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(8),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_leaving(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::leaving_upstream::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(8),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline {
@@ -5437,108 +5538,122 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 259] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(210, 16, 136, 104, 193, 56, 108, 180),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(50, 9, 81, 74, 178, 235, 64, 144),
@@ -5659,6 +5774,30 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 101, 101, 100, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(162, 201, 29, 100, 183, 43, 193, 147),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(83, 26, 11, 186, 245, 208, 156, 244),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5674,6 +5813,8 @@
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::usage_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::peer_capnp::service_rate::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::struct_list::Owned<crate::peer_capnp::speed_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::peer_capnp::leaving_upstream::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5692,14 +5833,15 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 11, 0, 9, 8, 4, 5, 6, 7, 1, 10, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 11, 0, 9, 13, 8, 4, 5, 6, 7, 1, 12, 10, 3];
         pub(crate) const TYPE_ID: u64 = 0xb46c_38c1_6888_10d2;
     }
 }
 
-pub mod usage_count {
+pub mod leaving_upstream {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -5794,7 +5936,7 @@
         }
     }
 
-    impl<'a> Reader<'a> {
+    impl Reader<'_> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -5803,28 +5945,13 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_source(self) -> u64 {
+        pub fn get_upstream_key(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_window(self) -> u64 {
+        pub fn get_born_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
-        #[inline]
-        pub fn get_account(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_account(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_count(self) -> u32 {
-            self.reader.get_data_field::<u32>(4)
-        }
     }
 
     pub struct Builder<'a> {
@@ -5833,8 +5960,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
-                pointers: 1,
+                data: 2,
+                pointers: 0,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -5917,56 +6044,21 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_source(self) -> u64 {
+        pub fn get_upstream_key(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_source(&mut self, value: u64) {
+        pub fn set_upstream_key(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_window(self) -> u64 {
+        pub fn get_born_ms(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_window(&mut self, value: u64) {
+        pub fn set_born_ms(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
-        #[inline]
-        pub fn get_account(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_account(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_account(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_account(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_count(self) -> u32 {
-            self.builder.get_data_field::<u32>(4)
-        }
-        #[inline]
-        pub fn set_count(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(4, value);
-        }
     }
 
     pub struct Pipeline {
@@ -5981,53 +6073,41 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(125, 142, 227, 204, 106, 91, 209, 166),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(83, 26, 11, 186, 245, 208, 156, 244),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 85, 115, 97, 103, 101),
-            ::capnp::word(67, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 101, 97, 118, 105),
+            ::capnp::word(110, 103, 85, 112, 115, 116, 114, 101),
+            ::capnp::word(97, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6035,7 +6115,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 105, 110, 100, 111, 119, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 77, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6043,29 +6123,11 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 99, 99, 111, 117, 110, 116, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6084,14 +6146,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xa6d1_5b6a_cce3_8e7d;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xf49c_d0f5_ba0b_1a53;
     }
 }
 
-pub mod service_rate {
+pub mod usage_count {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -6195,42 +6257,27 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        pub fn get_source(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_window(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_account(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
+                &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_availability_zone(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_requests_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(0)
-        }
-        #[inline]
-        pub fn get_prompt_tokens_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(1)
-        }
-        #[inline]
-        pub fn get_output_tokens_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(2)
+        pub fn has_account(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_late_requests_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(3)
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
         }
     }
 
@@ -6240,8 +6287,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
-                pointers: 2,
+                data: 3,
+                pointers: 1,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -6324,90 +6371,55 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        pub fn get_source(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_service(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-            .unwrap()
+        pub fn set_source(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_window(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_window(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_account(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
+                self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_availability_zone(
+        pub fn set_account(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
+                self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
             .unwrap()
         }
         #[inline]
-        pub fn init_availability_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_availability_zone(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_requests_per_s(self) -> f64 {
-            self.builder.get_data_field::<f64>(0)
-        }
-        #[inline]
-        pub fn set_requests_per_s(&mut self, value: f64) {
-            self.builder.set_data_field::<f64>(0, value);
-        }
-        #[inline]
-        pub fn get_prompt_tokens_per_s(self) -> f64 {
-            self.builder.get_data_field::<f64>(1)
-        }
-        #[inline]
-        pub fn set_prompt_tokens_per_s(&mut self, value: f64) {
-            self.builder.set_data_field::<f64>(1, value);
-        }
-        #[inline]
-        pub fn get_output_tokens_per_s(self) -> f64 {
-            self.builder.get_data_field::<f64>(2)
+        pub fn init_account(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn set_output_tokens_per_s(&mut self, value: f64) {
-            self.builder.set_data_field::<f64>(2, value);
+        pub fn has_account(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_late_requests_per_s(self) -> f64 {
-            self.builder.get_data_field::<f64>(3)
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_late_requests_per_s(&mut self, value: f64) {
-            self.builder.set_data_field::<f64>(3, value);
+        pub fn set_count(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(4, value);
         }
     }
 
@@ -6423,77 +6435,69 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(139, 159, 102, 96, 203, 24, 179, 247),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(125, 142, 227, 204, 106, 91, 209, 166),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
-            ::capnp::word(99, 101, 82, 97, 116, 101, 0, 0),
+            ::capnp::word(110, 112, 58, 85, 115, 97, 103, 101),
+            ::capnp::word(67, 111, 117, 110, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 118, 97, 105, 108, 97, 98, 105),
-            ::capnp::word(108, 105, 116, 121, 90, 111, 110, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 111, 117, 110, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6501,54 +6505,21 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
-            ::capnp::word(80, 101, 114, 83, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
-            ::capnp::word(107, 101, 110, 115, 80, 101, 114, 83),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 117, 116, 112, 117, 116, 84, 111),
-            ::capnp::word(107, 101, 110, 115, 80, 101, 114, 83),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 97, 116, 101, 82, 101, 113, 117),
-            ::capnp::word(101, 115, 116, 115, 80, 101, 114, 83),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6567,14 +6538,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 5, 4, 3, 2, 0];
-        pub(crate) const TYPE_ID: u64 = 0xf7b3_18cb_6066_9f8b;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xa6d1_5b6a_cce3_8e7d;
     }
 }
 
-pub mod limit_report {
+pub mod service_rate {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -6669,7 +6640,7 @@
         }
     }
 
-    impl Reader<'_> {
+    impl<'a> Reader<'a> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -6678,20 +6649,42 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_upstream_key(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn get_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(1)
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_has_ended(self) -> bool {
-            self.reader.get_bool_field(128)
+        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+        pub fn has_availability_zone(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_requests_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn get_prompt_tokens_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
+        }
+        #[inline]
+        pub fn get_output_tokens_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(2)
+        }
+        #[inline]
+        pub fn get_late_requests_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(3)
         }
     }
 
@@ -6702,7 +6695,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 0,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -6785,36 +6778,90 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_upstream_key(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_upstream_key(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
         }
         #[inline]
-        pub fn get_per_s(self) -> f64 {
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_availability_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_availability_zone(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_availability_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_availability_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_requests_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn set_requests_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(0, value);
+        }
+        #[inline]
+        pub fn get_prompt_tokens_per_s(self) -> f64 {
             self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn set_per_s(&mut self, value: f64) {
+        pub fn set_prompt_tokens_per_s(&mut self, value: f64) {
             self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn get_has_ended(self) -> bool {
-            self.builder.get_bool_field(128)
+        pub fn get_output_tokens_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(2)
         }
         #[inline]
-        pub fn set_has_ended(&mut self, value: bool) {
-            self.builder.set_bool_field(128, value);
+        pub fn set_output_tokens_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(2, value);
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+        pub fn get_late_requests_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(3)
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(3, value);
+        pub fn set_late_requests_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(3, value);
         }
     }
 
@@ -6830,62 +6877,86 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(244, 64, 13, 10, 54, 255, 190, 163),
+            ::capnp::word(139, 159, 102, 96, 203, 24, 179, 247),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
-            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
+            ::capnp::word(99, 101, 82, 97, 116, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
-            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 118, 97, 105, 108, 97, 98, 105),
+            ::capnp::word(108, 105, 116, 121, 90, 111, 110, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(80, 101, 114, 83, 0, 0, 0, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6893,30 +6964,45 @@
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
+            ::capnp::word(112, 114, 111, 109, 112, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 80, 101, 114, 83),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 117, 116, 112, 117, 116, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 80, 101, 114, 83),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 116, 101, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 115, 80, 101, 114, 83),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6935,14 +7021,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xa3be_ff36_0a0d_40f4;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 5, 4, 3, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xf7b3_18cb_6066_9f8b;
     }
 }
 
-pub mod limit_share {
+pub mod limit_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -7054,12 +7140,12 @@
             self.reader.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn get_share_per_s(self) -> f64 {
-            self.reader.get_data_field::<f64>(2)
+        pub fn get_has_ended(self) -> bool {
+            self.reader.get_bool_field(128)
         }
         #[inline]
-        pub fn get_has_ended(self) -> bool {
-            self.reader.get_bool_field(192)
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
     }
 
@@ -7169,20 +7255,20 @@
             self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn get_share_per_s(self) -> f64 {
-            self.builder.get_data_field::<f64>(2)
+        pub fn get_has_ended(self) -> bool {
+            self.builder.get_bool_field(128)
         }
         #[inline]
-        pub fn set_share_per_s(&mut self, value: f64) {
-            self.builder.set_data_field::<f64>(2, value);
+        pub fn set_has_ended(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
         }
         #[inline]
-        pub fn get_has_ended(self) -> bool {
-            self.builder.get_bool_field(192)
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_has_ended(&mut self, value: bool) {
-            self.builder.set_bool_field(192, value);
+        pub fn set_age_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
         }
     }
 
@@ -7198,14 +7284,14 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(137, 89, 211, 171, 220, 66, 249, 165),
+            ::capnp::word(244, 64, 13, 10, 54, 255, 190, 163),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
@@ -7213,7 +7299,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
-            ::capnp::word(83, 104, 97, 114, 101, 0, 0, 0),
+            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7230,20 +7316,20 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
             ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -7261,22 +7347,21 @@
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 104, 97, 114, 101, 80, 101, 114),
-            ::capnp::word(83, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -7284,8 +7369,8 @@
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7306,12 +7391,12 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 2, 0];
-        pub(crate) const TYPE_ID: u64 = 0xa5f9_42dc_abd3_5989;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xa3be_ff36_0a0d_40f4;
     }
 }
 
-pub mod quarantine_report {
+pub mod limit_share {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -7406,7 +7491,7 @@
         }
     }
 
-    impl<'a> Reader<'a> {
+    impl Reader<'_> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -7415,61 +7500,20 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_crashes(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::crash_report::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_sound(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::sound_report::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_sound(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_refused(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_refused(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_upstream_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn get_verdicts(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::verdict::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
+        pub fn get_share_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(2)
         }
         #[inline]
-        pub fn has_verdicts(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_has_ended(self) -> bool {
+            self.reader.get_bool_field(192)
         }
     }
 
@@ -7479,8 +7523,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 4,
+                data: 4,
+                pointers: 0,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -7563,148 +7607,36 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_crashes(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::peer_capnp::crash_report::Owned>,
-        > {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_crashes(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::crash_report::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_crashes(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::crash_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(0),
-                size,
-            )
-        }
-        #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_sound(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::peer_capnp::sound_report::Owned>,
-        > {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_sound(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::sound_report::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_sound(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::sound_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(1),
-                size,
-            )
-        }
-        #[inline]
-        pub fn has_sound(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_refused(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_refused(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(2),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_refused(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(2),
-                size,
-            )
+        pub fn get_upstream_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_refused(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_upstream_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn set_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn get_verdicts(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::verdict::Owned>>
-        {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
+        pub fn get_share_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(2)
         }
         #[inline]
-        pub fn set_verdicts(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::verdict::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(3),
-                value,
-                false,
-            )
+        pub fn set_share_per_s(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(2, value);
         }
         #[inline]
-        pub fn init_verdicts(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::verdict::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(3),
-                size,
-            )
+        pub fn get_has_ended(self) -> bool {
+            self.builder.get_bool_field(192)
         }
         #[inline]
-        pub fn has_verdicts(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_has_ended(&mut self, value: bool) {
+            self.builder.set_bool_field(192, value);
         }
     }
 
@@ -7720,125 +7652,94 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(5, 133, 130, 197, 70, 59, 102, 188),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(137, 89, 211, 171, 220, 66, 249, 165),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 81, 117, 97, 114, 97),
-            ::capnp::word(110, 116, 105, 110, 101, 82, 101, 112),
-            ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(83, 104, 97, 114, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 149, 231, 112, 237, 202, 13, 195),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 111, 117, 110, 100, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 223, 0, 142, 143, 7, 48, 141),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(75, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 80, 101, 114),
+            ::capnp::word(83, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 101, 114, 100, 105, 99, 116, 115),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 69, 110, 100, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 249, 184, 2, 152, 166, 228, 248),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::sound_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::verdict::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7857,14 +7758,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 4, 3];
-        pub(crate) const TYPE_ID: u64 = 0xbc66_3b46_c582_8505;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xa5f9_42dc_abd3_5989;
     }
 }
 
-pub mod crash_report {
+pub mod quarantine_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -7968,13 +7869,9 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_engine(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_parts(
+        pub fn get_crashes(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect_part::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::crash_report::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
@@ -7982,12 +7879,51 @@
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_crashes(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_sound(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::sound_report::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_sound(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_refused(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_verdicts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::verdict::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_verdicts(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
         }
     }
 
@@ -7997,8 +7933,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
-                pointers: 1,
+                data: 1,
+                pointers: 4,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -8081,18 +8017,10 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_engine(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_engine(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_parts(
+        pub fn get_crashes(
             self,
         ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect_part::Owned>,
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::crash_report::Owned>,
         > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
@@ -8100,9 +8028,9 @@
             )
         }
         #[inline]
-        pub fn set_parts(
+        pub fn set_crashes(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect_part::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::crash_report::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
@@ -8111,101 +8039,232 @@
             )
         }
         #[inline]
-        pub fn init_parts(
+        pub fn init_crashes(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect_part::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::crash_report::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(0),
                 size,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_crashes(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_sound(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::sound_report::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_sound(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::sound_report::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
         }
-    }
-
-    pub struct Pipeline {
-        _typeless: ::capnp::any_pointer::Pipeline,
-    }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self {
-                _typeless: typeless,
-            }
+        #[inline]
+        pub fn init_sound(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::sound_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
         }
-    }
-    impl Pipeline {}
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(132, 149, 231, 112, 237, 202, 13, 195),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
-            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
-            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+        #[inline]
+        pub fn has_sound(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_refused(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_refused(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_refused(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_verdicts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::verdict::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_verdicts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::verdict::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_verdicts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::verdict::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(3),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_verdicts(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(5, 133, 130, 197, 70, 59, 102, 188),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 81, 117, 97, 114, 97),
+            ::capnp::word(110, 116, 105, 110, 101, 82, 101, 112),
+            ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 149, 231, 112, 237, 202, 13, 195),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 117, 110, 100, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 217, 35, 22, 199, 21, 35, 146),
+            ::capnp::word(4, 223, 0, 142, 143, 7, 48, 141),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8213,12 +8272,27 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 100, 105, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 249, 184, 2, 152, 166, 228, 248),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::sound_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::verdict::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8237,14 +8311,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xc30d_caed_70e7_9584;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 4, 3];
+        pub(crate) const TYPE_ID: u64 = 0xbc66_3b46_c582_8505;
     }
 }
 
-pub mod suspect_part {
+pub mod crash_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -8339,7 +8413,7 @@
         }
     }
 
-    impl Reader<'_> {
+    impl<'a> Reader<'a> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -8348,12 +8422,26 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_key(self) -> u64 {
+        pub fn get_engine(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_depth(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect_part::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
@@ -8364,7 +8452,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 2,
-                pointers: 0,
+                pointers: 1,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -8447,23 +8535,59 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_key(self) -> u64 {
+        pub fn get_engine(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_key(&mut self, value: u64) {
+        pub fn set_engine(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_depth(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect_part::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_depth(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_parts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect_part::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
         }
-    }
-
+        #[inline]
+        pub fn init_parts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect_part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
     pub struct Pipeline {
         _typeless: ::capnp::any_pointer::Pipeline,
     }
@@ -8476,39 +8600,46 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(29, 217, 35, 22, 199, 21, 35, 146),
+            ::capnp::word(132, 149, 231, 112, 237, 202, 13, 195),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
-            ::capnp::word(99, 116, 80, 97, 114, 116, 0, 0),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8516,19 +8647,32 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 112, 116, 104, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 217, 35, 22, 199, 21, 35, 146),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect_part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8547,14 +8691,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-        pub(crate) const TYPE_ID: u64 = 0x9223_15c7_1623_d91d;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc30d_caed_70e7_9584;
     }
 }
 
-pub mod sound_report {
+pub mod suspect_part {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -8658,12 +8802,12 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_part(self) -> u64 {
+        pub fn get_key(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_depth(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
         }
     }
 
@@ -8757,20 +8901,20 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_part(self) -> u64 {
+        pub fn get_key(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_part(&mut self, value: u64) {
+        pub fn set_key(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_depth(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_depth(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
         }
     }
 
@@ -8788,7 +8932,7 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(4, 223, 0, 142, 143, 7, 48, 141),
+            ::capnp::word(29, 217, 35, 22, 199, 21, 35, 146),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 247, 108, 111, 169, 145, 32, 246),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
@@ -8800,25 +8944,25 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 111, 117, 110, 100),
-            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 80, 97, 114, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8826,19 +8970,19 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 112, 116, 104, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8860,11 +9004,11 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-        pub(crate) const TYPE_ID: u64 = 0x8d30_078f_8e00_df04;
+        pub(crate) const TYPE_ID: u64 = 0x9223_15c7_1623_d91d;
     }
 }
 
-pub mod verdict {
+pub mod sound_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -8972,28 +9116,8 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_is_blocked(self) -> bool {
-            self.reader.get_bool_field(128)
-        }
-        #[inline]
-        pub fn get_crashes(self) -> u32 {
-            self.reader.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn get_trials(self) -> u32 {
-            self.reader.get_data_field::<u32>(6)
-        }
-        #[inline]
         pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(4)
-        }
-        #[inline]
-        pub fn get_retry_in_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(5)
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
@@ -9003,7 +9127,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 6,
+                data: 2,
                 pointers: 0,
             };
     }
@@ -9095,52 +9219,12 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_revision(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_is_blocked(self) -> bool {
-            self.builder.get_bool_field(128)
-        }
-        #[inline]
-        pub fn set_is_blocked(&mut self, value: bool) {
-            self.builder.set_bool_field(128, value);
-        }
-        #[inline]
-        pub fn get_crashes(self) -> u32 {
-            self.builder.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn set_crashes(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(5, value);
-        }
-        #[inline]
-        pub fn get_trials(self) -> u32 {
-            self.builder.get_data_field::<u32>(6)
-        }
-        #[inline]
-        pub fn set_trials(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(6, value);
-        }
-        #[inline]
         pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(4)
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
         pub fn set_age_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(4, value);
-        }
-        #[inline]
-        pub fn get_retry_in_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(5)
-        }
-        #[inline]
-        pub fn set_retry_in_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(5, value);
+            self.builder.set_data_field::<u64>(1, value);
         }
     }
 
