Weigh cached prefixes against queues, if the settings ask for it

A shared prefix counted as held for 12 s after its use, whatever the engine's memory; prompts that share only their first parts got nothing, a transfer cost a fixed 160 ms and the preferred engine counted as holding a fifth.

With PREFIX_PLACEMENT=weighed, and where the document states the memory and the links of the engines, an entry estimates for each engine how much of the prompt it holds, and chooses by the expected time of the caller and of those behind it: queue, computing, transfer, evicted parts. Answers correct the estimate. The default, age, places as before.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -98,6 +98,8 @@
     pub slots: u32,
     /// Number of tokens whose KV cache fits into an engine's memory.
     pub kv_tokens: u64,
+    /// Tokens whose KV cache a link between engines transfers in a millisecond; 0 if the document does not state it.
+    pub transfer_tokens_per_ms: u32,
     /// Time for which an engine keeps a computed prompt under its handle, in milliseconds.
     pub handle_ttl_ms: u64,
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
+use crate::cost::PrefixCosts;
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
@@ -20,6 +21,7 @@
 use crate::listing::{self, NO_LISTING};
 use crate::notices::{self, LeavingUpstreams, Notice, StatedPause};
 use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
+use crate::prefix::{Expectation, Observation, PrefixPlacement, Prefixes};
 use crate::revocation::{Confirmation, KeyPolicy};
 use crate::speed::Expected;
 use crate::subscription::Subscription;
@@ -72,6 +74,8 @@
     pub contacts: Vec<InstanceInfo>,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How the choice of an engine takes cached prefixes into account.
+    pub prefix_placement: PrefixPlacement,
     /// How long keys work without a confirmation of the document.
     pub key_policy: KeyPolicy,
     /// Reports of usage, if the platform asks for them.
@@ -132,6 +136,14 @@
     FreeHandle { address: Name, handle: Name },
     /// Checks whether an upstream has crashed: whether it refuses connections.
     CheckUpstream { upstream: Name, address: Name },
+    /// Counts a prefill whose duration shows whether its shared prefix was held.
+    PrefixObserved {
+        /// Probability with which the prefix was believed held.
+        expected: f64,
+        is_held: bool,
+        /// Tokens of the prefix.
+        tokens: u32,
+    },
     /// Writes a log line.
     Log {
         importance: Importance,
@@ -183,6 +195,8 @@
     writing_since_ms: Option<u64>,
     /// Whether the request tries a part under which engines have crashed.
     is_trial: bool,
+    /// What the duration of the latest call shows about the engine's cache.
+    expectation: Option<Expectation>,
     /// Engine whose limit already counts the hand-off of this request.
     reserved_decoder: Option<Name>,
     task: Option<Task>,
@@ -219,6 +233,8 @@
     retry_budgets: Map<Name, RetryBudget>,
     /// Shared prefixes that this entry has sent to engines since the last message to the replica.
     prefix_uses: Vec<PrefixUse>,
+    /// Sizes and traffic of prompt parts.
+    prefixes: Prefixes,
     next_dispatch_ms: u64,
     /// When the process ends, if it is stopping.
     ends_ms: Option<u64>,
@@ -255,6 +271,7 @@
             queues: Map::default(),
             retry_budgets: Map::default(),
             prefix_uses: Vec::new(),
+            prefixes: Prefixes::default(),
             next_dispatch_ms: 0,
             ends_ms: None,
             stream_ms: 0.0,
@@ -473,6 +490,12 @@
                 && let Some(upstream) = self.upstreams.get_mut(id)
             {
                 upstream.on_reported_prefix(prefix_use.key, now_ms);
+                if self.settings.prefix_placement == PrefixPlacement::Weighed {
+                    let service = &upstream.record.service;
+                    let parts = &mut upstream.cached_parts;
+                    self.prefixes
+                        .on_reported(now_ms, service, prefix_use.key, parts);
+                }
             }
         }
         self.subscription.switch_to_preferred(now_ms);
@@ -742,6 +765,7 @@
             expected: None,
             writing_since_ms: None,
             is_trial: false,
+            expectation: None,
             is_counted: false,
             reserved_decoder: None,
             task: None,
@@ -978,6 +1002,7 @@
             expected_ms: None,
             fetch_from: None,
             shared_age_ms: None,
+            expectation: None,
         };
         self.send_request(now_ms, exchange, &upstream, plan, effects);
     }
@@ -1016,6 +1041,7 @@
         let prompt = state.request.prompt.as_ref()?;
         let context = PlacementContext {
             queued_ahead,
+            prefix_costs: self.prefix_costs(&state.request.service),
             ..self.placement_context(now_ms, state)
         };
         let service = self.services.get(&state.request.service)?;
@@ -1049,6 +1075,7 @@
             expected_ms: Some(choice.first_token_ms()),
             fetch_from: choice.fetch_from,
             shared_age_ms: choice.shared_age_ms,
+            expectation: choice.expectation,
         };
         self.send_request(now_ms, exchange, &choice.upstream, plan, effects);
         if let Some(decoder) = decoder {
@@ -1208,6 +1235,7 @@
             expected_ms,
             fetch_from,
             shared_age_ms,
+            expectation,
         } = plan;
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
@@ -1235,17 +1263,30 @@
             Task::Prefill => state.prefill_calls += 1,
             Task::Run | Task::Generate { .. } => state.run_calls += 1,
         }
-        // A prefix that an engine receives only to generate is soon evicted again, since that engine receives the
-        // prompts of many prefill engines.
+        // Without regard to the engine's memory, a prefix that an engine receives only to generate counts as evicted, since
+        // that engine receives the prompts of many prefill engines.
         let computes_prompt = !matches!(task, Task::Generate { .. });
+        let is_weighed = self.settings.prefix_placement == PrefixPlacement::Weighed;
         let shared_prefix = request.prompt.as_ref().and_then(Prompt::shared_prefix);
-        if let Some((key, tokens)) = shared_prefix.filter(|_| computes_prompt) {
+        if let Some((key, tokens)) = shared_prefix.filter(|_| computes_prompt || is_weighed) {
             let is_due = target.use_shared_prefix(key, now_ms);
             if is_due && tokens >= place::FETCH_MIN_TOKENS {
                 let upstream_key = target.key;
                 self.prefix_uses.push(PrefixUse { key, upstream_key });
             }
         }
+        if is_weighed && let Some(prompt) = &request.prompt {
+            let service = &request.service;
+            let parts = &mut target.cached_parts;
+            if computes_prompt {
+                let held_tokens = f64::from(prompt.tokens.saturating_sub(tokens));
+                self.prefixes
+                    .on_computed(now_ms, service, prompt, held_tokens, parts);
+            } else {
+                self.prefixes.on_handed_off(now_ms, service, prompt, parts);
+            }
+        }
+        state.expectation = expectation;
         let first_event_ms = now_ms + expected_ms.map_or(0, |ms| (ms + FIRST_EVENT_MS) as u64);
         let priority = expected_ms.map(|_| match first_event_ms > request.objective_ms {
             true => (request.rank + LATE_PRIORITY_PENALTY).min(LOWEST_PRIORITY),
@@ -1300,6 +1341,8 @@
             observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         state.task = None;
+        self.on_prompt_held(now_ms, exchange, &source);
+        self.observe_prefix(now_ms, exchange, effects);
         if self.refuse_if_blocked(now_ms, exchange, effects) {
             self.free_handle(&source, handle, effects);
         } else {
@@ -1308,6 +1351,56 @@
         self.dispatch_queue(now_ms, &service, effects);
     }
 
+    /// Records that an engine has computed or received a prompt.
+    fn on_prompt_held(&mut self, now_ms: u64, exchange: u64, upstream: &Name) {
+        let is_weighed = self.settings.prefix_placement == PrefixPlacement::Weighed;
+        let state = self.exchanges.get(&exchange).filter(|_| is_weighed);
+        let prompt = state.and_then(|state| state.request.prompt.as_ref());
+        let (Some(prompt), Some(target)) = (prompt, self.upstreams.get_mut(upstream)) else {
+            return;
+        };
+        target.cached_parts.on_computed(now_ms, prompt);
+    }
+
+    /// Compares the duration of a prefill with what the choice of its engine expected.
+    fn observe_prefix(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
+        let Some(state) = self.exchanges.get_mut(&exchange) else {
+            return;
+        };
+        let Some(expectation) = state.expectation.take() else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(state.sent_ms) as f64;
+        let service = &state.request.service;
+        let observation = self
+            .prefixes
+            .observe(now_ms, service, &expectation, elapsed_ms);
+        let text = match observation {
+            Observation::Unclear => return,
+            Observation::Held | Observation::Computed => format!(
+                "request={} prefix={} expected={:.2} prefill_ms={elapsed_ms:.0} shared={}",
+                state.request.id,
+                observation.name(),
+                expectation.held.probability,
+                state
+                    .request
+                    .prompt
+                    .as_ref()
+                    .map_or(0, Prompt::shared_tokens),
+            ),
+        };
+        effects.push(EntryEffect::PrefixObserved {
+            expected: expectation.held.probability,
+            is_held: observation == Observation::Held,
+            tokens: state
+                .request
+                .prompt
+                .as_ref()
+                .map_or(0, Prompt::shared_tokens),
+        });
+        log(effects, Importance::Step, text);
+    }
+
     fn free_handle(&self, source: &Name, handle: Name, effects: &mut Vec<EntryEffect>) {
         if let Some(source) = self.upstreams.get(source) {
             let address = source.record.address.clone();
@@ -1348,6 +1441,7 @@
                 expected_ms: Some(0.0),
                 fetch_from: None,
                 shared_age_ms: None,
+                expectation: None,
             };
             return self.send_request(now_ms, exchange, &decoder, plan, effects);
         }
@@ -1370,12 +1464,15 @@
         };
         state.started_ms.get_or_insert(now_ms);
         state.writing_since_ms = Some(now_ms);
+        state.expectation = None;
         let service = state.request.service.clone();
         if let Some(assigned_work) = &mut state.assigned_work
             && let Some(upstream) = self.upstreams.get_mut(&assigned_work.upstream)
         {
             upstream.remove_prompt_tokens(assigned_work);
             observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
+            let upstream = assigned_work.upstream.clone();
+            self.on_prompt_held(now_ms, exchange, &upstream);
         }
         self.dispatch_queue(now_ms, &service, effects);
     }
@@ -1407,6 +1504,9 @@
             state.failed_upstreams.push(assigned_work.upstream.clone());
             if let Some(target) = self.upstreams.get_mut(&assigned_work.upstream) {
                 target.remove_request(assigned_work);
+                if let Some(prompt) = &state.request.prompt {
+                    target.cached_parts.on_failed(state.sent_ms, prompt);
+                }
                 let is_engine = target.record.role.is_some();
                 is_circuit_open = match outcome {
                     // A rejection by a full upstream is no failure, but an engine with free slots rejects requests
@@ -1644,9 +1744,30 @@
             gap_ms: state.request.gap_ms,
             entries: self.entry_count,
             queued_ahead: 0,
+            prefix_costs: None,
         }
     }
 
+    /// Returns what cached prefixes are weighed by, if the settings ask for it and the document states what it needs.
+    fn prefix_costs<'a>(&'a self, service: &'a Name) -> Option<PrefixCosts<'a>> {
+        if self.settings.prefix_placement != PrefixPlacement::Weighed {
+            return None;
+        }
+        let engine = self.config.as_ref()?.service(service)?.engine.as_ref()?;
+        if engine.kv_tokens == 0 || engine.transfer_tokens_per_ms == 0 {
+            return None;
+        }
+        let zones = self.services.get(service)?.zones.len().max(1);
+        Some(PrefixCosts {
+            prefixes: &self.prefixes,
+            service,
+            kv_tokens: engine.kv_tokens,
+            transfer_tokens_per_ms: f64::from(engine.transfer_tokens_per_ms),
+            zone_entries: (f64::from(self.entry_count) / zones as f64).max(1.0),
+            queued: self.queues.get(service).map_or(0, Vec::len),
+        })
+    }
+
     fn service_upstreams(&self, service: &Name) -> impl Iterator<Item = &Upstream> {
         let service = self.services.get(service);
         let ids = |ids: fn(&ServiceUpstreams) -> &[Name]| service.map_or(&[][..], ids);
@@ -1682,6 +1803,8 @@
     fetch_from: Option<Name>,
     /// Time since the shared prefix was last used at the engine that is expected to have it cached, in milliseconds.
     shared_age_ms: Option<u64>,
+    /// What the duration of the call shows about the engine's cache.
+    expectation: Option<Expectation>,
 }
 
 /// KV cache of a computed prompt that no other engine has fetched yet.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,11 @@
         self.shared_parts().iter().map(|(key, _)| *key)
     }
 
+    /// Returns the number of tokens that other prompts may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_prefix().map_or(0, |(_, tokens)| tokens)
+    }
+
     /// Returns the key of the shared prefix and its number of tokens. The key is the hashed id of the last shared part;
     /// prompts with the same key share the prefix and are placed alike.
     pub fn shared_prefix(&self) -> Option<(u64, u32)> {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -4,7 +4,9 @@
 
 use conf::{Name, Role};
 
+use crate::cost::{PrefixCosts, PrefixWeigher};
 use crate::exchange::Prompt;
+use crate::prefix::Expectation;
 use crate::upstream::Upstream;
 
 /// Prompt tokens that an engine is assumed to compute in a millisecond; large engines reach 50 to 60.
@@ -32,7 +34,7 @@
 /// Tokens whose KV cache a link transfers in a millisecond: 160 KB each at 1.6 Tbit/s.
 const TRANSFER_TOKENS_PER_MS: f64 = 1_200.0;
 /// Factor on the duration of transfers between availability zones.
-const CROSS_ZONE_TRANSFER_FACTOR: f64 = 2.0;
+pub(crate) const CROSS_ZONE_TRANSFER_FACTOR: f64 = 2.0;
 /// Share of the tokens of a shared prefix that the prefix's affinity engine is expected to have cached although no
 /// entry has reported that: the report may be in transit.
 const AFFINITY_CACHED_SHARE: f64 = 0.2;
@@ -74,6 +76,8 @@
     pub wait_ms: f64,
     /// Expected time to fetch and compute the prompt, in milliseconds.
     pub work_ms: f64,
+    /// What the duration of the call shows about the upstream's cache; none if cached prefixes are not weighed.
+    pub expectation: Option<Expectation>,
     /// Whether the limit of the upstream allows the request now.
     pub is_within_limit: bool,
 }
@@ -107,6 +111,8 @@
     pub entries: u32,
     /// Number of requests in this entry that are sent before this one.
     pub queued_ahead: usize,
+    /// What cached prefixes are weighed by; none if they count as held for a fixed time.
+    pub prefix_costs: Option<PrefixCosts<'a>>,
 }
 
 impl PlacementContext<'_> {
@@ -121,7 +127,7 @@
     }
 
     /// Returns a pseudorandom number from 0 to 1, derived from the request and the upstream.
-    fn jitter(&self, upstream: &Upstream) -> f64 {
+    pub(crate) fn jitter(&self, upstream: &Upstream) -> f64 {
         let hasher = foldhash::fast::FixedState::default();
         let hash = hasher.hash_one((self.request_hash, upstream.key));
         hash as f64 / u64::MAX as f64
@@ -184,8 +190,8 @@
 /// Engines in other zones are considered only if every engine in this entry's zone costs more than the difference
 /// between zones, so that the time for a choice does not grow with the number of zones.
 pub fn choose_engine<'a>(
-    context: &PlacementContext<'_>,
-    prompt: &Prompt,
+    context: &'a PlacementContext<'a>,
+    prompt: &'a Prompt,
     rank: u8,
     own_zone: impl Iterator<Item = &'a Upstream>,
     other_zones: impl Iterator<Item = &'a Upstream> + Clone,
@@ -198,6 +204,9 @@
         0 => Vec::new(),
         _ => reserved_engines(&own_zone),
     };
+    let weigher = context
+        .prefix_costs
+        .map(|costs| PrefixWeigher::new(context, costs, prompt, &own_zone, other_zones.clone()));
     let chooser = EngineChooser {
         context,
         limit_queue_ms: limit_queue_ms(context, &own_zone),
@@ -206,9 +215,11 @@
         prompt,
         rank,
         reserved_ids,
-        affinity: affinity_engine(prompt, &own_zone),
+        affinity: affinity_engine(prompt, &own_zone).filter(|_| weigher.is_none()),
         fetch_source: fetch_source(context, prompt, own_zone.iter().copied())
-            .or_else(|| fetch_source(context, prompt, other_zones.clone())),
+            .or_else(|| fetch_source(context, prompt, other_zones.clone()))
+            .filter(|_| weigher.is_none()),
+        weigher,
     };
     let own_zone = chooser.choose(&own_zone);
     if let Some((cost_ms, choice)) = &own_zone
@@ -239,6 +250,20 @@
     affinity: Option<&'a Upstream>,
     /// Engine from which the shared prefix can be fetched.
     fetch_source: Option<&'a Upstream>,
+    /// Weighs cached prefixes, if that is asked for.
+    weigher: Option<PrefixWeigher<'a>>,
+}
+
+/// The work of an engine for a prompt.
+struct PromptWork<'a> {
+    /// Prompt tokens to compute.
+    tokens: u32,
+    source: Option<&'a Upstream>,
+    fetch_ms: f64,
+    /// Cost for others, in milliseconds.
+    others_ms: f64,
+    /// Engine that is expected to have the shared prefix cached.
+    holder: Option<&'a Upstream>,
 }
 
 impl EngineChooser<'_> {
@@ -262,13 +287,23 @@
             return None;
         }
         let (context, prompt) = (self.context, self.prompt);
-        let is_cached = is_cached(context, prompt, upstream);
-        let source = self.fetch_source.filter(|_| !is_cached);
-        let tokens = match (is_cached || source.is_some(), prompt.shared_prefix()) {
-            (true, Some((_, shared_tokens))) => prompt.tokens - shared_tokens,
-            _ => uncached_tokens(prompt, upstream, self.affinity),
-        };
         let tokens_per_ms = prefill_tokens_per_ms(upstream, context.now_ms);
+        let plan = self
+            .weigher
+            .as_ref()
+            .map(|weigher| (weigher, weigher.plan(upstream, tokens_per_ms)));
+        let work = match &plan {
+            Some((_, plan)) => PromptWork {
+                tokens: plan.tokens as u32,
+                source: plan.source,
+                fetch_ms: plan.fetch_ms,
+                others_ms: plan.others_ms,
+                holder: plan
+                    .source
+                    .or((plan.held.probability > 0.0).then_some(upstream)),
+            },
+            None => self.work_by_age(upstream),
+        };
         let is_own_zone = upstream.record.availability_zone.as_str() == context.zone;
         let may_leave = upstream.is_prefill() && self.may_hand_off_to_other_zones;
         let queue_ms = match is_own_zone && !may_leave {
@@ -278,8 +313,7 @@
         let limit_wait_ms = upstream.limit_wait_ms(context.now_ms, context.entries);
         let wait_ms = f64::from(upstream.tokens_ahead()) / tokens_per_ms;
         let wait_ms = wait_ms.max(limit_wait_ms + queue_ms);
-        let fetch_ms = source.map_or(0.0, |source| fetch_ms(prompt, upstream, source));
-        let work_ms = f64::from(tokens) / tokens_per_ms + fetch_ms;
+        let work_ms = f64::from(work.tokens) / tokens_per_ms + work.fetch_ms;
         let is_reserved = self.reserved_ids.contains(&&upstream.record.id);
         if is_reserved && (self.rank > 1 || work_ms > RESERVED_MAX_WORK_MS) {
             return None;
@@ -295,26 +329,54 @@
         let cost_ms = wait_ms
             + work_ms
             + extra_ms
-            + source.map_or(0.0, |_| FETCH_COST_MS)
+            + work.others_ms
             + context.zone_cost_ms(upstream)
-            + context.jitter(upstream) * JITTER_MS
+            + self.jitter(upstream) * JITTER_MS
             + upstream.failure_rate(context.now_ms) * FAILURE_COST_MS;
         let choice = Choice {
             upstream: upstream.record.id.clone(),
             is_prefill: upstream.is_prefill(),
-            tokens,
-            fetch_from: source.map(|source| source.record.address.clone()),
-            shared_age_ms: is_cached
-                .then_some(upstream)
-                .or(source)
+            tokens: work.tokens,
+            fetch_from: work.source.map(|source| source.record.address.clone()),
+            shared_age_ms: work
+                .holder
                 .zip(prompt.shared_prefix())
-                .map(|(engine, (key, _))| context.now_ms - engine.shared_prefix_used_ms(key)),
+                .and_then(|(engine, (key, _))| engine.shared_prefix_used_ms(key))
+                .map(|used_ms| context.now_ms.saturating_sub(used_ms)),
             wait_ms,
             work_ms,
+            expectation: plan
+                .as_ref()
+                .map(|(weigher, plan)| weigher.expectation(plan, wait_ms, tokens_per_ms)),
             is_within_limit: limit_wait_ms <= 0.0,
         };
         Some((cost_ms, choice))
     }
+
+    /// Returns an engine's work for the prompt if a shared prefix counts as cached for a fixed time after its use.
+    fn work_by_age<'a>(&'a self, upstream: &'a Upstream) -> PromptWork<'a> {
+        let (context, prompt) = (self.context, self.prompt);
+        let is_cached = is_cached(context, prompt, upstream);
+        let source = self.fetch_source.filter(|_| !is_cached);
+        let tokens = match (is_cached || source.is_some(), prompt.shared_prefix()) {
+            (true, Some((_, shared_tokens))) => prompt.tokens - shared_tokens,
+            _ => uncached_tokens(prompt, upstream, self.affinity),
+        };
+        PromptWork {
+            tokens,
+            source,
+            fetch_ms: source.map_or(0.0, |source| fetch_ms(prompt, upstream, source)),
+            others_ms: source.map_or(0.0, |_| FETCH_COST_MS),
+            holder: is_cached.then_some(upstream).or(source),
+        }
+    }
+
+    fn jitter(&self, upstream: &Upstream) -> f64 {
+        match &self.weigher {
+            Some(weigher) => weigher.spread(upstream),
+            None => self.context.jitter(upstream),
+        }
+    }
 }
 
 /// Returns whether the requests of all engines that generate are limited.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::exchange::StatedLimit;
 use crate::limits::RequestLimit;
 use crate::listing;
+use crate::prefix::CachedParts;
 use crate::speed::Speed;
 
 /// Consecutive failures after which the circuit of an upstream opens, so that it gets no requests for some time.
@@ -75,6 +76,8 @@
     circuit_open_until_ms: u64,
     /// Shared prefixes of the prompts that were sent to the upstream, by key.
     shared_prefixes: Map<u64, SharedPrefixUse>,
+    /// Parts of prompts that were sent to the upstream, if cached prefixes are weighed.
+    pub cached_parts: CachedParts,
 }
 
 /// Use of a shared prompt prefix at an engine.
@@ -184,11 +187,10 @@
         prefix_use.is_some_and(|prefix_use| now_ms - prefix_use.first_used_ms >= EXPORT_MIN_AGE_MS)
     }
 
-    /// Returns when a shared prefix was last used at the upstream, or 0.
-    pub fn shared_prefix_used_ms(&self, key: u64) -> u64 {
-        self.shared_prefixes
-            .get(&key)
-            .map_or(0, |prefix_use| prefix_use.last_used_ms)
+    /// Returns when a shared prefix was last used at the upstream.
+    pub fn shared_prefix_used_ms(&self, key: u64) -> Option<u64> {
+        let prefix_use = self.shared_prefixes.get(&key)?;
+        Some(prefix_use.last_used_ms)
     }
 
     /// Records a use of a shared prefix at the upstream by this entry. Returns whether the use is to be reported to the
--- a/crates/gateway/tests/place.rs
+++ b/crates/gateway/tests/place.rs
@@ -40,6 +40,7 @@
         gap_ms: 150,
         entries: 2,
         queued_ahead: 0,
+        prefix_costs: None,
     };
     let prompt = Prompt {
         parts: vec![(1, 13_000), (2, 4_000)],
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -490,6 +490,7 @@
                 }
                 EntryEffect::Directive { .. }
                 | EntryEffect::FreeHandle { .. }
+                | EntryEffect::PrefixObserved { .. }
                 | EntryEffect::Log { .. } => {}
             }
         }
--- a/crates/gateway/tests/speed.rs
+++ b/crates/gateway/tests/speed.rs
@@ -33,6 +33,7 @@
         gap_ms: 200,
         entries: 2,
         queued_ahead: 0,
+        prefix_costs: None,
     };
     let prompt = Prompt {
         parts: vec![(1, tokens)],
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -135,6 +135,11 @@
                     });
                 });
             }
+            EntryEffect::PrefixObserved {
+                expected,
+                is_held,
+                tokens,
+            } => telemetry::count_prefix(expected, is_held, tokens),
             EntryEffect::Log { importance, text } => logs::write(importance, "entry", &text),
         }
     }
@@ -190,6 +195,7 @@
             info: settings.info.clone(),
             contacts: settings.contacts.clone(),
             retry_budget: settings.retry_budget.clone(),
+            prefix_placement: settings.prefix_placement,
             key_policy: settings.key_policy,
             usage: settings.duties.usage.clone(),
             // The keys of the hasher come from the operating system's random number generator.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -7,6 +7,7 @@
 use gateway::KeyPolicy;
 use gateway::budget::RetryBudgetSettings;
 use gateway::duties::DutySettings;
+use gateway::prefix::PrefixPlacement;
 
 use crate::memory;
 
@@ -66,6 +67,8 @@
     pub key_policy: KeyPolicy,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How the choice of an engine takes cached prefixes into account.
+    pub prefix_placement: PrefixPlacement,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
     pub grace_ms: u64,
     /// Memory for the bodies of requests and answers together, in bytes.
@@ -99,6 +102,7 @@
             list_address: Name::default(),
             key_policy: KeyPolicy::default(),
             retry_budget: RetryBudgetSettings::default(),
+            prefix_placement: PrefixPlacement::default(),
             grace_ms: 8_000,
             body_memory_bytes: memory::DEFAULT_BYTES,
             peer_secret: Vec::new(),
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -23,6 +23,18 @@
     }
 }
 
+/// Counts a prefill whose duration shows whether its shared prefix was held: how many were expected to be held, how many
+/// were, and the tokens that did not have to be computed.
+pub fn count_prefix(expected: f64, is_held: bool, tokens: u32) {
+    metrics::counter!("mustardstack_prefixes_observed_total").increment(1);
+    let per_thousand = (expected * 1_000.0) as u64;
+    metrics::counter!("mustardstack_prefixes_expected_per_mille_total").increment(per_thousand);
+    if is_held {
+        metrics::counter!("mustardstack_prefixes_held_total").increment(1);
+        metrics::counter!("mustardstack_prefix_tokens_saved_total").increment(u64::from(tokens));
+    }
+}
+
 async fn serve_metrics(address: &Name) -> Result<(), Error> {
     let telemetry = Telemetry::install()?;
     let socket = listen("metrics", address).await?;
