--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,9 @@
 pub mod loads;
 pub mod place;
 pub mod replicas;
+pub mod revocation;
+pub mod speed;
+pub mod speed_reports;
 pub mod stages;
 pub mod subscribers;
 pub mod subscription;
@@ -36,3 +39,4 @@
 pub use exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, UpstreamCall,
 };
+pub use revocation::KeyPolicy;
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -9,16 +9,16 @@
 use gateway::entry::EntryEvent;
 use gateway::{
     Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
-    StatedLimit, UpstreamCall,
+    UpstreamCall,
 };
-use http::header::HOST;
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 use crate::answer::{self, AnswerBody};
 use crate::body::{self, BodyError};
-use crate::call::{CallAnswer, ForwardedRequest, forwarded_headers};
+use crate::call::{CallAnswer, ForwardedRequest, Stated, forwarded_headers};
 use crate::entry::EntryRuntime;
 use crate::logs::{self, Importance};
 use crate::memory::BodyMemory;
@@ -26,6 +26,9 @@
 
 /// Wait that a caller is told before it retries while the instance has no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
+/// Wait that a caller is told before it retries while the instance cannot tell which keys work, in milliseconds. The
+/// load balancer has turned to other instances by then, and one of them can take the retry at once.
+const UNCONFIRMED_RETRY_AFTER_MS: u64 = 100;
 /// Wait that a caller is told before it retries while other bodies hold the memory, in milliseconds.
 const NO_MEMORY_RETRY_AFTER_MS: u64 = 300;
 /// Timeout of receiving the body of a request.
@@ -71,11 +74,17 @@
             .step(EntryEvent::Prefilled { exchange, handle });
     }
 
-    /// Reports the limit that the answer to a call states.
-    pub fn observe_limit(&self, call: &UpstreamCall, stated: StatedLimit) {
+    /// Reports what the head of the answer to a call states.
+    pub fn observe(&self, call: &UpstreamCall, stated: Stated) {
         let upstream = call.upstream.clone();
-        self.runtime
-            .step(EntryEvent::LimitStated { upstream, stated });
+        self.runtime.step(EntryEvent::LimitStated {
+            upstream: upstream.clone(),
+            stated: stated.limit,
+        });
+        if let Some(percent) = stated.slowness_percent {
+            self.runtime
+                .step(EntryEvent::SlownessStated { upstream, percent });
+        }
     }
 
     /// Reports that the answer has been forwarded in full.
@@ -125,6 +134,21 @@
             "no route has this host and path",
         );
     };
+    if config.has_accounts() && !route.is_public && !runtime.takes_keys() {
+        log_refusal(
+            request.headers(),
+            &runtime,
+            RefusalReason::Unconfirmed.name(),
+        );
+        let mut response = answer::refusal(Refusal {
+            reason: RefusalReason::Unconfirmed,
+            retry_after_ms: UNCONFIRMED_RETRY_AFTER_MS,
+        });
+        // The caller's next request goes to another instance.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        return response;
+    }
     let api_key = &runtime.client.dialect.header_names().api_key;
     let api_keys = request.headers().get_all(api_key).iter();
     let account = match config.check_key(route, api_keys.map(HeaderValue::as_bytes)) {
@@ -263,9 +287,9 @@
     loop {
         match exchange.next().await {
             Some(Directive::Call(call)) => {
-                let observe_limit = |stated| exchange.observe_limit(&call, stated);
+                let observe = |stated| exchange.observe(&call, stated);
                 let client = &exchange.runtime.client;
-                match client.call(&call, &forwarded, None, &observe_limit).await {
+                match client.call(&call, &forwarded, None, &observe).await {
                     Ok(CallAnswer::Prefilled(handle)) => exchange.prefilled(handle),
                     Ok(CallAnswer::Complete(response)) => {
                         exchange.finish();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,6 +4,7 @@
 
 use conf::Name;
 use fleet::InstanceInfo;
+use gateway::KeyPolicy;
 use gateway::budget::RetryBudgetSettings;
 use gateway::duties::DutySettings;
 
@@ -61,6 +62,8 @@
     pub duties: DutySettings,
     /// Address of the platform's list of upstreams, and of the calls of the leader.
     pub list_address: Name,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
@@ -94,6 +97,7 @@
             order_lease_ms: 3_000,
             duties: DutySettings::default(),
             list_address: Name::default(),
+            key_policy: KeyPolicy::default(),
             retry_budget: RetryBudgetSettings::default(),
             grace_ms: 8_000,
             body_memory_bytes: memory::DEFAULT_BYTES,
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, UpstreamList, UpstreamLoad,
-    UpstreamRecord, UsageCount, Watch, WatchReply,
+    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport, UpstreamList,
+    UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
 };
 
 use crate::compression;
@@ -17,6 +17,9 @@
 use crate::peer_capnp::watch_reply::listing_update::Which;
 use crate::quarantine;
 
+/// Age that stands for an unknown one.
+const UNKNOWN_AGE_MS: u64 = u64::MAX;
+
 pub fn write_watch(watch: &Watch, mut builder: schema::watch::Builder<'_>) {
     write_instance_info(&watch.info, builder.reborrow().init_info());
     builder.set_sequence(watch.sequence);
@@ -56,11 +59,41 @@
         }
     }
     if !watch.demand.is_empty() {
-        let mut list = builder.init_demand(watch.demand.len() as u32);
+        let mut list = builder.reborrow().init_demand(watch.demand.len() as u32);
         for (index, rate) in (0..).zip(&watch.demand) {
             write_rate(rate, list.reborrow().get(index));
         }
     }
+    if !watch.speeds.is_empty() {
+        write_speeds(
+            &watch.speeds,
+            builder.init_speeds(watch.speeds.len() as u32),
+        );
+    }
+}
+
+fn write_speeds(
+    speeds: &[SpeedReport],
+    mut list: capnp::struct_list::Builder<'_, schema::speed_report::Owned>,
+) {
+    for (index, report) in (0..).zip(speeds) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_upstream_key(report.upstream_key);
+        builder.set_stated_percent(report.stated_percent);
+        builder.set_age_ms(report.age_ms);
+        builder.set_prompt_percent(report.prompt_percent);
+        builder.set_output_percent(report.output_percent);
+    }
+}
+
+fn read_speed(reader: schema::speed_report::Reader<'_>) -> SpeedReport {
+    SpeedReport {
+        upstream_key: reader.get_upstream_key(),
+        stated_percent: reader.get_stated_percent(),
+        age_ms: reader.get_age_ms(),
+        prompt_percent: reader.get_prompt_percent(),
+        output_percent: reader.get_output_percent(),
+    }
 }
 
 fn write_rate(rate: &ServiceRate, mut builder: schema::service_rate::Builder<'_>) {
@@ -126,6 +159,7 @@
             .iter()
             .map(read_rate)
             .collect::<Result<_, _>>()?,
+        speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
     })
 }
 
@@ -136,6 +170,7 @@
     builder.set_sequence(reply.sequence);
     builder.set_is_current(reply.is_current);
     builder.set_version(reply.version);
+    builder.set_document_age_ms(reply.document_age_ms.unwrap_or(UNKNOWN_AGE_MS));
     builder.set_listing(reply.listing);
     builder.set_listing_age_ms(reply.listing_age_ms);
     builder.set_entries(reply.entries);
@@ -164,7 +199,9 @@
     );
     quarantine::write_update(&reply.quarantine, builder.reborrow().init_quarantine());
     if !reply.limit_shares.is_empty() {
-        let mut list = builder.init_limit_shares(reply.limit_shares.len() as u32);
+        let mut list = builder
+            .reborrow()
+            .init_limit_shares(reply.limit_shares.len() as u32);
         for (index, share) in (0..).zip(&reply.limit_shares) {
             let mut builder = list.reborrow().get(index);
             builder.set_upstream_key(share.upstream_key);
@@ -173,6 +210,12 @@
             builder.set_share_per_s(share.share_per_s);
         }
     }
+    if !reply.speeds.is_empty() {
+        write_speeds(
+            &reply.speeds,
+            builder.init_speeds(reply.speeds.len() as u32),
+        );
+    }
     Ok(())
 }
 
@@ -191,6 +234,8 @@
         sequence: reader.get_sequence(),
         is_current: reader.get_is_current(),
         version: reader.get_version(),
+        document_age_ms: Some(reader.get_document_age_ms())
+            .filter(|age_ms| *age_ms != UNKNOWN_AGE_MS),
         document,
         listing: reader.get_listing(),
         listing_age_ms: reader.get_listing_age_ms(),
@@ -218,6 +263,7 @@
                 share_per_s: share.get_share_per_s(),
             })
             .collect(),
+        speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
     })
 }
 
