Take reports of usage in the soak test

The platform's stand-in takes reports, refuses some (429, 500), and checks that a window is never reported with other counts and that no two instances use a fencing token. The lease in the soak's settings is 0.5 s in place of 3 s, so that reports fall into a run; nothing else there depends on it.

--- a/crates/mustardstack/tests/soak_support/http.rs
+++ b/crates/mustardstack/tests/soak_support/http.rs
@@ -11,6 +11,8 @@
 pub struct Message {
     /// Status of a response, or 0 for a request.
     pub status: u16,
+    /// Path of a request, or the status of a response as text.
+    pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
@@ -91,6 +93,7 @@
         .to_owned();
     let mut message = Message {
         status: second_word.parse().unwrap_or(0),
+        path: second_word,
         headers: Vec::new(),
         body: Vec::new(),
     };
--- a/crates/mustardstack/tests/soak_support/mod.rs
+++ b/crates/mustardstack/tests/soak_support/mod.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use system::System;
 
 /// Length of a run in seconds if `SOAK_SECONDS` is not set, as in CI.
@@ -53,6 +54,8 @@
     pub unknown: u64,
     pub published: u64,
     pub faults: u64,
+    /// Reports of usage, with repetitions.
+    pub reports: u64,
     pub violations: Vec<String>,
 }
 
@@ -67,10 +70,37 @@
     acknowledged: Vec<(Instant, u64)>,
     /// Ids of the requests that were refused as not run.
     refused: Vec<String>,
+    /// Counts that were first reported for each window.
+    reports: HashMap<u64, Value>,
+    /// Holder of each fencing token.
+    holders: HashMap<String, String>,
     outcome: Outcome,
 }
 
 impl Records {
+    /// Records a report of usage and returns the status of the answer. Some answers are refusals, whether the report
+    /// counts or not.
+    pub fn on_report(&mut self, holder: &str, token: &str, report: &Value) -> u16 {
+        self.outcome.reports += 1;
+        let known = self.holders.entry(token.to_owned());
+        let known = known.or_insert_with(|| holder.to_owned());
+        if known != holder || token.is_empty() || holder.is_empty() {
+            let text = format!("token {token:?} of {known:?} came from {holder:?}");
+            self.outcome.violations.push(text);
+        }
+        let (window, counts) = (report["Window"].as_u64(), &report["Counts"]);
+        let known = self.reports.entry(window.unwrap_or_default());
+        if window.is_none() || !counts.is_object() || known.or_insert(counts.clone()) != counts {
+            let text = format!("another report of the same window: {report}");
+            self.outcome.violations.push(text);
+        }
+        match self.outcome.reports % 5 {
+            3 => 429,
+            4 => 500,
+            _ => 200,
+        }
+    }
+
     /// Records that a worker runs a request, of which it has been told an account and perhaps a key.
     pub fn on_run(&mut self, id: &str, account: Option<&str>, key: Option<&str>) {
         *self.runs.entry(id.to_owned()).or_insert(0) += 1;
--- a/crates/mustardstack/tests/soak_support/system.rs
+++ b/crates/mustardstack/tests/soak_support/system.rs
@@ -76,7 +76,7 @@
             relays.push(Relay::start(&relay, &worker));
         }
         let list_address = format!("{network}.40:{LIST_PORT}");
-        serve_list(&list_address, &network);
+        serve_platform(&list_address, &network, records.clone());
         let ips = (0..CONTROL_COUNT + ENTRY_COUNT).map(|index| format!("{network}.{}", 10 + index));
         let instances = ips
             .enumerate()
@@ -274,9 +274,10 @@
         "Bootstrap": is_first_start,
         "DataDir": is_control.then(|| folder.join(format!("data-{index}"))),
         "FaultTolerance": { "Machines": 1 },
-        "Bounds": { "GraceS": 8, "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50, "LeaseMs": 3000,
+        "Bounds": { "GraceS": 8, "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50, "LeaseMs": 500,
+            "WindowS": 0.5, "UsageLateS": 1,
             "StrictRevoke": true, "RevokeMs": REVOKE.as_millis() as u64 },
-        "Cloud": { "Address": format!("{network}.40:{LIST_PORT}") },
+        "Cloud": { "Address": format!("{network}.40:{LIST_PORT}"), "Duties": ["usage"], "DutyPerS": 10 },
     });
     let path = folder.join(format!("settings-{index}-{is_first_start}.yaml"));
     std::fs::write(&path, settings.to_string()).expect("the settings can be written");
@@ -299,8 +300,8 @@
     })
 }
 
-/// Serves a stand-in of the platform's list, which lists every worker with the address of its relay.
-fn serve_list(address: &str, network: &str) {
+/// Serves a stand-in of the platform, which lists every worker with the address of its relay, and takes reports of usage.
+fn serve_platform(address: &str, network: &str, records: SharedRecords) {
     let workers: Vec<_> = (0..WORKER_COUNT)
         .map(|worker| {
             json!({
@@ -311,7 +312,14 @@
         })
         .collect();
     let list = json!({ "Instances": workers, "Next": null }).to_string();
-    http::serve(address, move |_| {
+    http::serve(address, move |request| {
+        if request.path == "/usage" {
+            let header = |name| request.header(name).unwrap_or_default();
+            let (holder, token) = (header("Lease-Holder"), header("Fencing-Token"));
+            let report = serde_json::from_slice(&request.body).unwrap_or_default();
+            let status = lock(&records).on_report(holder, token, &report);
+            return (status, Vec::new(), b"{}".to_vec());
+        }
         (200, Vec::new(), list.clone().into_bytes())
     });
 }
