--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,11 +13,13 @@
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
+use crate::demand::{DemandMeter, DemandedWork};
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
+use crate::notices::{self, LeavingUpstreams, Notice, StatedPause};
 use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
 use crate::revocation::{Confirmation, KeyPolicy};
 use crate::speed::Expected;
@@ -53,10 +55,14 @@
 const MAX_CALLS: u32 = 5;
 /// Weight of the latest stream in the moving average of the duration of streams.
 const STREAM_TIME_WEIGHT: f64 = 0.05;
+/// Time in which engines generate a token of a stream, in milliseconds.
+const GENERATION_MS: f64 = 10.0;
 /// Multiple of the average duration for which a stream may last that a stopping process still begins.
 const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
 const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
+/// Divisor of the pause of upstreams, which gives the time over which the callers return that are told to wait for its end.
+const PAUSE_SPREAD_DIVISOR: u64 = 4;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -108,6 +114,8 @@
     LimitStated { upstream: Name, stated: StatedLimit },
     /// The head of an upstream's answer states how long work takes there, in percent of the usual duration.
     SlownessStated { upstream: Name, percent: u16 },
+    /// The head of an upstream's answer announces its end or a pause.
+    NoticeStated { upstream: Name, notice: Notice },
     /// It has been checked whether an upstream has crashed.
     UpstreamChecked { upstream: Name, has_crashed: bool },
 }
@@ -204,6 +212,8 @@
     services: Map<Name, ServiceUpstreams>,
     /// Instance ids of the upstreams by the keys that stand for them in load messages.
     upstream_ids: Map<u64, Name>,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
     /// Upstreams to which other entries have sent load.
     loaded_by_others: Vec<Name>,
     exchanges: Map<u64, ExchangeState>,
@@ -221,6 +231,8 @@
     suspects: Suspects,
     /// Requests that upstreams have begun to run; none if the platform asks for no reports.
     usage: Option<UsageCounter>,
+    /// Work that callers ask of services whose upstreams are ordered by demand.
+    demand: DemandMeter,
 }
 
 impl Entry {
@@ -242,6 +254,7 @@
             upstreams: Map::default(),
             services: Map::default(),
             upstream_ids: Map::default(),
+            leaving: LeavingUpstreams::default(),
             loaded_by_others: Vec::new(),
             exchanges: Map::default(),
             queues: Map::default(),
@@ -252,6 +265,7 @@
             stream_ms: 0.0,
             suspects: Suspects::default(),
             usage,
+            demand: DemandMeter::default(),
         }
     }
 
@@ -350,6 +364,9 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
+            EntryEvent::NoticeStated { upstream, notice } => {
+                self.on_notice(now_ms, &upstream, notice, effects);
+            }
             EntryEvent::SlownessStated { upstream, percent } => {
                 if let Some(upstream) = self.upstreams.get_mut(&upstream) {
                     upstream.speed.on_stated(now_ms, percent);
@@ -382,11 +399,15 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                watch.demand = self
+                    .demand
+                    .rates(now_ms, &self.settings.info.availability_zone);
                 self.confirmation.on_sent(now_ms, watch.sequence);
                 if let Some(usage) = &mut self.usage {
                     watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
                 }
                 watch.speeds = self.speed_reports(now_ms);
+                watch.leaving = self.leaving.unlisted();
                 send_watch(to, watch, effects);
             }
         }
@@ -439,7 +460,7 @@
             .on_reply(reply.sequence, reply.version, age_ms, held_version);
         let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
         if let Some(update) = reply.listing_update {
-            self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
+            self.apply_newer_listing(now_ms, reply.listing, update, read_ms, from, effects);
         } else if reply.listing == self.listing && !self.is_older_listing(from, read_ms) {
             self.listing_source = Some((from.clone(), read_ms));
         }
@@ -574,6 +595,7 @@
     /// replica has sent a version that was read later.
     fn apply_newer_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         read_ms: u64,
@@ -586,7 +608,7 @@
             return;
         }
         self.listing_source = Some((from.clone(), read_ms));
-        self.apply_listing(version, update, from, effects);
+        self.apply_listing(now_ms, version, update, from, effects);
     }
 
     /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
@@ -598,6 +620,7 @@
     /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         from: &Name,
@@ -605,6 +628,7 @@
     ) {
         match update {
             ListingUpdate::Complete(list) => {
+                self.leaving.on_listed(now_ms, &list.records);
                 let listed: Set<&Name> = list.records.iter().map(|record| &record.id).collect();
                 self.upstreams.retain(|id, _| listed.contains(id));
                 for record in &list.records {
@@ -619,6 +643,7 @@
                 for id in removed {
                     self.upstreams.remove(&id);
                 }
+                self.leaving.on_listed(now_ms, &changed);
                 for record in changed {
                     self.update_upstream(record, from, effects);
                 }
@@ -651,7 +676,9 @@
         // The reason for a limit may outlast a restart. If it does not, the next answers say so.
         let limit = known.as_ref().and_then(|known| known.limit.clone());
         let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
+            let draining = record.draining || self.leaving.contains(&record);
             let mut upstream = Upstream::new(record);
+            upstream.record.draining = draining;
             upstream.limit = limit;
             self.upstreams.insert(id, upstream);
             return;
@@ -728,12 +755,28 @@
             reserved_decoder: None,
             task: None,
         };
+        let work = DemandedWork {
+            requests: 1,
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &state.request.service, work);
         self.exchanges.insert(exchange, state);
         if !self.refuse_if_blocked(now_ms, exchange, effects) {
             self.place(now_ms, exchange, effects);
         }
     }
 
+    /// Counts work for a service whose upstreams are ordered by demand.
+    fn count_demand(&mut self, now_ms: u64, service: &Name, work: DemandedWork) {
+        let config = self.config.as_ref();
+        let is_scaled = config
+            .and_then(|config| config.service(service))
+            .is_some_and(|service| service.scaling.is_some());
+        if is_scaled {
+            self.demand.add(now_ms, service, work);
+        }
+    }
+
     /// Refuses a request if a part of its prompt is blocked. Returns whether the request was refused.
     fn refuse_if_blocked(
         &mut self,
@@ -855,6 +898,50 @@
         upstream.stated_limit = stated;
     }
 
+    fn on_notice(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        notice: Notice,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if notice.is_leaving {
+            let key = notices::key(id, upstream.record.born_ms);
+            upstream.record.draining = true;
+            if self.leaving.insert(now_ms, key) {
+                let text = format!("upstream={id} draining=true source=answer");
+                log(effects, Importance::StateChange, text);
+            }
+        }
+        let was_paused = now_ms < upstream.paused_until_ms;
+        let text = match notice.pause {
+            StatedPause::Absent => return,
+            StatedPause::Until(until_ms) => {
+                upstream.paused_until_ms = upstream.paused_until_ms.max(until_ms);
+                format!("pause_ms={}", until_ms.saturating_sub(now_ms))
+            }
+            StatedPause::Invalid => "pause=invalid outcome=ignored".to_owned(),
+        };
+        if !was_paused && now_ms >= upstream.limit_logged_ms + LIMIT_LOG_INTERVAL_MS {
+            upstream.limit_logged_ms = now_ms;
+            let text = format!("upstream={id} {text}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
+    /// Returns the wait that a caller is told if no upstream of a service can take its request, in milliseconds: until the
+    /// first pause ends that an upstream has asked for. Callers are spread over a part of that time.
+    fn pause_wait_ms(&self, now_ms: u64, exchange: u64) -> u64 {
+        let state = &self.exchanges[&exchange];
+        let upstreams = self.service_upstreams(&state.request.service);
+        let wait_ms = place::pause_wait_ms(now_ms, upstreams);
+        let spread_ms = wait_ms / PAUSE_SPREAD_DIVISOR;
+        wait_ms + state.request_hash % (spread_ms + 1)
+    }
+
     fn on_upstream_checked(
         &mut self,
         now_ms: u64,
@@ -901,7 +988,10 @@
             let upstreams = self.service_upstreams(&state.request.service);
             let (reason, wait_ms) = match place::limit_wait_ms(&context, upstreams) {
                 Some(wait_ms) => (RefusalReason::Limited, wait_ms as u64),
-                None => (RefusalReason::NoUpstream, 0),
+                None => (
+                    RefusalReason::NoUpstream,
+                    self.pause_wait_ms(now_ms, exchange),
+                ),
             };
             let reason = self.after_runs(exchange, reason);
             return self.refuse(now_ms, exchange, reason, wait_ms, effects);
@@ -920,7 +1010,9 @@
     fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let queued_ahead = self.queued_ahead(exchange);
         let Some(choice) = self.choose(now_ms, exchange, queued_ahead) else {
-            return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
+            let wait_ms = self.pause_wait_ms(now_ms, exchange);
+            let reason = RefusalReason::NoUpstream;
+            return self.refuse(now_ms, exchange, reason, wait_ms, effects);
         };
         let request = &self.exchanges[&exchange].request;
         let (service, rank) = (request.service.clone(), request.rank);
@@ -1103,7 +1195,11 @@
             }
             let rank = self.exchanges[&exchange].request.rank;
             match self.choose(now_ms, exchange, remaining.len()) {
-                None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
+                None => {
+                    let wait_ms = self.pause_wait_ms(now_ms, exchange);
+                    let reason = RefusalReason::NoUpstream;
+                    self.refuse(now_ms, exchange, reason, wait_ms, effects);
+                }
                 Some(choice) => {
                     let request = &self.exchanges[&exchange].request;
                     let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
@@ -1203,9 +1299,15 @@
             request.deadline_ms.saturating_sub(now_ms),
             state.calls,
         );
+        let service = request.service.clone();
         state.task = Some(task);
         log(effects, Importance::Step, text);
         direct(effects, exchange, Directive::Call(call));
+        let work = DemandedWork {
+            prompt_tokens: tokens,
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &service, work);
     }
 
     fn on_prefilled(
@@ -1297,6 +1399,7 @@
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
+        let is_late = state.started_ms.is_none() && now_ms > state.request.objective_ms;
         state.started_ms.get_or_insert(now_ms);
         state.writing_since_ms = Some(now_ms);
         let service = state.request.service.clone();
@@ -1306,6 +1409,13 @@
             upstream.remove_prompt_tokens(assigned_work);
             observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
+        if is_late {
+            let work = DemandedWork {
+                late_requests: 1,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &service, work);
+        }
         self.dispatch_queue(now_ms, &service, effects);
     }
 
@@ -1501,6 +1611,12 @@
         if is_complete && matches!(state.request.kind, RequestKind::Stream { .. }) {
             let stream_ms = (now_ms - started_ms) as f64;
             self.stream_ms += (stream_ms - self.stream_ms) * STREAM_TIME_WEIGHT;
+            // Callers state only the largest number of tokens, which is many times the usual one.
+            let work = DemandedWork {
+                output_tokens: (stream_ms / GENERATION_MS).ceil() as u32,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &state.request.service, work);
         }
         let in_objective = started_ms <= state.request.objective_ms;
         let (importance, outcome) = match is_complete {
@@ -1553,6 +1669,18 @@
             self.subscription.age_ms(now_ms),
         );
         log(effects, Importance::Failure, text);
+        if matches!(reason, RefusalReason::NoUpstream | RefusalReason::TooLate) {
+            let prompt = request.prompt.as_ref().filter(|_| state.calls == 0);
+            let shared = prompt.and_then(Prompt::shared_prefix);
+            let work = DemandedWork {
+                late_requests: 1,
+                prompt_tokens: prompt.map_or(0, |prompt| {
+                    prompt.tokens - shared.map_or(0, |(_, tokens)| tokens)
+                }),
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &request.service, work);
+        }
         let refusal = Refusal {
             reason,
             retry_after_ms,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod command;
 pub mod config;
 pub mod control;
+pub mod demand;
 pub mod duties;
 pub mod duty;
 pub mod entry;
@@ -18,9 +19,11 @@
 pub mod limits;
 pub mod listing;
 pub mod loads;
+pub mod notices;
 pub mod place;
 pub mod replicas;
 pub mod revocation;
+pub mod scaling;
 pub mod speed;
 pub mod speed_reports;
 pub mod stages;
@@ -33,7 +36,7 @@
 pub mod wall_clock;
 
 pub use accounts::{Account, AccountKeys, Accounts, KeyCheck, KeyHasher};
-pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Service};
+pub use config::{Config, ConfigError, EngineTraits, Limits, RequestKind, Route, Scaling, Service};
 pub use duty::{DutyCall, DutyOutcome};
 pub use entry::{Entry, EntrySettings};
 pub use exchange::{
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -125,6 +125,10 @@
         usage: list(g, usage_count),
         demand: list(g, service_rate),
         speeds: list(g, speed_report),
+        leaving: list(g, |g| fleet::LeavingUpstream {
+            upstream_key: number(g),
+            born_ms: number(g),
+        }),
     }
 }
 
@@ -288,6 +292,7 @@
                 .unwrap()
         }),
         is_changing: flag(g),
+        is_reclaimable: flag(g),
     }
 }
 
