--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -38,6 +38,7 @@
         name: "plain".into(),
         max_connections: 100,
         engine: None,
+        scaling: None,
     };
     let config = Config::new(1, vec![route], vec![service], Limits::default());
     let config = config.expect("the configuration is valid");
