--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -491,6 +491,7 @@
                 }
                 EntryEffect::Directive { .. }
                 | EntryEffect::FreeHandle { .. }
+                | EntryEffect::PrefixObserved { .. }
                 | EntryEffect::Log { .. } => {}
             }
         }
