--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,6 +19,7 @@
 use crate::notices::LeavingUpstreams;
 use crate::replicas::KnownReplicas;
 use crate::revocation::Confirmation;
+use crate::scaling::UpstreamCount;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
 use crate::voters::{self, Candidates, VoterChange};
@@ -376,6 +377,11 @@
         self.replica.has_left()
     }
 
+    /// Returns the numbers of upstreams that this replica plans and sees as the leader.
+    pub fn upstream_counts(&self) -> Vec<UpstreamCount> {
+        self.duties.upstream_counts()
+    }
+
     /// Returns the version of the list of upstreams on this replica.
     pub fn listing(&self) -> u64 {
         self.listing.version()
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -20,9 +20,9 @@
 const DECODE_TOKENS_PER_S: f64 = 6_400.0;
 /// Share of the time in which engines are to be busy at the peak of the demand. Urgent prompts wait behind long ones, so
 /// that much higher shares make them late.
-const TARGET_UTILIZATION: f64 = 0.65;
+const TARGET_UTILIZATION: f64 = 0.5;
 /// The same share with reclaimable upstreams, which cost little.
-const RECLAIMABLE_UTILIZATION: f64 = 0.5;
+const RECLAIMABLE_UTILIZATION: f64 = 0.4;
 /// Share of the time in which engines may be busy on average after the loss of an availability zone.
 const LOSS_UTILIZATION: f64 = 0.85;
 /// Share of the planned total that the platform may not reclaim. These upstreams carry the mean demand until others have
--- a/crates/gateway/tests/scaling.rs
+++ b/crates/gateway/tests/scaling.rs
@@ -307,10 +307,10 @@
     let mut world = World::new(usual_scaling(), 12);
     world.has_reclaimable = false;
     world.run(45_000, steady(USUAL));
-    // Seven engines of each zone are busy, and may be so for 65% of their time.
+    // Seven engines of each zone are busy, and may be so for half of their time.
     for zone in ZONES {
         assert!(
-            world.count(zone, false) >= 11,
+            world.count(zone, false) >= 13,
             "{zone} {}",
             world.count(zone, false)
         );
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -207,6 +207,31 @@
         }
     }
 
+    fn record_upstream_counts(&self) {
+        let control = self.control.borrow();
+        for count in control.iter().flat_map(Control::upstream_counts) {
+            let kind = match count.is_reclaimable {
+                true => "reclaimable",
+                false => "permanent",
+            };
+            let states = [
+                ("ordered", count.ordered),
+                ("present", count.present),
+                ("draining", count.draining),
+            ];
+            for (state, number) in states {
+                metrics::gauge!(
+                    "mustardstack_upstreams",
+                    "service" => count.service.to_string(),
+                    "zone" => count.availability_zone.to_string(),
+                    "kind" => kind,
+                    "state" => state
+                )
+                .set(f64::from(number));
+            }
+        }
+    }
+
     fn send_duty(&self, term: u64, call: DutyCall, valid_until_ms: u64) {
         let Some(runtime) = self.weak_self.borrow().upgrade() else {
             return;
@@ -230,6 +255,7 @@
                 term,
                 outcome,
             });
+            runtime.record_upstream_counts();
         });
     }
 
