Use idle connections to upstreams wherever that is safe

Cause: new connections are the largest price where they are dear. A request that must not run twice used a connection idle for 1.5 s at most, also where the upstream states a longer idle time, and closed the older ones that it found; prefill calls, which may be repeated, counted as such requests.

Change: within the stated idle time less 1 s, any request uses the connection; prefill calls use any idle one; one that is not fresh enough stays for others.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -149,9 +149,11 @@
             Some(head_deadline_ms) => self.clock.instant(head_deadline_ms).min(deadline),
             None => deadline,
         };
+        // A prefill call may be repeated.
+        let must_be_fresh = forwarded.is_at_most_once && call.task != Task::Prefill;
         let connection = self
             .pool
-            .connection(&call.address, forwarded.is_at_most_once, head_deadline)
+            .connection(&call.address, must_be_fresh, head_deadline)
             .await
             .map_err(|reason| CallFailure::new(Outcome::Unreachable, reason))?;
         let request = self.build_request(call, forwarded, last_event_id);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -21,13 +21,17 @@
 /// Timeout of opening a connection. The kernel sends a lost SYN packet again after one second, so that the
 /// timeout allows for one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Longest time for which an idle connection is kept, also if the upstream states no time.
+/// Longest time for which an idle connection is kept if the upstream states no time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest time for which an idle connection is kept.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Subtracted from the idle time that an upstream states, for the transit time of the next request.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// Longest idle time of a connection for a request that must not run twice. The upstream may close a connection that is
-/// idle for longer while the request is on its way.
+/// Longest idle time of a connection for a request that must not run twice, if the upstream states no time. It may close
+/// a connection that is idle for longer while the request is on its way.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(1_500);
+/// Subtracted from the idle time that an upstream states, for requests that must not run twice.
+const FRESH_MARGIN: Duration = Duration::from_millis(1_000);
 /// Maximum number of idle connections to each upstream.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 /// Time after which a connection with unacknowledged bytes counts as dead.
@@ -53,7 +57,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    idle_since: Instant,
+    /// Until when requests that must not run twice may use the connection.
+    fresh_until: Instant,
     expiry: Instant,
 }
 
@@ -82,8 +87,8 @@
         }
     }
 
-    /// Returns an idle connection to `address`, or opens one. With `must_be_fresh`, a connection that has been idle for
-    /// longer than `MAX_FRESH_IDLE` is not used.
+    /// Returns an idle connection to `address`, or opens one. With `must_be_fresh`, a connection is not used that the
+    /// upstream may close while a request is on its way.
     ///
     /// # Errors
     /// Returns the reason if no connection can be opened before `deadline`. Nothing has been sent in this case.
@@ -138,7 +143,10 @@
         connection.is_reused = true;
         let now = Instant::now();
         let idle_timeout = keep_alive.map_or(IDLE_TIMEOUT, |stated| {
-            stated.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT)
+            stated.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
+        });
+        let fresh = keep_alive.map_or(MAX_FRESH_IDLE, |stated| {
+            stated.saturating_sub(FRESH_MARGIN).min(MAX_IDLE_TIMEOUT)
         });
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.clone()).or_default();
@@ -146,7 +154,7 @@
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection {
                 connection,
-                idle_since: now,
+                fresh_until: now + fresh,
                 expiry: now + idle_timeout,
             });
         }
@@ -166,16 +174,13 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        while let Some(candidate) = connections.pop() {
-            let is_stale = candidate.expiry <= now || candidate.connection.sender.is_closed();
+        connections.retain(|idle| idle.expiry > now && !idle.connection.sender.is_closed());
+        let index = connections.iter().rposition(|idle| {
             // A connection that is still processing its last answer cannot send a request yet.
-            let is_ready = candidate.connection.sender.is_ready();
-            let is_fresh = now - candidate.idle_since <= MAX_FRESH_IDLE;
-            if !is_stale && is_ready && (is_fresh || !must_be_fresh) {
-                return Some(candidate.connection);
-            }
-        }
-        None
+            let is_ready = idle.connection.sender.is_ready();
+            is_ready && (idle.fresh_until > now || !must_be_fresh)
+        })?;
+        Some(connections.remove(index).connection)
     }
 }
 
