Count measured speeds of engines that state none, and let all entries know them

Cause: engines that only compute prompts state no slowness, so that their speeds did not count; reports without a stated figure had the largest age and were not passed on; and calls behind unknown work made all engines look alike.

Change: speeds count for a whole service once one of its upstreams states the figure. A call is measured only with little work ahead and without a prefix that may be cached; the factor follows the fast calls, half-life 15 s. Decode engines are chosen by running requests times their factor, and a fast one's own prefill counts as usual. The log of a sent request states the factors.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -291,7 +291,11 @@
             }
             EntryEvent::SlownessStated { upstream, percent } => {
                 if let Some(upstream) = self.upstreams.get_mut(&upstream) {
+                    let was_in_use = upstream.speed.is_in_use();
                     upstream.speed.on_stated(now_ms, percent);
+                    if !was_in_use {
+                        self.put_speeds_in_use();
+                    }
                 }
             }
             EntryEvent::UpstreamChecked {
@@ -396,10 +400,32 @@
     }
 
     fn apply_speeds(&mut self, now_ms: u64, speeds: &[SpeedReport]) {
+        let mut is_changed = false;
         for report in speeds {
             let id = self.upstream_ids.get(&report.upstream_key);
             if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(id)) {
+                let was_in_use = upstream.speed.is_in_use();
                 upstream.speed.on_report(now_ms, report);
+                is_changed |= upstream.speed.is_in_use() != was_in_use;
+            }
+        }
+        if is_changed {
+            self.put_speeds_in_use();
+        }
+    }
+
+    /// Makes the speeds count of all upstreams of the services of which one upstream states its slowness.
+    fn put_speeds_in_use(&mut self) {
+        let in_use = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.speed.is_in_use());
+        let services: Set<Name> = in_use
+            .map(|upstream| upstream.record.service.clone())
+            .collect();
+        for upstream in self.upstreams.values_mut() {
+            if services.contains(&upstream.record.service) {
+                upstream.speed.put_in_use();
             }
         }
     }
@@ -529,6 +555,7 @@
             }
         }
         self.index_upstreams();
+        self.put_speeds_in_use();
         let hashes = self.upstreams.values().map(|upstream| upstream.record_hash);
         self.listing = match listing::version(hashes) == version {
             true => version,
@@ -1094,7 +1121,7 @@
         };
         let text = format!(
             "request={} decision=send upstream={upstream} task={} rank={} tokens={tokens} shared={} shared_age_ms={} running={} \
-             expected_ms={:.0} fetch_from={} left_ms={} send={}",
+             expected_ms={:.0} slowness={:.2}/{:.2} stated={:.2} fetch_from={} left_ms={} send={}",
             request.id,
             task_name(&task),
             request.rank,
@@ -1102,6 +1129,9 @@
             shared_age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string()),
             target.total_running(),
             expected_ms.unwrap_or(0.0),
+            target.speed.prompt_factor(now_ms),
+            target.speed.output_factor(now_ms),
+            target.speed.stated_factor(now_ms),
             fetch_from.as_deref().unwrap_or("none"),
             request.deadline_ms.saturating_sub(now_ms),
             state.calls,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -393,9 +393,7 @@
 ) -> Option<&'a Upstream> {
     let load = |upstream: &Upstream| {
         let slots = f64::from(upstream.record.slots);
-        let slow_factor = upstream.speed.output_factor(context.now_ms) - 1.0;
-        f64::from(upstream.total_running())
-            + slow_factor * slots
+        f64::from(upstream.total_running()) * upstream.speed.output_factor(context.now_ms)
             + upstream.failure_rate(context.now_ms) * slots
             + context.jitter(upstream) * JITTER_REQUESTS
     };
@@ -432,7 +430,13 @@
 
 /// Returns the prompt tokens that an engine computes in a millisecond.
 pub fn prefill_tokens_per_ms(upstream: &Upstream, now_ms: u64) -> f64 {
-    usual_prefill_tokens_per_ms(upstream) / upstream.speed.prompt_factor(now_ms)
+    let factor = upstream.speed.prompt_factor(now_ms);
+    let factor = match upstream.record.role {
+        // The streams there pause for each prompt, also at a fast engine.
+        Some(Role::Decode) => factor.max(1.0),
+        _ => factor,
+    };
+    usual_prefill_tokens_per_ms(upstream) / factor
 }
 
 /// Returns the prompt tokens that an engine computes in a millisecond at the usual speed.
@@ -450,7 +454,7 @@
 
 /// Returns by how much the first event of an engine is later than at the usual speed, in milliseconds.
 fn slow_output_ms(upstream: &Upstream, context: &PlacementContext<'_>) -> f64 {
-    FIRST_EVENT_MS * (upstream.speed.output_factor(context.now_ms) - 1.0)
+    FIRST_EVENT_MS * (upstream.speed.output_factor(context.now_ms) - 1.0).max(0.0)
 }
 
 fn is_cached(context: &PlacementContext<'_>, prompt: &Prompt, upstream: &Upstream) -> bool {
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -12,23 +12,29 @@
 /// second.
 const STATED_HALF_LIFE_MS: f64 = 300.0;
 /// Half-life of the average of stated slownesses without a new one, in milliseconds.
-const STATED_AVERAGE_HALF_LIFE_MS: f64 = 2_000.0;
+const STATED_AVERAGE_HALF_LIFE_MS: f64 = 5_000.0;
 /// Weight of the latest stated slowness in the average, as logarithms.
 const STATED_AVERAGE_WEIGHT: f64 = 0.15;
 /// Half-life of a measured factor without a new measurement, in milliseconds. A slow upstream that gets no work counts
 /// as usual again after a few half-lives, and the work that it then gets shows whether it has recovered.
-const MEASURED_HALF_LIFE_MS: f64 = 4_000.0;
-/// Weight of the latest measurement in the measured factor, as logarithms.
-const MEASURED_WEIGHT: f64 = 0.2;
+const MEASURED_HALF_LIFE_MS: f64 = 15_000.0;
+/// Weight of a measurement above the measured factor, as logarithms. It is lower than the weight of one below, since a
+/// call also takes longer if other entries have sent work that this one does not know of.
+const SLOWER_WEIGHT: f64 = 0.06;
+/// Weight of a measurement below the measured factor, as logarithms.
+const FASTER_WEIGHT: f64 = 0.3;
 /// Largest difference of a measurement from the measured factor that counts, as logarithms: one outlier changes the
-/// factor by a fifth at most.
-const MAX_DIFFERENCE: f64 = 1.0;
+/// factor by a fifth.
+const MAX_DIFFERENCE: f64 = 1.2;
 /// Smallest and largest factor.
 const FACTOR_RANGE: (f64, f64) = (0.3, 8.0);
 /// Smallest and largest slowness that an upstream may state, in percent.
 const STATED_RANGE: (u16, u16) = (10, 5_000);
 /// Prompt tokens from which the duration of a call shows the speed of an engine.
 const MIN_MEASURED_TOKENS: u32 = 400;
+/// Part of a call's prompt tokens up to which tokens that are computed before them leave its duration telling: an entry
+/// learns late of what others have sent, and of what is done.
+const MAX_AHEAD_DIVISOR: u32 = 4;
 /// Duration of a call besides the work, in milliseconds: the network, a new connection and the engine's setup.
 const CALL_MS: f64 = 4.0;
 /// Age from which a stated slowness says nothing, in milliseconds.
@@ -48,9 +54,15 @@
         self.log * 0.5_f64.powf(age_ms as f64 / half_life_ms)
     }
 
-    fn add(&mut self, now_ms: u64, value: f64, weight: f64, half_life_ms: f64) {
+    /// Adds a value with one weight above the estimate and another one below.
+    fn add(&mut self, now_ms: u64, value: f64, weights: (f64, f64), half_life_ms: f64) {
         let log = self.log(now_ms, half_life_ms);
         let difference = (value.max(1e-3).ln() - log).clamp(-MAX_DIFFERENCE, MAX_DIFFERENCE);
+        let weight = if difference > 0.0 {
+            weights.0
+        } else {
+            weights.1
+        };
         self.log = log + weight * difference;
         self.updated_ms = self.updated_ms.max(now_ms);
     }
@@ -77,8 +89,8 @@
 
 impl Expected {
     /// Returns what a call takes, where `tokens` of the prompt are computed, or none if the duration would say little
-    /// about the speed: because most of the work belongs to other requests, or because it depends on whether a shared
-    /// prefix is cached.
+    /// about the speed: because most of the work belongs to other requests, or because the engine may have cached a
+    /// prefix that it is not known to have.
     pub fn of(
         upstream: &Upstream,
         task: &Task,
@@ -102,7 +114,8 @@
         }
         let shared_tokens = prompt.shared_prefix().map_or(0, |(_, tokens)| tokens);
         let ahead = upstream.tokens_ahead();
-        if ahead > tokens || tokens < MIN_MEASURED_TOKENS || shared_tokens > tokens / 2 {
+        let may_have_cached = tokens + shared_tokens > prompt.tokens && shared_tokens > tokens / 2;
+        if ahead > tokens / MAX_AHEAD_DIVISOR || tokens < MIN_MEASURED_TOKENS || may_have_cached {
             return None;
         }
         let first_event_ms = match task {
@@ -117,10 +130,11 @@
     }
 }
 
-/// The speed of one upstream. Upstreams that state no slowness count as usual, whatever is measured.
+/// The speed of one upstream. The upstreams of a service count as usual, whatever is measured, unless some of them state
+/// their slowness. Others, such as engines that only compute prompts, may state none.
 #[derive(Clone, Debug, Default)]
 pub struct Speed {
-    states_slowness: bool,
+    is_in_use: bool,
     /// Latest stated slowness, as the natural logarithm of the factor, and when it held.
     latest: Estimate,
     average: Estimate,
@@ -140,9 +154,14 @@
 }
 
 impl Speed {
-    /// Returns whether the upstream states its slowness, so that its speed counts.
+    /// Returns whether the speed counts.
     pub fn is_in_use(&self) -> bool {
-        self.states_slowness
+        self.is_in_use
+    }
+
+    /// Makes the speed count, since upstreams of the service state their slowness.
+    pub fn put_in_use(&mut self) {
+        self.is_in_use = true;
     }
 
     /// Returns the factor on the duration of prompts and plain requests.
@@ -156,13 +175,18 @@
     }
 
     fn factor(&self, now_ms: u64, measured: &Estimate) -> f64 {
-        if !self.states_slowness {
+        if !self.is_in_use {
             return 1.0;
         }
         let log = self.stated_log(now_ms) + measured.log(now_ms, MEASURED_HALF_LIFE_MS);
         log.exp().clamp(FACTOR_RANGE.0, FACTOR_RANGE.1)
     }
 
+    /// Returns the factor that stated slownesses lead to expect.
+    pub fn stated_factor(&self, now_ms: u64) -> f64 {
+        self.stated_log(now_ms).exp()
+    }
+
     /// Returns the logarithm of the slowness that is expected now: the latest one if it is recent, and otherwise the
     /// average.
     fn stated_log(&self, now_ms: u64) -> f64 {
@@ -183,10 +207,11 @@
     }
 
     fn apply_stated(&mut self, stated_ms: u64, percent: u16) {
-        self.states_slowness = true;
+        self.is_in_use = true;
         let factor = f64::from(percent) / 100.0;
-        let (weight, half_life_ms) = (STATED_AVERAGE_WEIGHT, STATED_AVERAGE_HALF_LIFE_MS);
-        self.average.add(stated_ms, factor, weight, half_life_ms);
+        let weights = (STATED_AVERAGE_WEIGHT, STATED_AVERAGE_WEIGHT);
+        self.average
+            .add(stated_ms, factor, weights, STATED_AVERAGE_HALF_LIFE_MS);
         if stated_ms >= self.latest.updated_ms {
             self.latest = Estimate {
                 log: factor.ln(),
@@ -198,7 +223,7 @@
     /// Records a measured duration. `usual_ms` is the duration at the usual speed. The part that the stated slowness
     /// explains does not count as measured.
     pub fn on_measured(&mut self, now_ms: u64, work: Work, duration_ms: f64, usual_ms: f64) {
-        if !self.states_slowness || usual_ms <= 0.0 {
+        if !self.is_in_use || usual_ms <= 0.0 {
             return;
         }
         let factor = duration_ms / usual_ms / self.stated_log(now_ms).exp();
@@ -216,13 +241,17 @@
             Work::Prompt => &mut self.prompt,
             Work::Output => &mut self.output,
         };
-        estimate.add(now_ms, factor, MEASURED_WEIGHT, MEASURED_HALF_LIFE_MS);
+        let weights = (SLOWER_WEIGHT, FASTER_WEIGHT);
+        estimate.add(now_ms, factor, weights, MEASURED_HALF_LIFE_MS);
     }
 
     /// Returns what the other entries do not know of this entry's observations, and counts it as reported.
     pub fn take_report(&mut self, now_ms: u64, upstream_key: u64) -> Option<SpeedReport> {
         let observation = self.unreported.take()?;
-        let age_ms = now_ms.saturating_sub(observation.stated_ms);
+        let age_ms = match observation.stated_percent {
+            0 => 0,
+            _ => now_ms.saturating_sub(observation.stated_ms),
+        };
         Some(SpeedReport {
             upstream_key,
             stated_percent: observation.stated_percent,
--- a/crates/gateway/tests/speed.rs
+++ b/crates/gateway/tests/speed.rs
@@ -181,6 +181,25 @@
     }
 }
 
+/// Guards against measurements that are not passed on since the upstream itself states nothing.
+#[test]
+fn measurements_of_an_upstream_that_states_nothing_reach_other_entries() {
+    let mut speed = Speed::default();
+    speed.put_in_use();
+    for _ in 0..20 {
+        speed.on_measured(NOW_MS, Work::Prompt, 80.0, 20.0);
+    }
+    let mut recent = RecentSpeeds::default();
+    let reports: Vec<SpeedReport> = speed.take_report(NOW_MS + 100, 7).into_iter().collect();
+    recent.push(NOW_MS + 100, &"entry".into(), reports);
+    let mut other = Speed::default();
+    other.put_in_use();
+    for report in recent.unknown_to(NOW_MS + 200, &"other".into(), 0) {
+        other.on_report(NOW_MS + 200, &report);
+    }
+    assert!(other.prompt_factor(NOW_MS + 200) > 1.05);
+}
+
 /// Guards against entries that learn only from their own few calls, and against a report that comes back to its sender.
 #[test]
 fn a_replica_passes_reports_on_to_the_other_entries() {
