--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,10 @@
-//! The published configuration: routes and services.
+//! The published configuration: routes, services and client accounts.
 
 use conf::{Map, Name};
 use thiserror::Error;
 
+use crate::accounts::{Accounts, KeyCheck};
+
 /// Kind of a request, which decides whether the request may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -48,6 +50,8 @@
     pub targets: Vec<(Name, u32)>,
     /// Largest number of upstreams on which one request may run.
     pub max_runs: u32,
+    /// Whether requests need no API key although the configuration has client accounts.
+    pub is_public: bool,
 }
 
 /// Minimum time for which a caller waits for the next event of a stream, in milliseconds.
@@ -94,12 +98,50 @@
     pub slots: u32,
     /// Number of tokens whose KV cache fits into an engine's memory.
     pub kv_tokens: u64,
+    /// Tokens whose KV cache a link between engines transfers in a millisecond; 0 if the document does not state it.
+    pub transfer_tokens_per_ms: u32,
     /// Time for which an engine keeps a computed prompt under its handle, in milliseconds.
     pub handle_ttl_ms: u64,
 }
 
+/// Bounds and prices of a service's upstreams, which the platform starts and stops on order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// Smallest number of upstreams in an availability zone, of both kinds together.
+    pub min: u32,
+    /// Largest number of upstreams in an availability zone, of both kinds together.
+    pub max: u32,
+    /// Time from an order until a new upstream takes requests, in milliseconds.
+    pub boot_ms: u64,
+    /// Price of a reclaimable upstream, as a share of the price of the others.
+    pub reclaimable_price: f64,
+    /// Price of an upstream by availability zone.
+    pub zone_prices: Map<Name, f64>,
+}
+
+impl Scaling {
+    /// Returns what makes the values unusable, if anything does.
+    pub fn fault(&self) -> Option<&'static str> {
+        let is_price = |price: f64| price.is_finite() && price >= 0.0;
+        if self.max == 0 {
+            return Some("the maximum is 0");
+        }
+        if self.min > self.max {
+            return Some("the minimum is above the maximum");
+        }
+        if !is_price(self.reclaimable_price)
+            || !self.zone_prices.values().all(|price| is_price(*price))
+        {
+            return Some("a price is negative");
+        }
+        self.zone_prices
+            .is_empty()
+            .then_some("no availability zone has a price")
+    }
+}
+
 /// A group of interchangeable upstreams.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: Name,
@@ -107,6 +149,9 @@
     pub max_connections: u32,
     /// Properties of the service's engines; none for a plain service.
     pub engine: Option<EngineTraits>,
+    /// Bounds and prices of upstreams; none if the platform takes no orders for the service's upstreams, or if the
+    /// stated values cannot be used.
+    pub scaling: Option<Scaling>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -151,16 +196,28 @@
     /// The timeout of a route is 0.
     #[error("the timeout of route {route} is 0")]
     ZeroTimeout { route: Name },
+    /// Two client accounts have the same API key.
+    #[error("the client accounts {first} and {second} share a key")]
+    SharedKey { first: Name, second: Name },
+    /// A field of a client account is invalid.
+    #[error("the client account {account} is invalid: its {field} field has a value that {reason}")]
+    InvalidAccount {
+        account: Name,
+        field: &'static str,
+        reason: &'static str,
+    },
 }
 
 /// A valid configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
     version: u64,
     services: Map<Name, Service>,
     limits: Limits,
     /// Routes of each host, longest path prefix first.
     hosts: Map<Name, Vec<Route>>,
+    /// Client accounts; none if requests need no API key.
+    accounts: Option<Accounts>,
 }
 
 impl Config {
@@ -202,9 +259,40 @@
             services,
             limits,
             hosts,
+            accounts: None,
         })
     }
 
+    /// Returns the configuration with client accounts, so that requests need an API key.
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Self {
+            accounts: Some(accounts),
+            ..self
+        }
+    }
+
+    /// Returns whether the configuration has client accounts, so that requests need an API key.
+    pub fn has_accounts(&self) -> bool {
+        self.accounts.is_some()
+    }
+
+    /// Looks up the account of a request by the API keys that it carries, of which there must be one. Requests need no
+    /// key on a public route, or if the configuration has no list of client accounts; an empty list allows no key.
+    pub fn check_key<'a>(
+        &self,
+        route: &Route,
+        mut api_keys: impl Iterator<Item = &'a [u8]>,
+    ) -> KeyCheck<'_> {
+        let Some(accounts) = self.accounts.as_ref().filter(|_| !route.is_public) else {
+            return KeyCheck::NotNeeded;
+        };
+        let account = match (api_keys.next(), api_keys.next()) {
+            (Some(api_key), None) => accounts.find(api_key),
+            _ => None,
+        };
+        account.map_or(KeyCheck::Unknown, KeyCheck::Known)
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> u64 {
         self.version
@@ -220,6 +308,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the route of the host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.hosts
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,15 +13,21 @@
 
 use crate::budget::{RetryBudget, RetryBudgetSettings};
 use crate::config::{Config, RequestKind};
+use crate::cost::PrefixCosts;
+use crate::demand::{DemandMeter, DemandedWork};
 use crate::exchange::{
     Directive, Outcome, Prompt, Refusal, RefusalReason, Request, StatedLimit, Task, UpstreamCall,
 };
 use crate::limits::RequestLimit;
 use crate::listing::{self, NO_LISTING};
+use crate::notices::{self, LeavingUpstreams, Notice, StatedPause};
 use crate::place::{self, Choice, FIRST_EVENT_MS, PlacementContext};
+use crate::prefix::{Expectation, Observation, PrefixPlacement, Prefixes};
+use crate::revocation::{Confirmation, KeyPolicy};
 use crate::speed::Expected;
 use crate::subscription::Subscription;
 use crate::upstream::{AssignedWork, Upstream};
+use crate::usage::{UsageCounter, UsageSettings};
 
 /// Backlog of an engine up to which the engine gets more requests of the most urgent rank, in milliseconds. Requests
 /// beyond this backlog stay in the entry's queue and are placed later, with newer load information.
@@ -51,10 +57,14 @@
 const MAX_CALLS: u32 = 5;
 /// Weight of the latest stream in the moving average of the duration of streams.
 const STREAM_TIME_WEIGHT: f64 = 0.05;
+/// Time in which engines generate a token of a stream, in milliseconds.
+const GENERATION_MS: f64 = 10.0;
 /// Multiple of the average duration for which a stream may last that a stopping process still begins.
 const STREAM_TIME_MARGIN: f64 = 3.0;
 /// Shortest interval between log lines about answers of an upstream that state no limit, in milliseconds.
 const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
+/// Divisor of the pause of upstreams, which gives the time over which the callers return that are told to wait for its end.
+const PAUSE_SPREAD_DIVISOR: u64 = 4;
 /// Interval at which queued requests are placed again without other events, in milliseconds.
 const DISPATCH_INTERVAL_MS: u64 = 20;
 
@@ -67,6 +77,14 @@
     pub contacts: Vec<InstanceInfo>,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How the choice of an engine takes cached prefixes into account.
+    pub prefix_placement: PrefixPlacement,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
+    /// Reports of usage, if the platform asks for them.
+    pub usage: Option<UsageSettings>,
+    /// Random number of the process.
+    pub process_number: u64,
 }
 
 /// An input of the entry's reducer.
@@ -80,6 +98,8 @@
         reply: Box<WatchReply>,
         config: Option<Arc<Config>>,
     },
+    /// The time of day, in milliseconds since the Unix epoch.
+    TimeOfDay { unix_ms: u64 },
     /// The settings have been read again and may name other replicas.
     Contacts(Vec<InstanceInfo>),
     /// The process ends at `ends_ms` at the latest. Until then, it answers the requests that still arrive.
@@ -98,6 +118,8 @@
     LimitStated { upstream: Name, stated: StatedLimit },
     /// The head of an upstream's answer states how long work takes there, in percent of the usual duration.
     SlownessStated { upstream: Name, percent: u16 },
+    /// The head of an upstream's answer announces its end or a pause.
+    NoticeStated { upstream: Name, notice: Notice },
     /// It has been checked whether an upstream has crashed.
     UpstreamChecked { upstream: Name, has_crashed: bool },
 }
@@ -117,6 +139,14 @@
     FreeHandle { address: Name, handle: Name },
     /// Checks whether an upstream has crashed: whether it refuses connections.
     CheckUpstream { upstream: Name, address: Name },
+    /// Counts a prefill whose duration shows whether its shared prefix was held.
+    PrefixObserved {
+        /// Probability with which the prefix was believed held.
+        expected: f64,
+        is_held: bool,
+        /// Tokens of the prefix.
+        tokens: u32,
+    },
     /// Writes a log line.
     Log {
         importance: Importance,
@@ -156,6 +186,8 @@
     /// Whether prefill engines are excluded, since the budget allows no further prefill call or no engine could take
     /// the computed prompt.
     excludes_prefill_engines: bool,
+    /// Whether an upstream has begun to run the request, so that the request counts as usage.
+    is_counted: bool,
     /// When the first event or the whole answer arrived.
     started_ms: Option<u64>,
     /// When the latest call was made.
@@ -166,6 +198,8 @@
     writing_since_ms: Option<u64>,
     /// Whether the request tries a part under which engines have crashed.
     is_trial: bool,
+    /// What the duration of the latest call shows about the engine's cache.
+    expectation: Option<Expectation>,
     /// Engine whose limit already counts the hand-off of this request.
     reserved_decoder: Option<Name>,
     task: Option<Task>,
@@ -176,6 +210,9 @@
 pub struct Entry {
     settings: EntrySettings,
     subscription: Subscription,
+    /// When the configuration is known to have been the newest.
+    confirmation: Confirmation,
+    takes_keys: bool,
     config: Option<Arc<Config>>,
     /// Version of the list of upstreams, or [`NO_LISTING`].
     listing: u64,
@@ -189,6 +226,8 @@
     services: Map<Name, ServiceUpstreams>,
     /// Instance ids of the upstreams by the keys that stand for them in load messages.
     upstream_ids: Map<u64, Name>,
+    /// Upstreams that have announced their end.
+    leaving: LeavingUpstreams,
     /// Upstreams to which other entries have sent load.
     loaded_by_others: Vec<Name>,
     exchanges: Map<u64, ExchangeState>,
@@ -197,6 +236,8 @@
     retry_budgets: Map<Name, RetryBudget>,
     /// Shared prefixes that this entry has sent to engines since the last message to the replica.
     prefix_uses: Vec<PrefixUse>,
+    /// Sizes and traffic of prompt parts.
+    prefixes: Prefixes,
     next_dispatch_ms: u64,
     /// When the process ends, if it is stopping.
     ends_ms: Option<u64>,
@@ -204,15 +245,23 @@
     stream_ms: f64,
     /// Parts of prompts under which engines crash.
     suspects: Suspects,
+    /// Requests that upstreams have begun to run; none if the platform asks for no reports.
+    usage: Option<UsageCounter>,
+    /// Work that callers ask of services whose upstreams are ordered by demand.
+    demand: DemandMeter,
 }
 
 impl Entry {
     /// Creates an entry without a configuration or a list of upstreams.
     pub fn new(settings: EntrySettings) -> Self {
         let contacts = settings.contacts.clone();
+        let usage = settings.usage.clone();
+        let usage = usage.map(|usage| UsageCounter::new(usage, settings.process_number));
         Self {
             subscription: Subscription::new(settings.info.clone(), contacts),
             settings,
+            confirmation: Confirmation::default(),
+            takes_keys: true,
             config: None,
             listing: NO_LISTING,
             has_listing: false,
@@ -221,15 +270,19 @@
             upstreams: Map::default(),
             services: Map::default(),
             upstream_ids: Map::default(),
+            leaving: LeavingUpstreams::default(),
             loaded_by_others: Vec::new(),
             exchanges: Map::default(),
             queues: Map::default(),
             retry_budgets: Map::default(),
             prefix_uses: Vec::new(),
+            prefixes: Prefixes::default(),
             next_dispatch_ms: 0,
             ends_ms: None,
             stream_ms: 0.0,
             suspects: Suspects::default(),
+            usage,
+            demand: DemandMeter::default(),
         }
     }
 
@@ -243,6 +296,33 @@
         self.config.is_some() && self.has_listing
     }
 
+    /// Returns whether new callers are to be sent to the entry, as far as the age of its configuration allows.
+    pub fn is_confirmed(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.is_ready(age_ms)
+    }
+
+    /// Returns whether requests with keys may be taken: a key may have been taken away without the entry's knowledge.
+    pub fn takes_keys(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmation.age_ms(now_ms, None);
+        !self.has_accounts() || self.settings.key_policy.takes_keys(age_ms)
+    }
+
+    fn has_accounts(&self) -> bool {
+        let accounts = self.config.as_ref().map(|config| config.has_accounts());
+        accounts.unwrap_or_default()
+    }
+
+    fn log_key_changes(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let takes_keys = self.takes_keys(now_ms);
+        if std::mem::replace(&mut self.takes_keys, takes_keys) != takes_keys {
+            let age_ms = self.confirmation.age_ms(now_ms, None);
+            let age = age_ms.map_or_else(|| "unknown".to_owned(), |age_ms| age_ms.to_string());
+            let text = format!("takes_keys={takes_keys} document_age_ms={age}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
     /// Returns the version of the list of upstreams.
     pub fn listing(&self) -> u64 {
         self.listing
@@ -253,6 +333,13 @@
         self.exchanges.len()
     }
 
+    /// Returns whether a replica has all counts of usage.
+    pub fn has_sent_usage(&self) -> bool {
+        self.usage
+            .as_ref()
+            .is_none_or(UsageCounter::is_acknowledged)
+    }
+
     /// Returns the prompt tokens that an upstream still has to compute for an open exchange.
     pub fn prompt_tokens(&self, exchange: u64) -> Option<u32> {
         let assigned_work = self.exchanges.get(&exchange)?.assigned_work.as_ref()?;
@@ -268,6 +355,11 @@
                 reply,
                 config,
             } => self.on_watch_reply(now_ms, &from, *reply, config, effects),
+            EntryEvent::TimeOfDay { unix_ms } => {
+                if let Some(usage) = &mut self.usage {
+                    usage.observe_time(now_ms, unix_ms);
+                }
+            }
             EntryEvent::Contacts(contacts) => self.subscription.set_contacts(contacts),
             EntryEvent::Stopping { ends_ms } => self.ends_ms = Some(ends_ms),
             EntryEvent::Arrived { exchange, request } => {
@@ -289,6 +381,9 @@
             EntryEvent::LimitStated { upstream, stated } => {
                 self.on_limit_stated(now_ms, &upstream, stated, effects);
             }
+            EntryEvent::NoticeStated { upstream, notice } => {
+                self.on_notice(now_ms, &upstream, notice, effects);
+            }
             EntryEvent::SlownessStated { upstream, percent } => {
                 if let Some(upstream) = self.upstreams.get_mut(&upstream) {
                     let was_in_use = upstream.speed.is_in_use();
@@ -306,6 +401,7 @@
     }
 
     fn on_tick(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        self.advance_usage(now_ms, effects);
         let version = self.config.as_ref().map_or(0, |config| config.version());
         for (to, probe) in self.subscription.probes(now_ms, version, self.listing) {
             send_watch(to, probe, effects);
@@ -324,15 +420,46 @@
             );
             if let Some((to, mut watch)) = due {
                 watch.limits = limits;
+                watch.demand = self
+                    .demand
+                    .rates(now_ms, &self.settings.info.availability_zone);
+                self.confirmation.on_sent(now_ms, watch.sequence);
+                if let Some(usage) = &mut self.usage {
+                    watch.usage = usage.take_unacknowledged(&to.id, watch.sequence);
+                }
                 watch.speeds = self.speed_reports(now_ms);
+                watch.leaving = self.leaving.unlisted();
                 send_watch(to, watch, effects);
             }
         }
+        self.log_key_changes(now_ms, effects);
         if now_ms >= self.next_dispatch_ms {
             self.dispatch_all_queues(now_ms, effects);
         }
     }
 
+    fn advance_usage(&mut self, now_ms: u64, effects: &mut Vec<EntryEffect>) {
+        let Some(usage) = &mut self.usage else {
+            return;
+        };
+        let lost = usage.on_tick(now_ms);
+        if lost > 0 {
+            let text = format!("usage=lost requests={lost} reason=\"no replica took them\"");
+            log(effects, Importance::Failure, text);
+        }
+    }
+
+    /// Counts a request once, when an upstream has begun to run it.
+    fn count_usage(&mut self, now_ms: u64, exchange: u64) {
+        if let Some(usage) = &mut self.usage
+            && let Some(state) = self.exchanges.get_mut(&exchange)
+            && !std::mem::replace(&mut state.is_counted, true)
+            && let Some(account) = &state.request.account
+        {
+            usage.add(now_ms, account);
+        }
+    }
+
     fn on_watch_reply(
         &mut self,
         now_ms: u64,
@@ -342,12 +469,19 @@
         effects: &mut Vec<EntryEffect>,
     ) {
         let is_current = self.subscription.on_reply(now_ms, from, &reply);
+        if let Some(usage) = &mut self.usage {
+            usage.on_reply(from, reply.sequence);
+        }
         if let Some(config) = config {
             self.apply_config(config, from, effects);
         }
+        let held_version = self.config.as_ref().map_or(0, |config| config.version());
+        let age_ms = reply.document_age_ms;
+        self.confirmation
+            .on_reply(reply.sequence, reply.version, age_ms, held_version);
         let read_ms = now_ms.saturating_sub(reply.listing_age_ms);
         if let Some(update) = reply.listing_update {
-            self.apply_newer_listing(reply.listing, update, read_ms, from, effects);
+            self.apply_newer_listing(now_ms, reply.listing, update, read_ms, from, effects);
         } else if reply.listing == self.listing && !self.is_older_listing(from, read_ms) {
             self.listing_source = Some((from.clone(), read_ms));
         }
@@ -369,6 +503,12 @@
                 && let Some(upstream) = self.upstreams.get_mut(id)
             {
                 upstream.on_reported_prefix(prefix_use.key, now_ms);
+                if self.settings.prefix_placement == PrefixPlacement::Weighed {
+                    let service = &upstream.record.service;
+                    let parts = &mut upstream.cached_parts;
+                    self.prefixes
+                        .on_reported(now_ms, service, prefix_use.key, parts);
+                }
             }
         }
         self.subscription.switch_to_preferred(now_ms);
@@ -504,6 +644,7 @@
     /// replica has sent a version that was read later.
     fn apply_newer_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         read_ms: u64,
@@ -516,7 +657,7 @@
             return;
         }
         self.listing_source = Some((from.clone(), read_ms));
-        self.apply_listing(version, update, from, effects);
+        self.apply_listing(now_ms, version, update, from, effects);
     }
 
     /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
@@ -528,6 +669,7 @@
     /// Applies what this entry lacked of a version of the list of upstreams.
     fn apply_listing(
         &mut self,
+        now_ms: u64,
         version: u64,
         update: ListingUpdate,
         from: &Name,
@@ -535,6 +677,7 @@
     ) {
         match update {
             ListingUpdate::Complete(list) => {
+                self.leaving.on_listed(now_ms, &list.records);
                 let listed: Set<&Name> = list.records.iter().map(|record| &record.id).collect();
                 self.upstreams.retain(|id, _| listed.contains(id));
                 for record in &list.records {
@@ -549,6 +692,7 @@
                 for id in removed {
                     self.upstreams.remove(&id);
                 }
+                self.leaving.on_listed(now_ms, &changed);
                 for record in changed {
                     self.update_upstream(record, from, effects);
                 }
@@ -582,7 +726,9 @@
         // The reason for a limit may outlast a restart. If it does not, the next answers say so.
         let limit = known.as_ref().and_then(|known| known.limit.clone());
         let Some(upstream) = known.filter(|known| known.record.born_ms == record.born_ms) else {
+            let draining = record.draining || self.leaving.contains(&record);
             let mut upstream = Upstream::new(record);
+            upstream.record.draining = draining;
             upstream.limit = limit;
             self.upstreams.insert(id, upstream);
             return;
@@ -655,15 +801,33 @@
             expected: None,
             writing_since_ms: None,
             is_trial: false,
+            expectation: None,
+            is_counted: false,
             reserved_decoder: None,
             task: None,
         };
+        let work = DemandedWork {
+            requests: 1,
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &state.request.service, work);
         self.exchanges.insert(exchange, state);
         if !self.refuse_if_blocked(now_ms, exchange, effects) {
             self.place(now_ms, exchange, effects);
         }
     }
 
+    /// Counts work for a service whose upstreams are ordered by demand.
+    fn count_demand(&mut self, now_ms: u64, service: &Name, work: DemandedWork) {
+        let config = self.config.as_ref();
+        let is_scaled = config
+            .and_then(|config| config.service(service))
+            .is_some_and(|service| service.scaling.is_some());
+        if is_scaled {
+            self.demand.add(now_ms, service, work);
+        }
+    }
+
     /// Refuses a request if a part of its prompt is blocked. Returns whether the request was refused.
     fn refuse_if_blocked(
         &mut self,
@@ -785,6 +949,50 @@
         upstream.stated_limit = stated;
     }
 
+    fn on_notice(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        notice: Notice,
+        effects: &mut Vec<EntryEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if notice.is_leaving {
+            let key = notices::key(id, upstream.record.born_ms);
+            upstream.record.draining = true;
+            if self.leaving.insert(now_ms, key) {
+                let text = format!("upstream={id} draining=true source=answer");
+                log(effects, Importance::StateChange, text);
+            }
+        }
+        let was_paused = now_ms < upstream.paused_until_ms;
+        let text = match notice.pause {
+            StatedPause::Absent => return,
+            StatedPause::Until(until_ms) => {
+                upstream.paused_until_ms = upstream.paused_until_ms.max(until_ms);
+                format!("pause_ms={}", until_ms.saturating_sub(now_ms))
+            }
+            StatedPause::Invalid => "pause=invalid outcome=ignored".to_owned(),
+        };
+        if !was_paused && now_ms >= upstream.limit_logged_ms + LIMIT_LOG_INTERVAL_MS {
+            upstream.limit_logged_ms = now_ms;
+            let text = format!("upstream={id} {text}");
+            log(effects, Importance::StateChange, text);
+        }
+    }
+
+    /// Returns the wait that a caller is told if no upstream of a service can take its request, in milliseconds: until the
+    /// first pause ends that an upstream has asked for. Callers are spread over a part of that time.
+    fn pause_wait_ms(&self, now_ms: u64, exchange: u64) -> u64 {
+        let state = &self.exchanges[&exchange];
+        let upstreams = self.service_upstreams(&state.request.service);
+        let wait_ms = place::pause_wait_ms(now_ms, upstreams);
+        let spread_ms = wait_ms / PAUSE_SPREAD_DIVISOR;
+        wait_ms + state.request_hash % (spread_ms + 1)
+    }
+
     fn on_upstream_checked(
         &mut self,
         now_ms: u64,
@@ -831,7 +1039,10 @@
             let upstreams = self.service_upstreams(&state.request.service);
             let (reason, wait_ms) = match place::limit_wait_ms(&context, upstreams) {
                 Some(wait_ms) => (RefusalReason::Limited, wait_ms as u64),
-                None => (RefusalReason::NoUpstream, 0),
+                None => (
+                    RefusalReason::NoUpstream,
+                    self.pause_wait_ms(now_ms, exchange),
+                ),
             };
             let reason = self.after_runs(exchange, reason);
             return self.refuse(now_ms, exchange, reason, wait_ms, effects);
@@ -843,6 +1054,7 @@
             expected_ms: None,
             fetch_from: None,
             shared_age_ms: None,
+            expectation: None,
         };
         self.send_request(now_ms, exchange, &upstream, plan, effects);
     }
@@ -850,7 +1062,9 @@
     fn place_prompt(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
         let queued_ahead = self.queued_ahead(exchange);
         let Some(choice) = self.choose(now_ms, exchange, queued_ahead) else {
-            return self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects);
+            let wait_ms = self.pause_wait_ms(now_ms, exchange);
+            let reason = RefusalReason::NoUpstream;
+            return self.refuse(now_ms, exchange, reason, wait_ms, effects);
         };
         let request = &self.exchanges[&exchange].request;
         let (service, rank) = (request.service.clone(), request.rank);
@@ -879,6 +1093,7 @@
         let prompt = state.request.prompt.as_ref()?;
         let context = PlacementContext {
             queued_ahead,
+            prefix_costs: self.prefix_costs(&state.request.service),
             ..self.placement_context(now_ms, state)
         };
         let service = self.services.get(&state.request.service)?;
@@ -912,6 +1127,7 @@
             expected_ms: Some(choice.first_token_ms()),
             fetch_from: choice.fetch_from,
             shared_age_ms: choice.shared_age_ms,
+            expectation: choice.expectation,
         };
         self.send_request(now_ms, exchange, &choice.upstream, plan, effects);
         if let Some(decoder) = decoder {
@@ -1033,7 +1249,11 @@
             }
             let rank = self.exchanges[&exchange].request.rank;
             match self.choose(now_ms, exchange, remaining.len()) {
-                None => self.refuse(now_ms, exchange, RefusalReason::NoUpstream, 0, effects),
+                None => {
+                    let wait_ms = self.pause_wait_ms(now_ms, exchange);
+                    let reason = RefusalReason::NoUpstream;
+                    self.refuse(now_ms, exchange, reason, wait_ms, effects);
+                }
                 Some(choice) => {
                     let request = &self.exchanges[&exchange].request;
                     let expected_ms = choice.first_token_ms() + FIRST_EVENT_MS;
@@ -1067,6 +1287,7 @@
             expected_ms,
             fetch_from,
             shared_age_ms,
+            expectation,
         } = plan;
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
@@ -1094,17 +1315,30 @@
             Task::Prefill => state.prefill_calls += 1,
             Task::Run | Task::Generate { .. } => state.run_calls += 1,
         }
-        // A prefix that an engine receives only to generate is soon evicted again, since that engine receives the
-        // prompts of many prefill engines.
+        // Without regard to the engine's memory, a prefix that an engine receives only to generate counts as evicted, since
+        // that engine receives the prompts of many prefill engines.
         let computes_prompt = !matches!(task, Task::Generate { .. });
+        let is_weighed = self.settings.prefix_placement == PrefixPlacement::Weighed;
         let shared_prefix = request.prompt.as_ref().and_then(Prompt::shared_prefix);
-        if let Some((key, tokens)) = shared_prefix.filter(|_| computes_prompt) {
+        if let Some((key, tokens)) = shared_prefix.filter(|_| computes_prompt || is_weighed) {
             let is_due = target.use_shared_prefix(key, now_ms);
             if is_due && tokens >= place::FETCH_MIN_TOKENS {
                 let upstream_key = target.key;
                 self.prefix_uses.push(PrefixUse { key, upstream_key });
             }
         }
+        if is_weighed && let Some(prompt) = &request.prompt {
+            let service = &request.service;
+            let parts = &mut target.cached_parts;
+            if computes_prompt {
+                let held_tokens = f64::from(prompt.tokens.saturating_sub(tokens));
+                self.prefixes
+                    .on_computed(now_ms, service, prompt, held_tokens, parts);
+            } else {
+                self.prefixes.on_handed_off(now_ms, service, prompt, parts);
+            }
+        }
+        state.expectation = expectation;
         let first_event_ms = now_ms + expected_ms.map_or(0, |ms| (ms + FIRST_EVENT_MS) as u64);
         let priority = expected_ms.map(|_| match first_event_ms > request.objective_ms {
             true => (request.rank + LATE_PRIORITY_PENALTY).min(LOWEST_PRIORITY),
@@ -1136,9 +1370,15 @@
             request.deadline_ms.saturating_sub(now_ms),
             state.calls,
         );
+        let service = request.service.clone();
         state.task = Some(task);
         log(effects, Importance::Step, text);
         direct(effects, exchange, Directive::Call(call));
+        let work = DemandedWork {
+            prompt_tokens: tokens,
+            ..DemandedWork::default()
+        };
+        self.count_demand(now_ms, &service, work);
     }
 
     fn on_prefilled(
@@ -1162,6 +1402,8 @@
             observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
         }
         state.task = None;
+        self.on_prompt_held(now_ms, exchange, &source);
+        self.observe_prefix(now_ms, exchange, effects);
         if self.refuse_if_blocked(now_ms, exchange, effects) {
             self.free_handle(&source, handle, effects);
         } else {
@@ -1170,6 +1412,56 @@
         self.dispatch_queue(now_ms, &service, effects);
     }
 
+    /// Records that an engine has computed or received a prompt.
+    fn on_prompt_held(&mut self, now_ms: u64, exchange: u64, upstream: &Name) {
+        let is_weighed = self.settings.prefix_placement == PrefixPlacement::Weighed;
+        let state = self.exchanges.get(&exchange).filter(|_| is_weighed);
+        let prompt = state.and_then(|state| state.request.prompt.as_ref());
+        let (Some(prompt), Some(target)) = (prompt, self.upstreams.get_mut(upstream)) else {
+            return;
+        };
+        target.cached_parts.on_computed(now_ms, prompt);
+    }
+
+    /// Compares the duration of a prefill with what the choice of its engine expected.
+    fn observe_prefix(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
+        let Some(state) = self.exchanges.get_mut(&exchange) else {
+            return;
+        };
+        let Some(expectation) = state.expectation.take() else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(state.sent_ms) as f64;
+        let service = &state.request.service;
+        let observation = self
+            .prefixes
+            .observe(now_ms, service, &expectation, elapsed_ms);
+        let text = match observation {
+            Observation::Unclear => return,
+            Observation::Held | Observation::Computed => format!(
+                "request={} prefix={} expected={:.2} prefill_ms={elapsed_ms:.0} shared={}",
+                state.request.id,
+                observation.name(),
+                expectation.held.probability,
+                state
+                    .request
+                    .prompt
+                    .as_ref()
+                    .map_or(0, Prompt::shared_tokens),
+            ),
+        };
+        effects.push(EntryEffect::PrefixObserved {
+            expected: expectation.held.probability,
+            is_held: observation == Observation::Held,
+            tokens: state
+                .request
+                .prompt
+                .as_ref()
+                .map_or(0, Prompt::shared_tokens),
+        });
+        log(effects, Importance::Step, text);
+    }
+
     fn free_handle(&self, source: &Name, handle: Name, effects: &mut Vec<EntryEffect>) {
         if let Some(source) = self.upstreams.get(source) {
             let address = source.record.address.clone();
@@ -1210,6 +1502,7 @@
                 expected_ms: Some(0.0),
                 fetch_from: None,
                 shared_age_ms: None,
+                expectation: None,
             };
             return self.send_request(now_ms, exchange, &decoder, plan, effects);
         }
@@ -1226,17 +1519,29 @@
     }
 
     fn on_started(&mut self, now_ms: u64, exchange: u64, effects: &mut Vec<EntryEffect>) {
+        self.count_usage(now_ms, exchange);
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
+        let is_late = state.started_ms.is_none() && now_ms > state.request.objective_ms;
         state.started_ms.get_or_insert(now_ms);
         state.writing_since_ms = Some(now_ms);
+        state.expectation = None;
         let service = state.request.service.clone();
         if let Some(assigned_work) = &mut state.assigned_work
             && let Some(upstream) = self.upstreams.get_mut(&assigned_work.upstream)
         {
             upstream.remove_prompt_tokens(assigned_work);
             observe_duration(now_ms, state.sent_ms, state.expected.take(), upstream);
+            let upstream = assigned_work.upstream.clone();
+            self.on_prompt_held(now_ms, exchange, &upstream);
+        }
+        if is_late {
+            let work = DemandedWork {
+                late_requests: 1,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &service, work);
         }
         self.dispatch_queue(now_ms, &service, effects);
     }
@@ -1248,6 +1553,13 @@
         outcome: Outcome,
         effects: &mut Vec<EntryEffect>,
     ) {
+        let task = self
+            .exchanges
+            .get(&exchange)
+            .and_then(|state| state.task.as_ref());
+        if outcome == Outcome::FailedAnswer && task != Some(&Task::Prefill) {
+            self.count_usage(now_ms, exchange);
+        }
         let Some(state) = self.exchanges.get_mut(&exchange) else {
             return;
         };
@@ -1261,6 +1573,9 @@
             state.failed_upstreams.push(assigned_work.upstream.clone());
             if let Some(target) = self.upstreams.get_mut(&assigned_work.upstream) {
                 target.remove_request(assigned_work);
+                if let Some(prompt) = &state.request.prompt {
+                    target.cached_parts.on_failed(state.sent_ms, prompt);
+                }
                 let is_engine = target.record.role.is_some();
                 is_circuit_open = match outcome {
                     // A rejection by a full upstream is no failure, but an engine with free slots rejects requests
@@ -1399,6 +1714,9 @@
         is_complete: bool,
         effects: &mut Vec<EntryEffect>,
     ) {
+        if is_complete {
+            self.count_usage(now_ms, exchange);
+        }
         let Some(state) = self.exchanges.remove(&exchange) else {
             return;
         };
@@ -1423,6 +1741,12 @@
         if is_complete && matches!(state.request.kind, RequestKind::Stream { .. }) {
             let stream_ms = (now_ms - started_ms) as f64;
             self.stream_ms += (stream_ms - self.stream_ms) * STREAM_TIME_WEIGHT;
+            // Callers state only the largest number of tokens, which is many times the usual one.
+            let work = DemandedWork {
+                output_tokens: (stream_ms / GENERATION_MS).ceil() as u32,
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &state.request.service, work);
         }
         let in_objective = started_ms <= state.request.objective_ms;
         let (importance, outcome) = match is_complete {
@@ -1475,6 +1799,18 @@
             self.subscription.age_ms(now_ms),
         );
         log(effects, Importance::Failure, text);
+        if matches!(reason, RefusalReason::NoUpstream | RefusalReason::TooLate) {
+            let prompt = request.prompt.as_ref().filter(|_| state.calls == 0);
+            let shared = prompt.and_then(Prompt::shared_prefix);
+            let work = DemandedWork {
+                late_requests: 1,
+                prompt_tokens: prompt.map_or(0, |prompt| {
+                    prompt.tokens - shared.map_or(0, |(_, tokens)| tokens)
+                }),
+                ..DemandedWork::default()
+            };
+            self.count_demand(now_ms, &request.service, work);
+        }
         let refusal = Refusal {
             reason,
             retry_after_ms,
@@ -1495,9 +1831,30 @@
             gap_ms: state.request.gap_ms,
             entries: self.entry_count,
             queued_ahead: 0,
+            prefix_costs: None,
         }
     }
 
+    /// Returns what cached prefixes are weighed by, if the settings ask for it and the document states what it needs.
+    fn prefix_costs<'a>(&'a self, service: &'a Name) -> Option<PrefixCosts<'a>> {
+        if self.settings.prefix_placement != PrefixPlacement::Weighed {
+            return None;
+        }
+        let engine = self.config.as_ref()?.service(service)?.engine.as_ref()?;
+        if engine.kv_tokens == 0 || engine.transfer_tokens_per_ms == 0 {
+            return None;
+        }
+        let zones = self.services.get(service)?.zones.len().max(1);
+        Some(PrefixCosts {
+            prefixes: &self.prefixes,
+            service,
+            kv_tokens: engine.kv_tokens,
+            transfer_tokens_per_ms: f64::from(engine.transfer_tokens_per_ms),
+            zone_entries: (f64::from(self.entry_count) / zones as f64).max(1.0),
+            queued: self.queues.get(service).map_or(0, Vec::len),
+        })
+    }
+
     fn service_upstreams(&self, service: &Name) -> impl Iterator<Item = &Upstream> {
         let service = self.services.get(service);
         let ids = |ids: fn(&ServiceUpstreams) -> &[Name]| service.map_or(&[][..], ids);
@@ -1533,6 +1890,8 @@
     fetch_from: Option<Name>,
     /// Time since the shared prefix was last used at the engine that is expected to have it cached, in milliseconds.
     shared_age_ms: Option<u64>,
+    /// What the duration of the call shows about the engine's cache.
+    expectation: Option<Expectation>,
 }
 
 /// KV cache of a computed prompt that no other engine has fetched yet.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,11 @@
         self.shared_parts().iter().map(|(key, _)| *key)
     }
 
+    /// Returns the number of tokens that other prompts may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_prefix().map_or(0, |(_, tokens)| tokens)
+    }
+
     /// Returns the key of the shared prefix and its number of tokens. The key is the hashed id of the last shared part;
     /// prompts with the same key share the prefix and are placed alike.
     pub fn shared_prefix(&self) -> Option<(u64, u32)> {
@@ -115,6 +120,8 @@
 pub enum RefusalReason {
     /// The entry has no configuration yet.
     NoConfiguration,
+    /// The entry cannot tell whether the key of the request still works.
+    Unconfirmed,
     /// No upstream of the service can take the request.
     NoUpstream,
     /// The request cannot be answered in time.
@@ -136,6 +143,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::Unconfirmed => "unconfirmed",
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
@@ -150,6 +158,7 @@
     pub fn is_not_run(self) -> bool {
         match self {
             Self::NoConfiguration
+            | Self::Unconfirmed
             | Self::NoUpstream
             | Self::TooLate
             | Self::Quarantined
--- a/crates/gateway/tests/scale_support/mod.rs
+++ b/crates/gateway/tests/scale_support/mod.rs
@@ -238,6 +238,7 @@
             target_voters: 5,
             order_lease_ms: 3_000,
             seed: disk.storage_id,
+            ..ControlSettings::default()
         };
         TestReplica {
             info: replica_info(index),
@@ -446,6 +447,8 @@
                     }
                     ControlEffect::Answer { .. }
                     | ControlEffect::Order { .. }
+                    | ControlEffect::Duty { .. }
+                    | ControlEffect::DecodeServices { .. }
                     | ControlEffect::Log { .. } => {}
                 }
             }
@@ -488,6 +491,7 @@
                 }
                 EntryEffect::Directive { .. }
                 | EntryEffect::FreeHandle { .. }
+                | EntryEffect::PrefixObserved { .. }
                 | EntryEffect::Log { .. } => {}
             }
         }
@@ -738,6 +742,7 @@
         born_ms: 1_780_000_000_000,
         role: Some(role),
         is_changing: false,
+        is_reclaimable: false,
     }
 }
 
@@ -780,11 +785,13 @@
         rank: 0,
         targets: vec![("model".into(), 1)],
         max_runs: 2,
+        is_public: false,
     };
     let service = Service {
         name: "model".into(),
         max_connections: 100,
         engine: Some(EngineTraits::default()),
+        scaling: None,
     };
     Config::new(version, vec![route], vec![service], Limits::default())
         .expect("the configuration is valid")
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::exchange::Task;
-use gateway::{Outcome, StatedLimit, UpstreamCall};
+use gateway::notices::{Notice, StatedPause};
+use gateway::{Account, Outcome, StatedLimit, UpstreamCall};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -116,6 +117,8 @@
     pub limit: StatedLimit,
     /// How long work takes at the upstream now, in percent of the usual duration.
     pub slowness_percent: Option<u16>,
+    /// Announcements of the upstream.
+    pub notice: Notice,
 }
 
 /// Receives what the head of an upstream's answer states.
@@ -160,7 +163,7 @@
         let (response, connection) = send_request(connection, request, head_deadline).await?;
         self.validate_request_id(forwarded, &response, connection.is_reused)?;
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            observe(self.stated(response.headers()));
+            observe(self.stated(response.status(), response.headers()));
         }
         self.validate_head(call, &response)?;
         if call.task != Task::Prefill && forwarded.is_stream && response.status().is_success() {
@@ -276,7 +279,7 @@
         }
     }
 
-    fn stated(&self, headers: &HeaderMap) -> Stated {
+    fn stated(&self, status: StatusCode, headers: &HeaderMap) -> Stated {
         let names = self.dialect.header_names();
         let load = headers
             .get(&names.load)
@@ -284,6 +287,13 @@
         Stated {
             limit: stated_limit(headers, &names.request_limit),
             slowness_percent: load.and_then(|load| self.dialect.slowness_percent(load)),
+            notice: Notice {
+                is_leaving: is_announced(headers, &names.leaving),
+                pause: match status {
+                    StatusCode::SERVICE_UNAVAILABLE => stated_pause(self.clock.now_ms(), headers),
+                    _ => StatedPause::Absent,
+                },
+            },
         }
     }
 
@@ -448,6 +458,28 @@
     }
 }
 
+/// Returns whether an answer announces the end of its upstream, which a single header with the value 1 does.
+fn is_announced(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_some_and(|value| value == "1") && values.next().is_none()
+}
+
+/// Returns the pause that a rejection states, as a single number of seconds.
+fn stated_pause(now_ms: u64, headers: &HeaderMap) -> StatedPause {
+    let mut values = headers.get_all(RETRY_AFTER).iter();
+    let Some(value) = values.next() else {
+        return StatedPause::Absent;
+    };
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match seconds {
+        Some(seconds) if values.next().is_none() => StatedPause::from_seconds(now_ms, seconds),
+        _ => StatedPause::Invalid,
+    }
+}
+
 /// Removes the hop-by-hop headers, which apply to one connection only, and the content length, which the HTTP library
 /// sets itself.
 fn remove_hop_headers(headers: &mut HeaderMap) {
@@ -476,19 +508,26 @@
     }
 }
 
-/// Returns the headers of a caller's request that are forwarded to upstreams.
-pub fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+/// Returns the headers of a caller's request that are forwarded to upstreams, with the name of its client account.
+pub fn forwarded_headers(
+    mut headers: HeaderMap,
+    names: &HeaderNames,
+    account: Option<&Account>,
+) -> HeaderMap {
     remove_hop_headers(&mut headers);
     for name in &names.reserved {
         headers.remove(name);
     }
+    if let Some(account) = account {
+        insert_header(&mut headers, &names.account, &account.name);
+    }
     headers
 }
 
 /// Sets a header, or leaves it out if `value` is not a valid header value. The decoders check the values that come from
-/// upstreams and from the list, so that these are valid.
+/// upstreams, from the list and from the configuration, so that these are valid.
 fn insert_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         headers.insert(name.clone(), value);
     }
 }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use conf::Name;
 use gateway::entry::EntryEvent;
+use gateway::notices::Notice;
 use gateway::{
-    Config, Directive, Outcome, Refusal, RefusalReason, RequestKind, Route, UpstreamCall,
+    Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
+    UpstreamCall,
 };
-use http::header::HOST;
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -25,6 +27,9 @@
 
 /// Wait that a caller is told before it retries while the instance has no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
+/// Wait that a caller is told before it retries while the instance cannot tell which keys work, in milliseconds. The
+/// load balancer has turned to other instances by then, and one of them can take the retry at once.
+const UNCONFIRMED_RETRY_AFTER_MS: u64 = 100;
 /// Wait that a caller is told before it retries while other bodies hold the memory, in milliseconds.
 const NO_MEMORY_RETRY_AFTER_MS: u64 = 300;
 /// Timeout of receiving the body of a request.
@@ -77,6 +82,12 @@
             upstream: upstream.clone(),
             stated: stated.limit,
         });
+        if stated.notice != Notice::default() {
+            self.runtime.step(EntryEvent::NoticeStated {
+                upstream: upstream.clone(),
+                notice: stated.notice,
+            });
+        }
         if let Some(percent) = stated.slowness_percent {
             self.runtime
                 .step(EntryEvent::SlownessStated { upstream, percent });
@@ -130,8 +141,37 @@
             "no route has this host and path",
         );
     };
+    if config.has_accounts() && !route.is_public && !runtime.takes_keys() {
+        log_refusal(
+            request.headers(),
+            &runtime,
+            RefusalReason::Unconfirmed.name(),
+        );
+        let mut response = answer::refusal(Refusal {
+            reason: RefusalReason::Unconfirmed,
+            retry_after_ms: UNCONFIRMED_RETRY_AFTER_MS,
+        });
+        // The caller's next request goes to another instance.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        return response;
+    }
+    let api_key = &runtime.client.dialect.header_names().api_key;
+    let api_keys = request.headers().get_all(api_key).iter();
+    let account = match config.check_key(route, api_keys.map(HeaderValue::as_bytes)) {
+        KeyCheck::NotNeeded => None,
+        KeyCheck::Known(account) => Some(account.clone()),
+        KeyCheck::Unknown => {
+            log_refusal(request.headers(), &runtime, "unknown_key");
+            return answer::error(
+                StatusCode::UNAUTHORIZED,
+                "unknown_key",
+                "the request needs a key that belongs to a client account",
+            );
+        }
+    };
     let route = route.clone();
-    match read_request(&runtime, &config, &route, request, arrived_ms).await {
+    match read_request(&runtime, &config, &route, account, request, arrived_ms).await {
         Ok((request, forwarded)) => {
             let exchange = Exchange::open(runtime.clone());
             runtime.step(EntryEvent::Arrived {
@@ -149,6 +189,7 @@
     runtime: &EntryRuntime,
     config: &Config,
     route: &Route,
+    account: Option<Account>,
     request: Request<Incoming>,
     arrived_ms: u64,
 ) -> Result<(gateway::Request, ForwardedRequest), Response<AnswerBody>> {
@@ -177,9 +218,12 @@
         id: Name::from(id_text),
         route: route.name.clone(),
         service: service.clone(),
-        account: None,
+        account: account.as_ref().map(|account| account.name.clone()),
         kind: route.kind,
-        rank: route.rank,
+        rank: account
+            .as_ref()
+            .and_then(|account| account.rank)
+            .unwrap_or(route.rank),
         deadline_ms: arrived_ms + remaining_ms,
         begin_deadline_ms: arrived_ms + remaining_ms.min(route.begin_timeout_ms()),
         objective_ms: arrived_ms + route.objective_ms,
@@ -196,7 +240,7 @@
     let forwarded = ForwardedRequest {
         method: parts.method,
         target: origin_form(&parts.uri),
-        headers: forwarded_headers(parts.headers, names),
+        headers: forwarded_headers(parts.headers, names, account.as_ref()),
         body,
         id,
         is_stream: matches!(route.kind, RequestKind::Stream { .. }),
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry: an instance that receives the requests of callers.
 
 use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 use crate::answer;
 use crate::call::Client;
 use crate::caller;
-use crate::clock::Clock;
+use crate::clock::{Clock, TIME_OF_DAY_INTERVAL};
 use crate::compression;
 use crate::dialect::Dialect;
 use crate::error::Error;
@@ -62,6 +63,12 @@
         self.entry.borrow().config().cloned()
     }
 
+    /// Returns whether requests with keys may be taken.
+    pub fn takes_keys(&self) -> bool {
+        let now_ms = self.client.clock.now_ms();
+        self.entry.borrow().takes_keys(now_ms)
+    }
+
     /// Opens an exchange and returns its id and the receiver of its directives.
     pub fn open_exchange(&self) -> (u64, mpsc::UnboundedReceiver<Directive>) {
         let id = self.last_exchange_id.get() + 1;
@@ -128,6 +135,11 @@
                     });
                 });
             }
+            EntryEffect::PrefixObserved {
+                expected,
+                is_held,
+                tokens,
+            } => telemetry::count_prefix(expected, is_held, tokens),
             EntryEffect::Log { importance, text } => logs::write(importance, "entry", &text),
         }
     }
@@ -183,6 +195,11 @@
             info: settings.info.clone(),
             contacts: settings.contacts.clone(),
             retry_budget: settings.retry_budget.clone(),
+            prefix_placement: settings.prefix_placement,
+            key_policy: settings.key_policy,
+            usage: settings.duties.usage.clone(),
+            // The keys of the hasher come from the operating system's random number generator.
+            process_number: RandomState::new().hash_one(()),
         })),
         effects: RefCell::default(),
         directives: RefCell::default(),
@@ -266,6 +283,16 @@
         ),
     };
     logs::write(importance, "process", &text);
+    while !runtime.entry.borrow().has_sent_usage() && clock.now_ms() < stop_ms {
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+    if !runtime.entry.borrow().has_sent_usage() {
+        logs::write(
+            Importance::Failure,
+            "process",
+            "usage=lost reason=\"no replica has taken it before the stop\"",
+        );
+    }
 }
 
 async fn serve_callers(
@@ -305,7 +332,11 @@
     shutdown: watch::Receiver<bool>,
 ) {
     let handle = move |request: http::Request<hyper::body::Incoming>| {
-        let is_ready = runtime.entry.borrow().is_ready() && !*stopping.borrow();
+        let is_ready = {
+            let entry = runtime.entry.borrow();
+            let is_confirmed = entry.is_confirmed(runtime.client.clock.now_ms());
+            entry.is_ready() && is_confirmed && !*stopping.borrow()
+        };
         let path = runtime.client.dialect.paths().ready;
         let response = match (request.uri().path() == path, is_ready) {
             (false, _) => answer::error(
@@ -326,6 +357,8 @@
 async fn process_events(runtime: Rc<EntryRuntime>, mut queue: mpsc::Receiver<Event>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut times = interval(TIME_OF_DAY_INTERVAL);
+    times.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             event = queue.recv() => match event {
@@ -336,6 +369,9 @@
                 None => return,
             },
             _ = ticks.tick() => runtime.step(EntryEvent::Tick),
+            _ = times.tick() => if let Some(unix_ms) = runtime.client.clock.time_of_day_ms() {
+                runtime.step(EntryEvent::TimeOfDay { unix_ms });
+            },
         }
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,10 @@
 
 use conf::Name;
 use fleet::InstanceInfo;
+use gateway::KeyPolicy;
 use gateway::budget::RetryBudgetSettings;
+use gateway::duties::DutySettings;
+use gateway::prefix::PrefixPlacement;
 
 use crate::memory;
 
@@ -56,10 +59,16 @@
     pub target_voters: usize,
     /// Lease of the right to give orders to engines, in milliseconds.
     pub order_lease_ms: u64,
-    /// Address of the platform's list of upstreams.
+    /// Calls to the platform that only the leader makes, and what entries gather for them.
+    pub duties: DutySettings,
+    /// Address of the platform's list of upstreams, and of the calls of the leader.
     pub list_address: Name,
+    /// How long keys work without a confirmation of the document.
+    pub key_policy: KeyPolicy,
     /// Limits on the retries of all entries together.
     pub retry_budget: RetryBudgetSettings,
+    /// How the choice of an engine takes cached prefixes into account.
+    pub prefix_placement: PrefixPlacement,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
     pub grace_ms: u64,
     /// Memory for the bodies of requests and answers together, in bytes.
@@ -89,8 +98,11 @@
             founders: Vec::new(),
             target_voters: 3,
             order_lease_ms: 3_000,
+            duties: DutySettings::default(),
             list_address: Name::default(),
+            key_policy: KeyPolicy::default(),
             retry_budget: RetryBudgetSettings::default(),
+            prefix_placement: PrefixPlacement::default(),
             grace_ms: 8_000,
             body_memory_bytes: memory::DEFAULT_BYTES,
             peer_secret: Vec::new(),
--- a/crates/wire/src/watch.rs
+++ b/crates/wire/src/watch.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use fleet::{
-    LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport, UpstreamList,
-    UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
+    LeavingUpstream, LimitReport, LimitShare, ListingUpdate, PrefixUse, ServiceRate, SpeedReport,
+    UpstreamList, UpstreamLoad, UpstreamRecord, UsageCount, Watch, WatchReply,
 };
 
 use crate::compression;
@@ -17,6 +17,9 @@
 use crate::peer_capnp::watch_reply::listing_update::Which;
 use crate::quarantine;
 
+/// Age that stands for an unknown one.
+const UNKNOWN_AGE_MS: u64 = u64::MAX;
+
 pub fn write_watch(watch: &Watch, mut builder: schema::watch::Builder<'_>) {
     write_instance_info(&watch.info, builder.reborrow().init_info());
     builder.set_sequence(watch.sequence);
@@ -64,9 +67,17 @@
     if !watch.speeds.is_empty() {
         write_speeds(
             &watch.speeds,
-            builder.init_speeds(watch.speeds.len() as u32),
+            builder.reborrow().init_speeds(watch.speeds.len() as u32),
         );
     }
+    if !watch.leaving.is_empty() {
+        let mut list = builder.init_leaving(watch.leaving.len() as u32);
+        for (index, leaving) in (0..).zip(&watch.leaving) {
+            let mut builder = list.reborrow().get(index);
+            builder.set_upstream_key(leaving.upstream_key);
+            builder.set_born_ms(leaving.born_ms);
+        }
+    }
 }
 
 fn write_speeds(
@@ -157,6 +168,14 @@
             .map(read_rate)
             .collect::<Result<_, _>>()?,
         speeds: reader.get_speeds()?.iter().map(read_speed).collect(),
+        leaving: reader
+            .get_leaving()?
+            .iter()
+            .map(|leaving| LeavingUpstream {
+                upstream_key: leaving.get_upstream_key(),
+                born_ms: leaving.get_born_ms(),
+            })
+            .collect(),
     })
 }
 
@@ -167,6 +186,7 @@
     builder.set_sequence(reply.sequence);
     builder.set_is_current(reply.is_current);
     builder.set_version(reply.version);
+    builder.set_document_age_ms(reply.document_age_ms.unwrap_or(UNKNOWN_AGE_MS));
     builder.set_listing(reply.listing);
     builder.set_listing_age_ms(reply.listing_age_ms);
     builder.set_entries(reply.entries);
@@ -230,6 +250,8 @@
         sequence: reader.get_sequence(),
         is_current: reader.get_is_current(),
         version: reader.get_version(),
+        document_age_ms: Some(reader.get_document_age_ms())
+            .filter(|age_ms| *age_ms != UNKNOWN_AGE_MS),
         document,
         listing: reader.get_listing(),
         listing_age_ms: reader.get_listing_age_ms(),
@@ -394,6 +416,7 @@
     builder.set_born_ms(upstream.born_ms);
     builder.set_role(write_role(upstream.role));
     builder.set_is_changing(upstream.is_changing);
+    builder.set_is_reclaimable(upstream.is_reclaimable);
 }
 
 fn read_upstream_record(
@@ -409,5 +432,6 @@
         born_ms: reader.get_born_ms(),
         role: read_role(reader.get_role()?),
         is_changing: reader.get_is_changing(),
+        is_reclaimable: reader.get_is_reclaimable(),
     })
 }
--- a/crates/wire/tests/generate/mod.rs
+++ b/crates/wire/tests/generate/mod.rs
@@ -125,6 +125,10 @@
         usage: list(g, usage_count),
         demand: list(g, service_rate),
         speeds: list(g, speed_report),
+        leaving: list(g, |g| fleet::LeavingUpstream {
+            upstream_key: number(g),
+            born_ms: number(g),
+        }),
     }
 }
 
@@ -232,6 +236,7 @@
         sequence: number(g),
         is_current: flag(g),
         version: number(g),
+        document_age_ms: option(g, |g| u64::from(u32::arbitrary(g))),
         document: option(g, bytes),
         listing: number(g),
         listing_age_ms: number(g),
@@ -287,6 +292,7 @@
                 .unwrap()
         }),
         is_changing: flag(g),
+        is_reclaimable: flag(g),
     }
 }
 
