Keep the engines that hold the caches, and do not follow the cold start

Cause: orders lost more service than they saved. Change: while caches fill, the need follows the lower of the latest and the mean work and nothing is ordered beyond the first count; only what is needed beyond that is reclaimable.

--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -21,13 +21,8 @@
 /// Share of the time in which engines are to be busy at the peak of the demand. Urgent prompts wait behind long ones, so
 /// that much higher shares make them late.
 const TARGET_UTILIZATION: f64 = 0.5;
-/// The same share with reclaimable upstreams, which cost little.
-const RECLAIMABLE_UTILIZATION: f64 = 0.4;
 /// Share of the time in which engines may be busy on average after the loss of an availability zone.
 const LOSS_UTILIZATION: f64 = 0.85;
-/// Share of the planned total that the platform may not reclaim. These upstreams carry the mean demand until others have
-/// started.
-const BASE_SHARE: f64 = 0.4;
 /// Price from which reclaimable upstreams are not worth their risk, as a share of the price of the others.
 const RECLAIMABLE_MAX_PRICE: f64 = 0.8;
 /// Smallest number of engines for a zone with demand: two of each role.
@@ -38,6 +33,9 @@
 const PEAK_WINDOW_MS: u64 = 12_000;
 /// Time from the first demand until it counts, in milliseconds: at first, nothing is cached.
 const WARM_UP_MS: u64 = 3_000;
+/// Time from the first demand in which caches fill, in milliseconds. Engines that are ordered for the cold start would begin
+/// after it.
+const CACHE_FILL_MS: u64 = 24_000;
 /// Time for which demand must have counted before it leads to orders, in milliseconds.
 const FIRST_PLAN_MS: u64 = 3_000;
 /// Factor on the demand until it has been observed for a whole window: waves swing by up to 30% to either side, and half of a window shows most of it.
@@ -206,8 +204,10 @@
         }
         let peak = self.busy.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
         let mean = self.busy.iter().map(|(_, busy)| *busy).sum::<f64>() / self.busy.len() as f64;
-        Some(match observed_ms < WARM_UP_MS + PEAK_WINDOW_MS {
-            true => (peak * UNSEEN_FACTOR, mean),
+        // While caches fill, the peak shows the cold start, and the latest demand what is left of it.
+        let latest = self.busy.back().map_or(0.0, |(_, busy)| *busy);
+        Some(match observed_ms < CACHE_FILL_MS {
+            true => (latest.min(mean) * UNSEEN_FACTOR, latest.min(mean)),
             false => (peak, mean),
         })
     }
@@ -215,6 +215,13 @@
     /// Moves the planned total: up at once if the demand needs more, and down in steps to the need at its peak.
     fn plan_total(&mut self, now_ms: u64, shortest: u32, need: u32) -> u32 {
         let planned = self.total.unwrap_or(self.initial);
+        let is_filling = self
+            .demand_since_ms
+            .is_none_or(|since_ms| now_ms.saturating_sub(since_ms) < CACHE_FILL_MS);
+        let shortest = match is_filling {
+            true => shortest.min(self.initial),
+            false => shortest,
+        };
         let shortage = shortest.saturating_sub(planned);
         let total = match f64::from(shortage) > f64::from(planned) * TOLERATED_SHORTAGE {
             true => {
@@ -360,11 +367,6 @@
             .map(|(zone, price)| (zone.clone(), *price))
             .collect();
         zones.sort_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(&b.0)));
-        let uses_reclaimable = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE;
-        let utilization = match uses_reclaimable {
-            true => RECLAIMABLE_UTILIZATION,
-            false => TARGET_UTILIZATION,
-        };
         let mut shortest: Vec<(Name, f64, u32)> = Vec::new();
         let mut needs: Vec<(Name, f64, u32)> = Vec::new();
         for (zone, _) in &zones {
@@ -385,7 +387,11 @@
             };
             let lowest = count(forecast, TARGET_UTILIZATION);
             shortest.push((zone.clone(), mean, lowest));
-            needs.push((zone.clone(), mean, count(peak, utilization).max(lowest)));
+            needs.push((
+                zone.clone(),
+                mean,
+                count(peak, TARGET_UTILIZATION).max(lowest),
+            ));
         }
         cover_zone_loss(&mut shortest, scaling.max);
         cover_zone_loss(&mut needs, scaling.max);
@@ -412,16 +418,10 @@
         }
         let uses_reclaimable = scaling.reclaimable_price <= RECLAIMABLE_MAX_PRICE;
         let total = state.plan_total(now_ms, shortest, need);
-        let is_known = state.peak_and_mean_busy(now_ms).is_some();
-        let (base, without_reclaimable) = match (uses_reclaimable, is_known) {
-            (true, true) => (
-                share(total, BASE_SHARE),
-                share(total, RECLAIMABLE_UTILIZATION / TARGET_UTILIZATION)
-                    .max(shortest)
-                    .min(total),
-            ),
-            (true, false) => (share(total, BASE_SHARE), total),
-            (false, _) => (total, total),
+        // The first engines hold the caches, so that only what is needed beyond them may be reclaimed.
+        let base = match uses_reclaimable {
+            true => total.min(state.initial),
+            false => total,
         };
         let room = scaling.max.saturating_sub(state.permanent.ordered);
         let reclaimable = match now_ms >= state.reclaimable.unavailable_until_ms {
@@ -429,8 +429,13 @@
             false => state.reclaimable.ordered.min(total - base),
         };
         let present = state.reclaimable.present.min(reclaimable);
-        let permanent = base
-            .max(without_reclaimable.saturating_sub(present))
+        // Permanent engines that stand in for others leave only once those have started.
+        let lowest = base.max(total - reclaimable);
+        let highest = base.max(total - present);
+        let permanent = state
+            .permanent
+            .ordered
+            .clamp(lowest, highest)
             .max(scaling.min.saturating_sub(reclaimable));
         for (kind, wanted) in [
             (Kind::Permanent, permanent),
@@ -554,11 +559,6 @@
     }
 }
 
-/// Returns a share of a number, rounded up.
-fn share(number: u32, share: f64) -> u32 {
-    (f64::from(number) * share).ceil() as u32
-}
-
 /// Returns the count to order now, if an order is due.
 fn next_count(now_ms: u64, kind: &KindState, wanted: u32, boot_ms: u64) -> Option<u32> {
     let since_order_ms = now_ms.saturating_sub(kind.ordered_ms);
