Ask replicas that others name to join the log

The leader, 10.5.0.29, is no contact of the settings. The replica knew it from the list of another one ("connected to 10.5.0.29"), but without a line "outcome=discovered": requests to join went only to the contacts and to replicas whose first news was a message of their own. Ruled out: a leader that cannot change members (it committed documents throughout), lost messages (both were connected). Change: replicas that others name are asked as well. Test: a_replica_asks_those_that_others_name_to_join_the_log failed before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -777,8 +777,13 @@
         let age_ms = reply.document_age_ms;
         self.confirmation
             .on_reply(reply.sequence, reply.version, age_ms, self.version);
+        let mut has_new = false;
         for info in reply.replicas {
-            self.replicas.on_named(info, now_ms);
+            has_new |= self.replicas.on_named(info, now_ms);
+        }
+        // The leader may be among them, and only it can let this replica join the log.
+        if has_new {
+            self.update_join_targets();
         }
     }
 
--- a/crates/gateway/src/replicas.rs
+++ b/crates/gateway/src/replicas.rs
@@ -65,24 +65,26 @@
         }
     }
 
-    /// Adds a replica that another one or the settings name, unless it is known.
-    pub fn on_named(&mut self, info: InstanceInfo, now_ms: u64) {
-        if info.id != self.own_id {
-            self.by_id.entry(info.id.clone()).or_insert(KnownReplica {
-                info,
-                entries: 0,
-                heard_ms: None,
-                known_ms: now_ms,
-                next_watch_ms: now_ms,
-                is_contact: false,
-            });
+    /// Adds a replica that another one or the settings name, unless it is known. Returns whether it was unknown.
+    pub fn on_named(&mut self, info: InstanceInfo, now_ms: u64) -> bool {
+        if info.id == self.own_id || self.by_id.contains_key(&info.id) {
+            return false;
         }
+        let replica = KnownReplica {
+            info,
+            entries: 0,
+            heard_ms: None,
+            known_ms: now_ms,
+            next_watch_ms: now_ms,
+            is_contact: false,
+        };
+        self.by_id.insert(replica.info.id.clone(), replica);
+        true
     }
 
     /// Records a message from a replica. Returns whether the replica was unknown.
     pub fn on_message(&mut self, info: &InstanceInfo, now_ms: u64) -> bool {
-        let is_new = !self.by_id.contains_key(&info.id);
-        self.on_named(info.clone(), now_ms);
+        let is_new = self.on_named(info.clone(), now_ms);
         if let Some(replica) = self.by_id.get_mut(&info.id) {
             replica.info.clone_from(info);
             replica.heard_ms = Some(now_ms);
