Read numbers in heads of answers in one place

stated_pause repeated the checks of stated_limit on absent, repeated and malformed headers; both now use stated_number. Two equal arms on the receivers of demand are one condition. Behaviour is unchanged.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -601,11 +601,11 @@
                 }
                 _ => Vec::new(),
             };
-            let demand = match &leader {
-                Some(leader) if *leader == info.id => self.duties.own_demand(now_ms),
-                // A replica that is not a member of the log does not know which one leads.
-                None => self.duties.own_demand(now_ms),
-                _ => Vec::new(),
+            // A replica that is not a member of the log does not know which one leads.
+            let may_lead = leader.as_ref().is_none_or(|leader| *leader == info.id);
+            let demand = match may_lead {
+                true => self.duties.own_demand(now_ms),
+                false => Vec::new(),
             };
             let watch = Watch {
                 demand,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -442,20 +442,24 @@
 
 /// Returns the limit that an answer states. A limit must be stated once, as a number of requests per second.
 fn stated_limit(headers: &HeaderMap, name: &HeaderName) -> StatedLimit {
+    match stated_number(headers, name) {
+        None => StatedLimit::Absent,
+        Some(Some(per_s)) if (0.0..=MAX_LIMIT_PER_S).contains(&per_s) => {
+            StatedLimit::PerSecond(per_s)
+        }
+        Some(_) => StatedLimit::Invalid,
+    }
+}
+
+/// Returns the number in a header: none if the header is absent, and an inner none if it is no number or is repeated.
+fn stated_number(headers: &HeaderMap, name: &HeaderName) -> Option<Option<f64>> {
     let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return StatedLimit::Absent;
-    };
-    let per_s = value
+    let value = values.next()?;
+    let number = value
         .to_str()
         .ok()
         .and_then(|text| text.trim().parse().ok());
-    match per_s {
-        Some(per_s) if values.next().is_none() && (0.0..=MAX_LIMIT_PER_S).contains(&per_s) => {
-            StatedLimit::PerSecond(per_s)
-        }
-        _ => StatedLimit::Invalid,
-    }
+    Some(number.filter(|_| values.next().is_none()))
 }
 
 /// Returns whether an answer announces the end of its upstream, which a single header with the value 1 does.
@@ -466,17 +470,10 @@
 
 /// Returns the pause that a rejection states, as a single number of seconds.
 fn stated_pause(now_ms: u64, headers: &HeaderMap) -> StatedPause {
-    let mut values = headers.get_all(RETRY_AFTER).iter();
-    let Some(value) = values.next() else {
-        return StatedPause::Absent;
-    };
-    let seconds = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
-    match seconds {
-        Some(seconds) if values.next().is_none() => StatedPause::from_seconds(now_ms, seconds),
-        _ => StatedPause::Invalid,
+    match stated_number(headers, &RETRY_AFTER) {
+        None => StatedPause::Absent,
+        Some(Some(seconds)) => StatedPause::from_seconds(now_ms, seconds),
+        Some(None) => StatedPause::Invalid,
     }
 }
 
