--- a/review/7/run.py
+++ b/review/7/run.py
@@ -70,6 +70,9 @@
         time.sleep(CATCH_UP_S + RECOVERY_S)
         running = [ip for ip in fleet.core_ips if fleet.procs[ip].poll() is None]
         note(f"running: {running}")
+        if not set(fleet.ended()) <= {first}:
+            note("a process has ended by itself")
+            return 2
         newest, statuses = 0, {}
         end = time.monotonic() + ASK_S
         while time.monotonic() < end:
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -21,10 +21,15 @@
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
 
-def free_port():
-    with socket.socket() as listener:
+def free_ports(count):
+    """Returns different ports: all of them are held until the last one is known."""
+    listeners = [socket.socket() for _ in range(count)]
+    for listener in listeners:
         listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
 
 
 class Platform:
@@ -73,7 +78,7 @@
         self.core_ips = [f"127.0.{net}.{11 + i}" for i in range(cores)]
         self.front_ips = [f"127.0.{net}.{21 + i}" for i in range(fronts)]
         self.seeds = self.core_ips[:3]
-        self.front_port, self.ready_port, self.control_port = free_port(), free_port(), free_port()
+        self.front_port, self.ready_port, self.control_port = free_ports(3)
         self.internal_port = random.randint(20000, 30000)
         self.platform = Platform(f"127.0.{net}.100")
         self.first = True
@@ -127,6 +132,10 @@
             self.start(ip)
         self.first = False
 
+    def ended(self):
+        """Returns the addresses of the processes that have ended."""
+        return [ip for ip, process in self.procs.items() if process.poll() is not None]
+
     def kill(self, ip, number=signal.SIGKILL):
         self.procs[ip].send_signal(number)
 
