Let callers pause reading for as long as their requests may take

Cause: the sockets of callers had the TCP_USER_TIMEOUT of 2 s of those to upstreams. Linux also ends a connection whose peer is alive but keeps its window closed for that long. Ruled out: the end of the process, which waits for the last byte, and the upstream, which had written its whole answer.

The time-out of callers' sockets is now the longest timeout of the routes, at least 15 s. A stream whose caller does not read ends at the request's deadline; the reset did that before.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -216,6 +216,7 @@
     limits: Limits,
     /// Routes of each host, longest path prefix first.
     hosts: Map<Name, Vec<Route>>,
+    longest_timeout_ms: u64,
     /// Client accounts; none if requests need no API key.
     accounts: Option<Accounts>,
 }
@@ -235,6 +236,7 @@
             .into_iter()
             .map(|service| (service.name.clone(), service))
             .collect();
+        let longest_timeout_ms = routes.iter().map(|route| route.timeout_ms).max();
         let mut hosts: Map<Name, Vec<Route>> = Map::default();
         for route in routes {
             validate(&route, &services)?;
@@ -259,6 +261,7 @@
             services,
             limits,
             hosts,
+            longest_timeout_ms: longest_timeout_ms.unwrap_or(0),
             accounts: None,
         })
     }
@@ -303,6 +306,11 @@
         &self.limits
     }
 
+    /// Returns the longest timeout of a route, in milliseconds; 0 without routes.
+    pub fn longest_timeout_ms(&self) -> u64 {
+        self.longest_timeout_ms
+    }
+
     /// Returns the service with a name.
     pub fn service(&self, name: &Name) -> Option<&Service> {
         self.services.get(name)
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -303,12 +303,16 @@
 ) {
     let limits_runtime = runtime.clone();
     let limits = move || {
-        limits_runtime
-            .config()
-            .map_or_else(ConnectionLimits::default, |config| ConnectionLimits {
-                head_bytes: config.limits().head_bytes,
-                head_timeout: Duration::from_millis(config.limits().idle_timeout_ms),
-            })
+        let default = ConnectionLimits::default();
+        let Some(config) = limits_runtime.config() else {
+            return default;
+        };
+        let longest_exchange = Duration::from_millis(config.longest_timeout_ms());
+        ConnectionLimits {
+            head_bytes: config.limits().head_bytes,
+            head_timeout: Duration::from_millis(config.limits().idle_timeout_ms),
+            write_timeout: default.write_timeout.max(longest_exchange),
+        }
     };
     let handle = move |request| {
         let (runtime, stopping) = (runtime.clone(), stopping.clone());
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -38,6 +38,9 @@
     pub head_bytes: usize,
     /// Timeout of receiving a request head, which includes the idle time before the request.
     pub head_timeout: Duration,
+    /// Time after which a connection ends if the caller takes no bytes of an answer. A caller may pause for as long as its
+    /// request may take.
+    pub write_timeout: Duration,
 }
 
 impl Default for ConnectionLimits {
@@ -45,6 +48,7 @@
         Self {
             head_bytes: 16 * 1024,
             head_timeout: Duration::from_secs(15),
+            write_timeout: Duration::from_secs(15),
         }
     }
 }
@@ -112,7 +116,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    configure_socket(&stream);
+    configure_socket(&stream, limits.write_timeout);
     let has_request = Rc::new(Cell::new(false));
     let request_seen = has_request.clone();
     let service = service_fn(move |request| {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -34,7 +34,7 @@
 const FRESH_MARGIN: Duration = Duration::from_millis(1_000);
 /// Maximum number of idle connections to each upstream.
 const MAX_IDLE_CONNECTIONS: usize = 16;
-/// Time after which a connection with unacknowledged bytes counts as dead.
+/// Time after which a connection to an upstream counts as dead if the upstream does not acknowledge or take bytes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time after which the kernel probes a connection, and the interval of its probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -204,7 +204,7 @@
 
 async fn open(address: &Name) -> Result<Connection, Box<dyn std::error::Error>> {
     let stream = TcpStream::connect(address.as_str()).await?;
-    configure_socket(&stream);
+    configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT);
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -220,9 +220,10 @@
     })
 }
 
-/// Disables Nagle's algorithm, and makes the kernel close connections whose peer no longer answers. If an option cannot
-/// be set, its default stays, with which a dead peer is detected later.
-pub fn configure_socket(stream: &TcpStream) {
+/// Disables Nagle's algorithm, and makes the kernel close connections whose peer no longer answers. A peer that leaves
+/// its window closed for `unacknowledged_timeout` counts as one, even if it answers the kernel's probes. If an option
+/// cannot be set, its default stays, with which a dead peer is detected later.
+pub fn configure_socket(stream: &TcpStream, unacknowledged_timeout: Duration) {
     let _ = stream.set_nodelay(true);
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -230,5 +231,5 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_PROBES);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let _ = socket.set_tcp_user_timeout(Some(unacknowledged_timeout));
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -50,6 +50,8 @@
                 match resume(&mut exchange, &forwarded, &cursor, &events, outcome).await {
                     Some(next) => upstream_stream = next,
                     None => {
+                        // The exchange ends at once, although the caller may not read the abort for long.
+                        drop(exchange);
                         // The send fails if the caller has disconnected, who then needs no error.
                         let _ = events.send(Err(StreamAborted)).await;
                         return;
@@ -96,8 +98,10 @@
             Ok(None) => continue,
             Err(EventTooLarge) => return StreamEnd::Failed(Outcome::Broken),
         };
-        if events.send(Ok(complete)).await.is_err() {
-            return StreamEnd::Failed(Outcome::Broken);
+        match timeout_at(deadline, events.send(Ok(complete))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return StreamEnd::Failed(Outcome::Broken),
+            Err(_) => return StreamEnd::Failed(Outcome::TimedOut),
         }
     }
 }
--- a/crates/relay/tests/listener.rs
+++ b/crates/relay/tests/listener.rs
@@ -9,7 +9,7 @@
 use relay::answer::AnswerBody;
 use relay::http::{ConnectionLimits, listen, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet};
 
@@ -137,3 +137,37 @@
         serving.await.expect("the listener ends");
     });
 }
+
+/// Guards against answers that are cut off because the caller does not read for a few seconds although it is alive.
+#[test]
+fn a_caller_that_pauses_reading_gets_its_whole_answer() {
+    const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+    const PAUSE: Duration = Duration::from_secs(4);
+    run(async {
+        let (address, _stop, _serving) = start_with(vec![b'x'; ANSWER_BYTES].into()).await;
+        let socket = TcpSocket::new_v4().expect("a socket can be created");
+        // A small window closes as soon as the caller stops reading.
+        socket
+            .set_recv_buffer_size(2_048)
+            .expect("the size is allowed");
+        let address = address.parse().expect("the address is valid");
+        let mut caller = socket.connect(address).await.expect("it is accepted");
+        caller.write_all(REQUEST).await.expect("it can be written");
+        let mut head = [0; 64];
+        caller
+            .read_exact(&mut head)
+            .await
+            .expect("the answer begins");
+        tokio::time::sleep(PAUSE).await;
+        let mut received = head.len();
+        let mut buffer = vec![0; 64 * 1024];
+        while received < ANSWER_BYTES {
+            let bytes = caller
+                .read(&mut buffer)
+                .await
+                .expect("the connection is not reset");
+            assert!(bytes > 0, "the answer ended after {received} bytes");
+            received += bytes;
+        }
+    });
+}
