Give successors their votes before the voters that they replace are lost

Cause: a successor got a vote only after 2.5 s of silence of a voter. The second loss came before, and one voter of three was left. Ruled out: each loss alone, which is borne; and the length of the silence, which only sets the size of the window.

A new instance in an availability zone with one voter now takes over that vote once it has caught up. Two voters above the target are added if so many other instances run, and removed without a replacement when they are silent or leave. A leaving voter above the target waits for its removal, and an instance that was just added no longer counts as silent when another one asks to join first.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -22,7 +22,7 @@
 use crate::scaling::UpstreamCount;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
-use crate::voters::{self, Candidates, VoterChange};
+use crate::voters::{self, Candidates, Joiner, VoterChange};
 
 /// Interval of the leader's heartbeats, in milliseconds. Several heartbeats fit into an election timeout, since a link
 /// may lose some.
@@ -258,6 +258,7 @@
         };
         let mut replica = Replica::new(replica_settings, recovered, now_ms);
         replica.set_join_targets(contact_ids(&settings));
+        replica.set_target_voters(settings.target_voters);
         let lease = LeaderLease::new(settings.order_lease_ms);
         let duties = Duties::new(&settings.duties);
         Self {
@@ -544,12 +545,17 @@
             .collect();
         let own = &self.settings.info;
         zones.insert(own.id.clone(), own.availability_zone.clone());
+        let joiners = self.replica.joiners(voters::REPLACE_AFTER_MS);
         let candidates = Candidates {
             member_ages_ms: self.replica.member_activity_ages_ms(),
-            joiners: self.replica.joiners(voters::REPLACE_AFTER_MS),
+            joiners: joiners
+                .into_iter()
+                .map(|(id, holds_log)| Joiner { id, holds_log })
+                .collect(),
             leavers: self.replica.leavers(),
             zones,
             target: self.settings.target_voters,
+            is_settled: self.replica.has_settled_members(),
         };
         let Some(change) = voters::next_change(&candidates) else {
             return;
@@ -559,6 +565,7 @@
         self.queue_input(match change {
             VoterChange::Add(new) => Input::AddVoter { token, new },
             VoterChange::Replace { old, new } => Input::ReplaceVoter { token, old, new },
+            VoterChange::Remove(old) => Input::RemoveVoter { token, old },
         });
     }
 
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -300,3 +300,72 @@
         }
     }
 }
+
+/// Guards against the loss of the acknowledged document when a voter vanishes without a signal while its successor runs, and
+/// another voter loses its disk at the same moment.
+#[test]
+fn a_disk_may_be_lost_together_with_a_voter_whose_successor_runs() {
+    for removed in 0..3 {
+        for wiped in (0..4).filter(|wiped| *wiped != removed) {
+            let mut cluster = Cluster::new(3, 3);
+            cluster.run(3_000);
+            // The successor runs in the availability zone of the voter.
+            while cluster.add() % 3 != removed {
+                let other_zone = cluster.replicas() - 1;
+                cluster.partition(other_zone);
+            }
+            cluster.run(4_000);
+            cluster.publish(7, "seven");
+            cluster.partition(removed);
+            let successor = cluster.replicas() - 1;
+            cluster.wipe(if wiped == 3 { successor } else { wiped });
+            cluster.run(4_000);
+            let answer = cluster.describe();
+            assert!(
+                matches!(answer, Some(Answer::Document { version: 7, .. })),
+                "{removed} removed, {wiped} wiped: {answer:?}"
+            );
+            assert_eq!(
+                cluster.publish(8, "eight"),
+                Some(Answer::Acknowledged { version: 8 })
+            );
+        }
+    }
+}
+
+/// Guards against the loss of the acknowledged document when several other replicas run, of which each may be the successor of
+/// the voter that vanishes.
+#[test]
+fn two_of_the_voters_may_be_lost_at_once_if_others_run() {
+    for lost in 0..5 {
+        let mut cluster = Cluster::new(5, 3);
+        cluster.run(6_000);
+        cluster.publish(7, "seven");
+        cluster.partition(lost);
+        cluster.wipe((lost + 1) % 5);
+        cluster.run(4_000);
+        let answer = cluster.describe();
+        assert!(
+            matches!(answer, Some(Answer::Document { version: 7, .. })),
+            "{answer:?}"
+        );
+    }
+}
+
+/// Guards against voters above the target that stay in the member set after their loss, so that the running voters bear no
+/// further loss.
+#[test]
+fn lost_voters_above_the_target_are_removed() {
+    let mut cluster = Cluster::new(5, 3);
+    cluster.run(6_000);
+    cluster.publish(7, "seven");
+    for lost in 0..3 {
+        cluster.partition(lost);
+        cluster.run(5_000);
+        let version = 8 + lost as u64;
+        assert_eq!(
+            cluster.publish(version, "next"),
+            Some(Answer::Acknowledged { version })
+        );
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -174,6 +174,11 @@
         self.now_ms
     }
 
+    /// Returns the number of replicas that were started.
+    pub fn replicas(&self) -> usize {
+        self.replicas.len()
+    }
+
     /// Advances the clock and runs the replicas.
     pub fn run(&mut self, duration_ms: u64) {
         let end_ms = self.now_ms + duration_ms;
--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -40,6 +40,20 @@
         self.append_members(token, set, out);
     }
 
+    pub(crate) fn on_remove_voter(&mut self, token: u64, old: &FastStr, out: &mut Vec<Output>) {
+        if !self.is_leader() {
+            let leader = self.leader_instance();
+            return out.push(Output::NotLeader { token, leader });
+        }
+        let set = self.members.current();
+        let is_valid = set.instances.contains(old) && set.instances.len() > 1;
+        if self.changeable_members_index() == 0 || !is_valid {
+            return out.push(Output::ChangeRefused { token });
+        }
+        let set = set.without_instance(old);
+        self.append_members(token, set, out);
+    }
+
     fn append_members(&mut self, token: u64, set: MemberSet, out: &mut Vec<Output>) {
         let index = self.append_as_leader(EntryBody::Members(set), out);
         out.push(Output::Appended {
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -64,7 +64,13 @@
         self.bootstrap_if_ready(out);
     }
 
-    pub(crate) fn on_join(&mut self, from: ReplicaId, members_index: u64, out: &mut Vec<Output>) {
+    pub(crate) fn on_join(
+        &mut self,
+        from: ReplicaId,
+        holds_log: bool,
+        members_index: u64,
+        out: &mut Vec<Output>,
+    ) {
         let current_index = self.changeable_members_index();
         let message = Message::JoinReply {
             storage_id: from.storage_id,
@@ -76,12 +82,16 @@
         if current_index == 0 || members_index != current_index {
             return;
         }
+        let instances = &self.members.current().instances;
         if let Role::Leader(leader) = &mut self.role {
-            leader
-                .joiners
-                .retain(|joiner| joiner.id != from && joiner.members_index == current_index);
+            // An instance that was just added counts as active since its last request.
+            leader.joiners.retain(|joiner| {
+                let is_added = instances.contains(&joiner.id.instance);
+                joiner.id != from && (is_added || joiner.members_index == current_index)
+            });
             leader.joiners.push(Joiner {
                 id: from,
+                holds_log,
                 members_index,
                 requested_ms: self.now_ms,
             });
--- a/crates/quorum/src/leave.rs
+++ b/crates/quorum/src/leave.rs
@@ -18,6 +18,8 @@
     is_leaving: bool,
     is_released: bool,
     next_request_ms: u64,
+    /// Number of voters above which a leaving voter is removed before its process stops; none if voters are not removed.
+    target_voters: Option<usize>,
 }
 
 impl Replica {
@@ -43,6 +45,12 @@
             .collect()
     }
 
+    /// Sets the number of voters above which the caller removes a leaving voter without a replacement. The leader then
+    /// does not let the voter's process stop before.
+    pub fn set_target_voters(&mut self, target_voters: usize) {
+        self.leave.target_voters = Some(target_voters);
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leave.is_leaving
     }
@@ -129,11 +137,9 @@
         set: &MemberSet,
         id: &ReplicaId,
     ) -> bool {
-        let settled_ms = self.settings.heartbeat_interval_ms * SETTLED_HEARTBEATS;
-        let is_settled = leader
-            .settled_since_ms
-            .is_some_and(|since_ms| self.now_ms - since_ms >= settled_ms);
-        if !is_settled
+        let target_voters = self.leave.target_voters.unwrap_or(usize::MAX);
+        if set.voters.len() > target_voters
+            || !self.has_settled_members()
             || !self
                 .joiners(self.settings.election_timeout_max_ms)
                 .is_empty()
@@ -159,6 +165,17 @@
         remaining.count() >= set.majority()
     }
 
+    /// Returns whether this replica is the leader and each instance of the committed member set has had a voter for long
+    /// enough that all replicas that ask to join are known.
+    pub fn has_settled_members(&self) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let settled_ms = self.settings.heartbeat_interval_ms * SETTLED_HEARTBEATS;
+        let since_ms = leader.settled_since_ms;
+        since_ms.is_some_and(|since_ms| self.now_ms - since_ms >= settled_ms)
+    }
+
     /// Records since when every instance of the committed member set has had a voter.
     fn observe_settled_members(&mut self) {
         let set = self.members.current();
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -74,13 +74,15 @@
         set
     }
 
-    pub(crate) fn with_replaced_instance(&self, old: &FastStr, new: &FastStr) -> Self {
+    pub(crate) fn without_instance(&self, old: &FastStr) -> Self {
         let mut set = self.clone();
         set.instances.retain(|instance| instance != old);
-        set.instances.push(new.clone());
-        set.instances.sort_unstable();
         set
     }
+
+    pub(crate) fn with_replaced_instance(&self, old: &FastStr, new: &FastStr) -> Self {
+        self.without_instance(old).with_additional_instance(new)
+    }
 }
 
 /// The member sets of the log, oldest first. The last set is in force; truncating the log restores an earlier set.
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -190,6 +190,8 @@
     },
     /// Allows instance `new` to run a voter in addition to the current instances; answered like `ReplaceVoter`.
     AddVoter { token: u64, new: FastStr },
+    /// Removes the voter on instance `old` without a replacement; answered like `ReplaceVoter`.
+    RemoveVoter { token: u64, old: FastStr },
     /// Prepares the stop of this replica's process: its vote moves to another replica if one can take it over.
     /// `Replica::has_left` then tells when the process may stop.
     Leave,
--- a/crates/quorum/src/peer.rs
+++ b/crates/quorum/src/peer.rs
@@ -116,6 +116,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Joiner {
     pub(crate) id: ReplicaId,
+    /// Whether the replica holds a log, as a former member does.
+    pub(crate) holds_log: bool,
     /// Index of the latest member set that the replica has received from a leader.
     pub(crate) members_index: u64,
     /// Time at which the join request arrived, in milliseconds.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -149,6 +149,7 @@
             Input::Propose { token, command } => self.on_propose(token, command, out),
             Input::ReplaceVoter { token, old, new } => self.on_replace(token, &old, &new, out),
             Input::AddVoter { token, new } => self.on_add_voter(token, &new, out),
+            Input::RemoveVoter { token, old } => self.on_remove_voter(token, &old, out),
             Input::Leave => self.start_leaving(out),
             Input::Read { token } => self.on_read(token, out),
             Input::SnapshotState { index, state } => self.on_snapshot_state(index, state, out),
@@ -174,9 +175,9 @@
         }
     }
 
-    /// Returns the instances that sent a join request within `max_age_ms` and that the member set does not list. The
-    /// result is empty unless this replica is the leader.
-    pub fn joiners(&self, max_age_ms: u64) -> Vec<FastStr> {
+    /// Returns the instances that sent a join request within `max_age_ms` and that the member set does not list, each
+    /// with whether it holds a log. The result is empty unless this replica is the leader.
+    pub fn joiners(&self, max_age_ms: u64) -> Vec<(FastStr, bool)> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
         };
@@ -185,8 +186,8 @@
             .joiners
             .iter()
             .filter(|joiner| self.now_ms - joiner.requested_ms <= max_age_ms)
-            .map(|joiner| joiner.id.instance.clone())
-            .filter(|instance| !instances.contains(instance))
+            .map(|joiner| (joiner.id.instance.clone(), joiner.holds_log))
+            .filter(|(instance, _)| !instances.contains(instance))
             .collect()
     }
 
@@ -277,9 +278,9 @@
                 received_bytes,
             } => self.on_snapshot_reply(&from, term, index, received_bytes, out),
             Message::Join {
-                formed: _,
+                formed,
                 members_index,
-            } => self.on_join(from, members_index, out),
+            } => self.on_join(from, formed, members_index, out),
             Message::JoinReply {
                 storage_id,
                 formed,
--- a/crates/quorum/tests/replica.rs
+++ b/crates/quorum/tests/replica.rs
@@ -365,6 +365,30 @@
     assert!(replace(&mut driver, 3, 5));
 }
 
+/// Guards against an instance that counts as silent, and is replaced, right after it was added, because another one asked
+/// to join first.
+#[test]
+fn an_added_instance_is_active_since_its_last_request() {
+    let mut driver = Driver::with_log(3, &[]);
+    driver.append_committed(2, 2, (1, 1), Vec::new(), 1);
+    let term = driver.win_election();
+    driver.sync();
+    driver.acknowledge(2, term, 2);
+    let join = |members_index| Message::Join {
+        formed: false,
+        members_index,
+    };
+    driver.receive(4, join(1));
+    driver.receive(5, join(1));
+    let new = id(4).instance;
+    driver.input(Input::AddVoter { token: 1, new });
+    driver.sync();
+    driver.acknowledge(2, term, 3);
+    driver.receive(5, join(3));
+    let ages = driver.replica.member_activity_ages_ms();
+    assert!(ages.contains(&(id(4).instance, 0)), "{ages:?}");
+}
+
 /// Guards against an acknowledgement of entries that were replaced while the acknowledgement waited for the disk.
 #[test]
 fn acknowledgement_covers_only_entries_still_in_the_log() {
