Forward no answer whose status does not end an exchange

Cause: only the id and the signature of an answer were checked; the HTTP library hands on 101 for upgrades. Ruled out: 000 and 099, from the reports of other operators, and statuses of other lengths, which the library rejects.

Such an answer now counts as broken. an_answer_with_an_invalid_status_is_not_forwarded failed before with status 101. an_answer_that_ends_in_its_head_is_not_forwarded, for another report, passed before: a head that breaks off at any byte is no answer here.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls to upstreams.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 
 /// Maximum size of an answer that is not a stream, in bytes. Such an answer is held in memory until it is complete.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Statuses of answers that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum size of the answer to a prefill call, in bytes. It contains little more than a handle.
 const MAX_PREFILL_ANSWER_BYTES: usize = 64 * 1024;
 /// Largest limit on requests that an upstream may state, in requests per second.
@@ -306,6 +309,12 @@
         let names = self.dialect.header_names();
         let headers = response.headers();
         let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(CallFailure::new(
+                Outcome::Broken,
+                format!("an answer cannot have status {status}"),
+            ));
+        }
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Err(CallFailure::new(
                 Outcome::Misdirected,
