Send no request twice on one connection to an upstream

A caller could be told that its request had not run, or the request could run at a second upstream, after a faulty upstream had written an earlier refusal once more (REFUSED, TWICE).

Cause: late answers are told by the id of the request, but the call for the prompt and the call that generates have the same id, and could use the same connection. Ruled out: refusals of other requests, and connections after a refusal, which are closed.

A connection remembers its last request and does not carry it again. a_repeated_refusal_of_the_same_request_is_no_promise failed before (Rejected for a request that the upstream had received).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -21,7 +21,7 @@
 use crate::body;
 use crate::clock::Clock;
 use crate::dialect::{Dialect, HeaderNames};
-use crate::pool::{Connection, Pool};
+use crate::pool::{Connection, Needs, Pool};
 
 /// Maximum size of an answer that is not a stream, in bytes. Such an answer is held in memory until it is complete.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -156,12 +156,16 @@
             None => deadline,
         };
         // A prefill call may be repeated.
-        let must_be_fresh = forwarded.is_at_most_once && call.task != Task::Prefill;
-        let connection = self
+        let needs = Needs {
+            freshness: forwarded.is_at_most_once && call.task != Task::Prefill,
+            request_id: Some(&forwarded.id),
+        };
+        let mut connection = self
             .pool
-            .connection(&call.address, must_be_fresh, head_deadline)
+            .connection(&call.address, needs, head_deadline)
             .await
             .map_err(|reason| CallFailure::new(Outcome::Unreachable, reason))?;
+        connection.last_request_id = Some(forwarded.id.clone());
         let request = self.build_request(call, forwarded, last_event_id);
         let (response, connection) = send_request(connection, request, head_deadline).await?;
         self.validate_request_id(forwarded, &response, connection.is_reused)?;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -62,6 +62,15 @@
     expiry: Instant,
 }
 
+/// What a call needs of a connection that has carried other requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Needs<'a> {
+    /// Whether the upstream must not close the connection while the request is on its way.
+    pub freshness: bool,
+    /// Request that the connection must not have carried last: a second answer to it could not be told from the next.
+    pub request_id: Option<&'a HeaderValue>,
+}
+
 /// An open connection, which is closed when it is dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -69,6 +78,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
+    /// Id of the last request of a caller that was sent on the connection.
+    pub last_request_id: Option<HeaderValue>,
     task: JoinHandle<()>,
 }
 
@@ -87,18 +98,17 @@
         }
     }
 
-    /// Returns an idle connection to `address`, or opens one. With `must_be_fresh`, a connection is not used that the
-    /// upstream may close while a request is on its way.
+    /// Returns an idle connection to `address` that meets `needs`, or opens one.
     ///
     /// # Errors
     /// Returns the reason if no connection can be opened before `deadline`. Nothing has been sent in this case.
     pub async fn connection(
         &self,
         address: &Name,
-        must_be_fresh: bool,
+        needs: Needs<'_>,
         deadline: Instant,
     ) -> Result<Connection, String> {
-        if let Some(connection) = self.take_idle(address, must_be_fresh) {
+        if let Some(connection) = self.take_idle(address, needs) {
             return Ok(connection);
         }
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
@@ -137,7 +147,7 @@
         let host = HeaderValue::from_str(address).map_err(|error| error.to_string())?;
         request.headers_mut().insert(HOST, host);
         let call = async {
-            let mut connection = self.connection(address, false, deadline).await?;
+            let mut connection = self.connection(address, Needs::default(), deadline).await?;
             if !may_send() {
                 return Err("the call is not sent, since it is no longer valid".to_owned());
             }
@@ -188,7 +198,7 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take_idle(&self, address: &Name, must_be_fresh: bool) -> Option<Connection> {
+    fn take_idle(&self, address: &Name, needs: Needs<'_>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
@@ -196,7 +206,10 @@
         let index = connections.iter().rposition(|idle| {
             // A connection that is still processing its last answer cannot send a request yet.
             let is_ready = idle.connection.sender.is_ready();
-            is_ready && (idle.fresh_until > now || !must_be_fresh)
+            let is_fresh = idle.fresh_until > now || !needs.freshness;
+            let last_request_id = idle.connection.last_request_id.as_ref();
+            let is_repeat = needs.request_id.is_some() && needs.request_id == last_request_id;
+            is_ready && is_fresh && !is_repeat
         })?;
         Some(connections.remove(index).connection)
     }
@@ -216,6 +229,7 @@
     Ok(Connection {
         sender,
         is_reused: false,
+        last_request_id: None,
         task,
     })
 }
