Let upstreams pause reading a long request until the call's deadline

A request with a long body failed when the upstream did not read for more than 2 s, although it was alive.

Ruled out: other limits, since the call had 8 s.

For bodies of more than 16 KB the time-out now lasts until the call's deadline. Shorter ones fit into the upstream's socket, and a dead upstream is still found after 2 s. The option changes with each request, so the connection shares its socket with the HTTP library.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -27,6 +27,9 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// Statuses of answers that end an exchange.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Largest body that an upstream's socket takes while the upstream does not read, in bytes. If an upstream takes no bytes
+/// of a longer one, it may be alive.
+const SMALL_BODY_BYTES: usize = 16 * 1024;
 /// Maximum size of the answer to a prefill call, in bytes. It contains little more than a handle.
 const MAX_PREFILL_ANSWER_BYTES: usize = 64 * 1024;
 /// Largest limit on requests that an upstream may state, in requests per second.
@@ -159,6 +162,7 @@
         let needs = Needs {
             freshness: forwarded.is_at_most_once && call.task != Task::Prefill,
             request_id: Some(&forwarded.id),
+            write_deadline: (forwarded.body.len() > SMALL_BODY_BYTES).then_some(head_deadline),
         };
         let mut connection = self
             .pool
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -19,7 +19,7 @@
 use crate::answer::{AnswerBody, ServiceResult};
 use crate::error::Error;
 use crate::logs::{self, Importance};
-use crate::pool::configure_socket;
+use crate::socket;
 
 /// Delay after a failed accept. Its usual reason, a lack of free file descriptors, is temporary.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -116,7 +116,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    configure_socket(&stream, limits.write_timeout);
+    socket::configure(&stream, limits.write_timeout);
     let has_request = Rc::new(Cell::new(false));
     let request_seen = has_request.clone();
     let service = service_fn(move |request| {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod settings;
 mod signals;
+mod socket;
 mod stream;
 mod telemetry;
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -10,13 +10,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
 use crate::body;
 use crate::memory::BodyMemory;
+use crate::socket::{self, SharedSocket};
 
 /// Timeout of opening a connection. The kernel sends a lost SYN packet again after one second, so that the
 /// timeout allows for one lost packet.
@@ -34,12 +34,8 @@
 const FRESH_MARGIN: Duration = Duration::from_millis(1_000);
 /// Maximum number of idle connections to each upstream.
 const MAX_IDLE_CONNECTIONS: usize = 16;
-/// Time after which a connection to an upstream counts as dead if the upstream does not acknowledge or take bytes.
+/// Time after which a connection to an upstream counts as dead if the upstream takes no bytes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Idle time after which the kernel probes a connection, and the interval of its probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered probes after which a connection counts as dead.
-const MAX_PROBES: u32 = 2;
 
 /// Maximum size of the head of an answer, and of what is read of a body in advance, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -62,13 +58,15 @@
     expiry: Instant,
 }
 
-/// What a call needs of a connection that has carried other requests.
+/// What a call needs of a connection, which may have carried other requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Needs<'a> {
     /// Whether the upstream must not close the connection while the request is on its way.
     pub freshness: bool,
     /// Request that the connection must not have carried last: a second answer to it could not be told from the next.
     pub request_id: Option<&'a HeaderValue>,
+    /// Until when the upstream may leave the request unread. Without it, one that takes no bytes for 2 s counts as dead.
+    pub write_deadline: Option<Instant>,
 }
 
 /// An open connection, which is closed when it is dropped.
@@ -80,9 +78,26 @@
     pub is_reused: bool,
     /// Id of the last request of a caller that was sent on the connection.
     pub last_request_id: Option<HeaderValue>,
+    socket: SharedSocket,
+    /// Value of the socket's option.
+    unacknowledged_timeout: Duration,
     task: JoinHandle<()>,
 }
 
+impl Connection {
+    /// Lets the upstream pause reading until a deadline, or for the time after which it counts as dead.
+    fn allow_pauses(&mut self, deadline: Option<Instant>) {
+        let pause = deadline.map_or(Duration::ZERO, |deadline| {
+            deadline.saturating_duration_since(Instant::now())
+        });
+        let timeout = pause.max(UNACKNOWLEDGED_TIMEOUT);
+        if timeout != self.unacknowledged_timeout {
+            self.socket.set_unacknowledged_timeout(timeout);
+            self.unacknowledged_timeout = timeout;
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -108,14 +123,17 @@
         needs: Needs<'_>,
         deadline: Instant,
     ) -> Result<Connection, String> {
-        if let Some(connection) = self.take_idle(address, needs) {
-            return Ok(connection);
-        }
-        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        match timeout_at(deadline, open(address)).await {
-            Ok(result) => result.map_err(|error| error.to_string()),
-            Err(_) => Err("the connection was not opened in time".to_owned()),
-        }
+        let mut connection = match self.take_idle(address, needs) {
+            Some(connection) => connection,
+            None => {
+                let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+                let opened = timeout_at(deadline, open(address)).await;
+                let in_time = opened.map_err(|_| "the connection was not opened in time")?;
+                in_time.map_err(|error| error.to_string())?
+            }
+        };
+        connection.allow_pauses(needs.write_deadline);
+        Ok(connection)
     }
 
     /// Makes one of the instance's own calls and returns the status and the complete body of the answer.
@@ -217,10 +235,11 @@
 
 async fn open(address: &Name) -> Result<Connection, Box<dyn std::error::Error>> {
     let stream = TcpStream::connect(address.as_str()).await?;
-    configure_socket(&stream, UNACKNOWLEDGED_TIMEOUT);
+    socket::configure(&stream, UNACKNOWLEDGED_TIMEOUT);
+    let socket = SharedSocket::new(stream);
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(socket.clone()))
         .await?;
     let task = tokio::task::spawn_local(async move {
         // The call that uses the connection receives the error.
@@ -230,20 +249,8 @@
         sender,
         is_reused: false,
         last_request_id: None,
+        socket,
+        unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
         task,
     })
 }
-
-/// Disables Nagle's algorithm, and makes the kernel close connections whose peer no longer answers. A peer that leaves
-/// its window closed for `unacknowledged_timeout` counts as one, even if it answers the kernel's probes. If an option
-/// cannot be set, its default stays, with which a dead peer is detected later.
-pub fn configure_socket(stream: &TcpStream, unacknowledged_timeout: Duration) {
-    let _ = stream.set_nodelay(true);
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(MAX_PROBES);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(unacknowledged_timeout));
-}
