Record and forward no answer of a plain service with a status that is none

With `mustardstack serve`, a caller could get a plain service's answer with status 101, 600 or 999, and the ledger recorded it (MIXED).

Cause: as for calls on the platform; only chat answers were checked by their status. Such an attempt now counts as broken, and the request may have run.

an_answer_with_an_invalid_status_is_broken failed before with status 101. an_early_answer_that_is_reset_is_broken, for the report of a part that passes for a whole answer, passed before.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,6 +3,7 @@
 //! Every attempt has its own connection. The upstream may close a pooled connection while a request is written to it,
 //! and then it is unknown whether the request ran.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -31,6 +32,9 @@
 /// chunks.
 const MAX_FETCHED_BYTES: usize = 1024 * 1024;
 
+/// Statuses of answers that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Time limit for connecting to an upstream. A host that is gone sends no answer, and another upstream can run the
 /// request.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -203,6 +207,9 @@
     sender: &mpsc::Sender<AttemptEvent>,
 ) -> Result<(), ConnectionFailed> {
     let (head, mut body) = response.into_parts();
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        return Err(ConnectionFailed);
+    }
     send(sender, AttemptEvent::Head(Box::new(head))).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ConnectionFailed)?;
--- a/crates/node/tests/plain.rs
+++ b/crates/node/tests/plain.rs
@@ -5,6 +5,8 @@
 use http::StatusCode;
 use ledger::Answer;
 use reducer::{Effect, End, Event, RequestKind};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
 use support::{TestInstance, Upstream, dispatcher, read_frame, read_text, request};
 
 fn swap_request() -> http::Request<String> {
@@ -184,3 +186,46 @@
         "swapped"
     );
 }
+
+/// Guards against an answer with a status that is none, which reaches the caller or the ledger.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_an_invalid_status_is_broken() {
+    let service = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![service.address.clone()])).await;
+    let address = instance.settings.instance.caller_address.clone();
+    for request in [swap_request(), request("GET", "/rota/plan/week", "")] {
+        for status in ["000", "101", "600", "999"] {
+            let (address, request) = (address.clone(), request.clone());
+            let answer = tokio::spawn(async move { support::send(&address, request).await });
+            let mut connection = service.accept_request().await;
+            let head = format!("{status} No Status");
+            connection.send_answer(&head, "", "text").await;
+            drop(connection);
+            assert_eq!(instance.wait_attempt_end(1).await, End::Broken, "{status}");
+            answer.abort();
+        }
+    }
+}
+
+/// Guards against a part of an answer that is recorded as the whole one: a service answers a long request before its end,
+/// without a length, and resets the connection while the request is still being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_early_answer_that_is_reset_is_broken() {
+    let service = Upstream::start().await;
+    let mut instance = TestInstance::start(dispatcher(vec![service.address.clone()])).await;
+    let address = instance.settings.instance.caller_address.clone();
+    let body = "x".repeat(instance.settings.limits.max_body_bytes);
+    for _ in 0..30 {
+        let (address, long) = (address.clone(), request("POST", "/rota/swap", &body));
+        let answer = tokio::spawn(async move { support::send(&address, long).await });
+        let mut stream = service.accept().await;
+        let mut received = [0; 1_024];
+        stream.read_exact(&mut received).await.unwrap();
+        let part = b"HTTP/1.1 200 OK\r\n\r\npart of the answer";
+        stream.write_all(part).await.unwrap();
+        // A socket that is closed with unread bytes resets its connection.
+        drop(stream);
+        assert_eq!(instance.wait_attempt_end(1).await, End::Broken);
+        answer.abort();
+    }
+}
