--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -12,7 +12,7 @@
     Account, Config, Directive, KeyCheck, Outcome, Refusal, RefusalReason, RequestKind, Route,
     UpstreamCall,
 };
-use http::header::{CONNECTION, HOST};
+use http::header::{CONNECTION, CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -336,6 +336,7 @@
     let deadline = exchange.runtime.client.clock.instant(call.deadline_ms);
     tokio::task::spawn_local(stream::forward_stream(
         exchange,
+        head.headers().get(CONTENT_TYPE).cloned(),
         upstream_stream,
         forwarded,
         events,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use gateway::entry::EntryEvent;
 use gateway::{Directive, Outcome};
+use http::HeaderValue;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -20,9 +22,11 @@
 /// Sending side of the channel to a caller.
 type EventSender = mpsc::Sender<Result<Bytes, StreamAborted>>;
 
-/// Forwards a stream until its end. After a failure, resumes the stream at another upstream if the reducer directs it.
+/// Forwards a stream, whose head the caller gets, until its end. After a failure, resumes the stream at another upstream if
+/// the reducer directs it.
 pub async fn forward_stream(
     mut exchange: Exchange,
+    content_type: Option<HeaderValue>,
     mut upstream_stream: UpstreamStream,
     forwarded: Rc<ForwardedRequest>,
     events: EventSender,
@@ -47,7 +51,11 @@
             StreamEnd::Failed(outcome) => {
                 // The connection is closed before the stream is resumed, so that the upstream aborts the request.
                 drop(upstream_stream);
-                match resume(&mut exchange, &forwarded, &cursor, &events, outcome).await {
+                let begun = Begun {
+                    content_type: content_type.as_ref(),
+                    last_event_id: cursor.last_event_id(),
+                };
+                match resume(&mut exchange, &forwarded, begun, &events, outcome).await {
                     Some(next) => upstream_stream = next,
                     None => {
                         // The exchange ends at once, although the caller may not read the abort for long.
@@ -62,6 +70,13 @@
     }
 }
 
+/// The part of a stream that the caller has.
+#[derive(Clone, Copy)]
+struct Begun<'a> {
+    content_type: Option<&'a HeaderValue>,
+    last_event_id: Option<&'a str>,
+}
+
 enum StreamEnd {
     Complete,
     Failed(Outcome),
@@ -109,7 +124,7 @@
 async fn resume(
     exchange: &mut Exchange,
     forwarded: &ForwardedRequest,
-    cursor: &EventCursor,
+    begun: Begun<'_>,
     events: &EventSender,
     outcome: Outcome,
 ) -> Option<UpstreamStream> {
@@ -123,14 +138,21 @@
         };
         let client = &exchange.runtime.client;
         let observe = |stated| exchange.observe(&call, stated);
-        let last_event_id = cursor.last_event_id();
-        let answer = client.call(&call, forwarded, last_event_id, &observe);
+        let answer = client.call(&call, forwarded, begun.last_event_id, &observe);
         let result = tokio::select! {
             result = answer => result,
             () = events.closed() => return None,
         };
         match result {
-            Ok(CallAnswer::Stream(_, upstream_stream)) => return Some(upstream_stream),
+            Ok(CallAnswer::Stream(head, upstream_stream)) => {
+                if media_type(head.headers().get(CONTENT_TYPE)) == media_type(begun.content_type) {
+                    return Some(upstream_stream);
+                }
+                drop(upstream_stream);
+                let reason = "the answer has another content type than the stream";
+                caller::log_call_failure(exchange, forwarded, &call, reason);
+                exchange.call_failed(Outcome::Broken);
+            }
             Ok(CallAnswer::Prefilled(handle)) => exchange.prefilled(handle),
             Ok(CallAnswer::Complete(_)) => exchange.call_failed(Outcome::Broken),
             Err(failure) => {
@@ -140,3 +162,10 @@
         }
     }
 }
+
+/// Returns the media type that a content type states, without its parameters.
+fn media_type(content_type: Option<&HeaderValue>) -> Option<String> {
+    let text = content_type?.to_str().ok()?;
+    let media_type = text.split(';').next()?;
+    Some(media_type.trim().to_ascii_lowercase())
+}
