--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -10,7 +10,9 @@
 use crate::files;
 
 /// Header of every snapshot file. The last byte is the version of the format.
-const SNAPSHOT_HEADER: &[u8; 8] = b"mssnap\0\x01";
+const SNAPSHOT_HEADER: &[u8; 8] = b"mssnap\0\x02";
+/// Header of the version that does not state the first segment.
+const HEADER_WITHOUT_SEGMENT: &[u8; 8] = b"mssnap\0\x01";
 
 /// Length of the header and the checksum, in bytes.
 const PREFIX_BYTES: usize = SNAPSHOT_HEADER.len() + 4;
@@ -18,9 +20,18 @@
 const FILE_PREFIX: &str = "snapshot-";
 const FILE_SUFFIX: &str = ".snap";
 
-/// Writes the snapshot to a file and makes the file durable.
-pub(crate) fn save(folder: &Path, snapshot: &Snapshot) -> Result<(), Error> {
+/// A snapshot as its file holds it.
+#[derive(Debug)]
+pub(crate) struct SavedSnapshot {
+    pub(crate) snapshot: Snapshot,
+    /// Number of the first segment that is needed besides the snapshot; none if the file does not state it.
+    pub(crate) first_segment: Option<u64>,
+}
+
+/// Writes the snapshot to a file and makes the file durable. The segments before `first_segment` are then not needed.
+pub(crate) fn save(folder: &Path, snapshot: &Snapshot, first_segment: u64) -> Result<(), Error> {
     let mut payload = Vec::new();
+    payload.put_u64_le(first_segment);
     codec::put_snapshot(&mut payload, snapshot);
     let mut content = Vec::with_capacity(PREFIX_BYTES + payload.len());
     content.put_slice(SNAPSHOT_HEADER);
@@ -32,7 +43,7 @@
 }
 
 /// Loads the latest snapshot, or returns `None` if the folder holds none.
-pub(crate) fn load_latest(folder: &Path) -> Result<Option<Snapshot>, Error> {
+pub(crate) fn load_latest(folder: &Path) -> Result<Option<SavedSnapshot>, Error> {
     match list_indexes(folder)?.last() {
         Some(index) => load(&snapshot_path(folder, *index)).map(Some),
         None => Ok(None),
@@ -54,17 +65,30 @@
     Ok(())
 }
 
-fn load(path: &Path) -> Result<Snapshot, Error> {
-    let mut content = Bytes::from(files::read(path)?.unwrap_or_default());
-    let damaged = || Error::damaged(path, 0);
-    if content.len() < PREFIX_BYTES || !content.starts_with(SNAPSHOT_HEADER) {
-        return Err(damaged());
+fn load(path: &Path) -> Result<SavedSnapshot, Error> {
+    let content = Bytes::from(files::read(path)?.unwrap_or_default());
+    decode(content).ok_or_else(|| Error::damaged(path, 0))
+}
+
+fn decode(mut content: Bytes) -> Option<SavedSnapshot> {
+    let has_segment = content.starts_with(SNAPSHOT_HEADER);
+    if content.len() < PREFIX_BYTES || !(has_segment || content.starts_with(HEADER_WITHOUT_SEGMENT))
+    {
+        return None;
     }
     content.advance(SNAPSHOT_HEADER.len());
     if content.get_u32_le() != crc32fast::hash(&content) {
-        return Err(damaged());
+        return None;
     }
-    codec::get_snapshot(content).map_err(|_| damaged())
+    let first_segment = match has_segment {
+        true => Some(content.try_get_u64_le().ok()?),
+        false => None,
+    };
+    let snapshot = codec::get_snapshot(content).ok()?;
+    Some(SavedSnapshot {
+        snapshot,
+        first_segment,
+    })
 }
 
 fn list_indexes(folder: &Path) -> Result<Vec<u64>, Error> {
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -86,7 +86,11 @@
         let segment_numbers = files::list_numbers(folder, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
         let storage_id = load_or_create_storage_id(folder, &segment_numbers)?;
         let loaded = load(folder, &segment_numbers)?;
-        let store = Self::open_loaded(folder, lock, &loaded)?;
+        let mut store = Self::open_loaded(folder, lock, &loaded)?;
+        if store.segment_number < loaded.first_segment {
+            // The segment is covered by the snapshot, and must get no entries that are not.
+            store.start_segment()?;
+        }
         Ok(OpenedStore {
             store,
             storage_id,
@@ -239,13 +243,27 @@
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         // The removal of conflicting entries must become durable before the snapshot does.
         self.sync_segment()?;
-        snapshot::save(&self.folder, snapshot)?;
+        let first_segment = self.first_segment_after(snapshot.index);
+        snapshot::save(&self.folder, snapshot, first_segment)?;
         self.sync_count += files::REPLACE_SYNCS;
         self.start_segment()?;
         snapshot::remove_before(&self.folder, snapshot.index)?;
         self.remove_covered_segments(snapshot.index)
     }
 
+    /// Returns the number of the first segment that holds entries after `index`, or of the next one to be started.
+    fn first_segment_after(&self, index: u64) -> u64 {
+        let current = SegmentSummary {
+            number: self.segment_number,
+            last_index: self.last_index,
+        };
+        self.closed_segments
+            .iter()
+            .chain(std::iter::once(&current))
+            .find(|segment| segment.last_index > index)
+            .map_or(self.segment_number + 1, |segment| segment.number)
+    }
+
     /// Removes the oldest closed segments, up to the first one with entries after `index`, the snapshot's index.
     fn remove_covered_segments(&mut self, index: u64) -> Result<(), Error> {
         let covered = self
@@ -263,6 +281,8 @@
 /// The state loaded from the files, and the segment and position at which writing continues.
 struct LoadedFiles {
     recovered: RecoveredState,
+    /// Number of the first segment that is needed besides the snapshot.
+    first_segment: u64,
     closed_segments: Vec<SegmentSummary>,
     segment_number: u64,
     intact_bytes: u64,
@@ -271,21 +291,34 @@
 
 fn load(folder: &Path, segment_numbers: &[u64]) -> Result<LoadedFiles, Error> {
     let latest = snapshot::load_latest(folder)?;
-    if let Some(snapshot) = &latest {
-        snapshot::remove_before(folder, snapshot.index)?;
+    if let Some(saved) = &latest {
+        snapshot::remove_before(folder, saved.snapshot.index)?;
     }
-    check_segment_numbers(folder, segment_numbers, latest.is_some())?;
-    let mut replay = Replay::new(latest);
+    let first_segment = match &latest {
+        Some(saved) => saved.first_segment.or(segment_numbers.first().copied()),
+        None => None,
+    };
+    let first_segment = first_segment.unwrap_or(FIRST_SEGMENT_NUMBER);
+    let (covered, needed) = split_segments(folder, segment_numbers, first_segment)?;
+    let mut replay = Replay::new(latest.map(|saved| saved.snapshot));
     let mut current = SegmentSummary {
         number: FIRST_SEGMENT_NUMBER,
         last_index: 0,
     };
     let mut intact_bytes = 0;
-    let mut closed_segments = Vec::new();
-    for (position, number) in segment_numbers.iter().enumerate() {
-        let is_newest = position + 1 == segment_numbers.len();
+    let covered = covered.iter().map(|number| SegmentSummary {
+        number: *number,
+        last_index: 0,
+    });
+    let mut closed_segments: Vec<_> = covered.collect();
+    for (position, number) in needed.iter().enumerate() {
+        let is_newest = position + 1 == needed.len();
         let scan = read_segment(folder, *number, is_newest)?;
-        intact_bytes = scan.intact_bytes;
+        // A segment begins with the term, so one without a record is started anew.
+        intact_bytes = match scan.records.is_empty() {
+            true => 0,
+            false => scan.intact_bytes,
+        };
         current = SegmentSummary {
             number: *number,
             last_index: scan.records.iter().map(last_index).max().unwrap_or(0),
@@ -300,6 +333,7 @@
     }
     Ok(LoadedFiles {
         recovered: replay.finish(),
+        first_segment,
         closed_segments,
         segment_number: current.number,
         intact_bytes,
@@ -307,28 +341,33 @@
     })
 }
 
-/// Checks that no segment before the newest is missing. The oldest segments may be missing only if there is a snapshot.
-fn check_segment_numbers(
+/// Splits the segments into those that the snapshot covers, of which any may be missing, and those that are needed, of
+/// which none may be. The removal of a covered segment is not synced, so that a loss of power may undo it.
+fn split_segments<'a>(
     folder: &Path,
-    segment_numbers: &[u64],
-    has_snapshot: bool,
-) -> Result<(), Error> {
-    let first = segment_numbers
-        .first()
-        .copied()
-        .unwrap_or(FIRST_SEGMENT_NUMBER);
-    if first != FIRST_SEGMENT_NUMBER && !has_snapshot {
-        return Err(Error::damaged(
-            &segment_path(folder, FIRST_SEGMENT_NUMBER),
-            0,
-        ));
+    segment_numbers: &'a [u64],
+    first_segment: u64,
+) -> Result<(&'a [u64], &'a [u64]), Error> {
+    let mut covered = segment_numbers.partition_point(|number| *number < first_segment);
+    let mut expected = first_segment;
+    let is_started = match &segment_numbers[covered..] {
+        [] => false,
+        [only] => !read_segment(folder, *only, true)?.records.is_empty(),
+        _ => true,
+    };
+    if !is_started && first_segment > FIRST_SEGMENT_NUMBER {
+        // The segment before is removed only once the first one is durable, and holds the term and the vote.
+        covered = covered.saturating_sub(1);
+        expected = first_segment - 1;
     }
-    for pair in segment_numbers.windows(2) {
-        if pair[1] != pair[0] + 1 {
-            return Err(Error::damaged(&segment_path(folder, pair[0] + 1), 0));
+    let (covered, needed) = segment_numbers.split_at(covered);
+    for number in needed {
+        if *number != expected {
+            return Err(Error::damaged(&segment_path(folder, expected), 0));
         }
+        expected += 1;
     }
-    Ok(())
+    Ok((covered, needed))
 }
 
 /// Reads a segment. Only the newest segment may end in a torn write, since a segment is synced before the next one is
--- a/crates/disk/tests/store.rs
+++ b/crates/disk/tests/store.rs
@@ -546,3 +546,164 @@
     assert_ne!(opened.storage_id, former);
     assert_eq!(opened.recovered, RecoveredState::default());
 }
+
+/// Name and content of each file of a folder.
+type Files = std::collections::BTreeMap<PathBuf, Vec<u8>>;
+
+fn read_files(folder: &Path) -> Files {
+    let paths = list_files(folder, "").into_iter();
+    paths
+        .map(|path| {
+            let content = fs::read(&path).expect("the file is readable");
+            (
+                PathBuf::from(path.file_name().expect("files have names")),
+                content,
+            )
+        })
+        .collect()
+}
+
+/// Opens a folder with the given files, which holds the entries up to `last_index`, and goes on writing to it.
+fn check_files(files: &Files, storage_id: u64, last_index: u64) {
+    let names: Vec<_> = files.keys().collect();
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    for (name, content) in files {
+        fs::write(folder.path().join(name), content).expect("the file is writable");
+    }
+    let next = last_index + 1;
+    let later = [
+        append(next, 1, 3),
+        snapshot(next, 3),
+        append(next + 1, 1, 3),
+    ];
+    let mut expected_index = last_index;
+    for write in &later {
+        let opened = Store::open(folder.path());
+        let mut opened = opened.unwrap_or_else(|error| panic!("{error}; files: {names:?}"));
+        assert_eq!(opened.storage_id, storage_id);
+        let recovered = opened.recovered;
+        assert_eq!(
+            (recovered.term, recovered.voted_for),
+            (3, Some(id("b", 2))),
+            "files: {names:?}"
+        );
+        let base = recovered.snapshot.map_or(0, |snapshot| snapshot.index);
+        let indexes: Vec<_> = recovered.entries.iter().map(|entry| entry.index).collect();
+        let expected: Vec<_> = (base + 1..=expected_index).collect();
+        assert_eq!(indexes, expected, "files: {names:?}");
+        write_synced(&mut opened.store, write);
+        if let Write::Append { entries, .. } = write {
+            expected_index = entries.last().map_or(expected_index, |entry| entry.index);
+        }
+    }
+}
+
+/// Guards against a store that counts as damaged, or that loses entries, after a loss of power at any step of a snapshot: each
+/// removed file may be back, alone or with others, and the files that were being created may be missing or torn.
+#[test]
+fn a_loss_of_power_at_any_step_of_a_snapshot_loses_nothing() {
+    for last_snapshot in [23, 28, 30] {
+        let folder = tempfile::tempdir().expect("a temporary folder can be created");
+        let opened = open(&folder);
+        let (mut store, storage_id) = (opened.store, opened.storage_id);
+        let term = Write::Term {
+            term: 3,
+            voted_for: Some(id("b", 2)),
+        };
+        // The segments end with the entries 10, 20, 25 and 30.
+        let writes = [
+            term,
+            append(1, 10, 3),
+            snapshot(4, 3),
+            append(11, 10, 3),
+            snapshot(8, 3),
+            append(21, 5, 3),
+            snapshot(9, 3),
+            append(26, 5, 3),
+        ];
+        for write in &writes {
+            write_synced(&mut store, write);
+        }
+        let before = read_files(folder.path());
+        write_synced(&mut store, &snapshot(last_snapshot, 3));
+        drop(store);
+        let after = read_files(folder.path());
+        let removed: Vec<_> = before
+            .keys()
+            .filter(|name| !after.contains_key(*name))
+            .collect();
+        let created: Vec<_> = after
+            .keys()
+            .filter(|name| !before.contains_key(*name))
+            .collect();
+        assert!(
+            removed.len() >= 3 && created.len() == 2,
+            "{removed:?} {created:?}"
+        );
+        check_files(&before, storage_id, 30);
+        let is_snapshot = |name: &PathBuf| name.to_string_lossy().starts_with("snapshot-");
+        let (snapshot_name, segment_name) = match is_snapshot(created[0]) {
+            true => (created[0], created[1]),
+            false => (created[1], created[0]),
+        };
+        let mut files = before.clone();
+        files.insert(snapshot_name.clone(), after[snapshot_name].clone());
+        check_files(&files, storage_id, 30);
+        for length in 0..=after[segment_name].len() {
+            let torn = after[segment_name][..length].to_vec();
+            files.insert(segment_name.clone(), torn);
+            check_files(&files, storage_id, 30);
+        }
+        for returned in 0..1_u32 << removed.len() {
+            let mut files = after.clone();
+            let back = (0..removed.len()).filter(|position| returned & (1 << position) != 0);
+            files.extend(
+                back.map(|position| (removed[position].clone(), before[removed[position]].clone())),
+            );
+            check_files(&files, storage_id, 30);
+        }
+    }
+}
+
+/// Guards against a store without one of its needed segments that opens because a snapshot covers the others.
+#[test]
+fn a_missing_segment_after_the_snapshot_is_reported() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let mut store = open(&folder).store;
+    for write in [
+        append(1, 10, 1),
+        snapshot(4, 1),
+        append(11, 10, 1),
+        snapshot(12, 1),
+        append(21, 5, 1),
+    ] {
+        write_synced(&mut store, &write);
+    }
+    drop(store);
+    let segments = list_files(folder.path(), "log-");
+    assert_eq!(segments.len(), 2);
+    fs::remove_file(&segments[0]).expect("the file is removable");
+    assert!(is_damaged(&folder));
+}
+
+/// Guards against a store of the former version, whose snapshots do not state the first segment, that cannot be opened.
+#[test]
+fn a_snapshot_of_the_former_version_is_read() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let mut store = open(&folder).store;
+    for write in [append(1, 10, 1), snapshot(10, 1), append(11, 3, 1)] {
+        write_synced(&mut store, &write);
+    }
+    drop(store);
+    let path = list_files(folder.path(), "snapshot-").remove(0);
+    let content = fs::read(&path).expect("the snapshot is readable");
+    // The former version has neither the number of the segment nor its checksum.
+    let payload = &content[20..];
+    let mut former = b"mssnap\0\x01".to_vec();
+    former.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    former.extend_from_slice(payload);
+    fs::write(&path, former).expect("the snapshot is writable");
+    let recovered = recover(&folder);
+    assert_eq!(recovered.snapshot.map(|snapshot| snapshot.index), Some(10));
+    assert_eq!(recovered.entries.len(), 3);
+}
