Record the founders of the log on each founder's disk

Cause: only the settings of the first start name the founders, and each process was restarted before it could form the log. Ruled out: the turns of the founders, which work for a process that knows them.

A replica records the founders before it takes part, and reads the record when its settings name none.

--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod error;
 mod files;
+mod founders;
 mod replay;
 mod segment;
 mod snapshot;
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -11,7 +11,7 @@
 use crate::error::Error;
 use crate::replay::Replay;
 use crate::segment::{self, SEGMENT_HEADER, Scan};
-use crate::{files, snapshot, storage_id};
+use crate::{files, founders, snapshot, storage_id};
 
 /// Length of a segment after which the next segment is started, in bytes.
 const SEGMENT_ROTATION_BYTES: u64 = 8 * 1024 * 1024;
@@ -131,6 +131,24 @@
         self.run_unless_failed(Self::sync_segment)
     }
 
+    /// Returns the founders that were recorded last; none if there is no record.
+    ///
+    /// # Errors
+    /// Returns [`Error::Io`] if the record cannot be read.
+    pub fn founders(&self) -> Result<Vec<String>, Error> {
+        founders::load(&self.folder)
+    }
+
+    /// Records the founders of the log durably.
+    ///
+    /// # Errors
+    /// Returns [`Error::Io`] if the record cannot be written.
+    pub fn record_founders(&mut self, instances: &[String]) -> Result<(), Error> {
+        founders::save(&self.folder, instances)?;
+        self.sync_count += files::REPLACE_SYNCS;
+        Ok(())
+    }
+
     /// Returns the number of syncs that the store has requested from the operating system.
     pub fn sync_count(&self) -> u64 {
         self.sync_count
--- a/crates/disk/tests/store.rs
+++ b/crates/disk/tests/store.rs
@@ -707,3 +707,22 @@
     assert_eq!(recovered.snapshot.map(|snapshot| snapshot.index), Some(10));
     assert_eq!(recovered.entries.len(), 3);
 }
+
+/// Guards against founders that are forgotten at a restart, and against a damaged record of them that is believed.
+#[test]
+fn founders_outlive_the_process() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let founders = ["10.0.0.1", "10.0.0.2"].map(str::to_owned);
+    let mut store = open(&folder).store;
+    assert!(store.founders().expect("it is readable").is_empty());
+    store.record_founders(&founders).expect("it is writable");
+    drop(store);
+    let store = open(&folder).store;
+    assert_eq!(store.founders().expect("it is readable"), founders);
+    let path = folder.path().join("founders");
+    let content = fs::read(&path).expect("it is readable");
+    for length in 0..content.len() {
+        fs::write(&path, &content[..length]).expect("it is writable");
+        assert!(store.founders().expect("it is readable").is_empty());
+    }
+}
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -369,3 +369,62 @@
         );
     }
 }
+
+/// Guards against a first start that ends without a log, or with two of them, because founders are restarted or cut off in any
+/// order before the log is formed. One of them may lose its disk.
+#[test]
+fn a_first_start_beside_faults_ends_in_one_log() {
+    for seed in 0..100 {
+        let mut random = Random(seed);
+        let mut cluster = Cluster::new(3, 3);
+        let mut acknowledged = 0;
+        let mut may_wipe = true;
+        for step in 1..=20 {
+            let founder = random.below(3) as usize;
+            match random.below(8) {
+                0..=2 => cluster.restart(founder),
+                3 if may_wipe => {
+                    cluster.wipe(founder);
+                    may_wipe = false;
+                }
+                4 | 5 => cluster.partition(founder),
+                _ => cluster.heal(founder),
+            }
+            cluster.run(random.below(500));
+            if step % 5 == 0
+                && cluster.publish(step, "document") == Some(Answer::Acknowledged { version: step })
+            {
+                acknowledged = step;
+            }
+        }
+        (0..3).for_each(|founder| cluster.heal(founder));
+        cluster.run(10_000);
+        match cluster.describe() {
+            Some(Answer::Document { version, .. }) => {
+                assert!(version >= acknowledged, "seed {seed}")
+            }
+            answer => assert_eq!(acknowledged, 0, "seed {seed}: {answer:?}"),
+        }
+        let version = 100;
+        assert_eq!(
+            cluster.publish(version, "last"),
+            Some(Answer::Acknowledged { version }),
+            "seed {seed}"
+        );
+        cluster.run(2_000);
+        assert_eq!(cluster.versions(), [version; 3], "seed {seed}");
+    }
+}
+
+/// Numbers that are the same in every run with one seed.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -30,6 +30,8 @@
     pub storage_id: u64,
     /// State that a replica finds when it starts.
     pub recovered: RecoveredState,
+    /// Founders that were recorded at the first start.
+    pub founders: Vec<Name>,
 }
 
 impl Disk {
@@ -142,18 +144,14 @@
             self.next_storage_id += 1;
             disk.storage_id = self.next_storage_id;
         }
-        let founders = match is_first_start {
-            true => self
-                .founders
-                .iter()
-                .map(|founder| founder.id.clone())
-                .collect(),
-            false => Vec::new(),
-        };
+        if is_first_start {
+            let ids = self.founders.iter().map(|founder| founder.id.clone());
+            disk.founders = ids.collect();
+        }
         let settings = ControlSettings {
             info: info(index),
             storage_id: disk.storage_id,
-            founders,
+            founders: disk.founders.clone(),
             contacts: self.founders.clone(),
             target_voters: self.target_voters,
             order_lease_ms: 3_000,
--- a/crates/mustardstack/tests/broken_streams.rs
+++ b/crates/mustardstack/tests/broken_streams.rs
@@ -1,17 +1,18 @@
 //! Streams that break off and continue at another upstream, which answers wrongly. Runs a replica and an entry of the binary as
 //! processes on loopback, with upstreams that answer by a script.
 
+mod join_support;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use join_support::{Processes, WAIT, free_ports, join, send, wait_for};
 use serde_json::json;
 
-const WAIT: Duration = Duration::from_secs(20);
 const ENTRY_IP: &str = "127.0.0.2";
 const HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n";
 const EVENTS: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -51,19 +52,6 @@
     ("nothing", ""),
 ];
 
-/// Processes of a test, which end with it.
-struct Processes(Vec<Child>);
-
-impl Drop for Processes {
-    fn drop(&mut self) {
-        for child in &mut self.0 {
-            // Killing fails if the process has ended. Waiting reaps it in either case.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 /// Guards against an error of another upstream, its head, or a false end in a stream that has begun.
 #[test]
 fn a_stream_that_cannot_continue_ends_as_incomplete() {
@@ -125,15 +113,7 @@
             "Cloud": { "Address": platform, "Duties": [] },
         });
         let path = folder.join(format!("settings-{index}.yaml"));
-        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_mustardstack"))
-            .arg("join")
-            .env("MUSTARDSTACK_NODE_FILE", path)
-            .env("PEER_SECRET", "test")
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn();
-        processes.push(child.expect("the binary can be started"));
+        processes.push(join(&path, &settings));
     }
     let processes = Processes(processes);
     let document = json!({
@@ -254,23 +234,6 @@
     unreachable!("the loop returns")
 }
 
-/// Sends a request on a connection of its own and reads until the connection ends, also by a reset.
-fn send(address: &str, start: &str, headers: &str, body: &str) -> std::io::Result<String> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(WAIT))?;
-    let length = body.len();
-    write!(
-        stream,
-        "{start} HTTP/1.1\r\nHost: plans\r\nConnection: close\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
-    )?;
-    let mut answer = Vec::new();
-    let mut buffer = [0; 4_096];
-    while let Ok(bytes @ 1..) = stream.read(&mut buffer) {
-        answer.extend_from_slice(&buffer[..bytes]);
-    }
-    Ok(String::from_utf8_lossy(&answer).into_owned())
-}
-
 /// Returns the bytes of the complete chunks of an answer.
 fn unchunked(answer: &str) -> String {
     let mut rest = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
@@ -285,18 +248,3 @@
     }
     body
 }
-
-fn free_ports() -> [u16; 4] {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    // All listeners are open until the last port is known, so that the ports differ.
-    let listeners = [(); 4].map(bind);
-    listeners.map(|listener| listener.local_addr().expect("it is bound").port())
-}
-
-fn wait_for(what: &str, is_there: impl Fn() -> bool) {
-    let end = Instant::now() + WAIT;
-    while !is_there() {
-        assert!(Instant::now() < end, "{what} is not there in time");
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
--- a/crates/node/src/persist.rs
+++ b/crates/node/src/persist.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::JoinHandle;
 
+use conf::Name;
 use disk::{OpenedStore, Store};
 use quorum::Write;
 use reducer::Event;
@@ -43,6 +44,24 @@
     .map_err(|error| Error::Disk(error.to_string()))
 }
 
+/// Returns the founders of the log: those of the settings, which are recorded, or else those recorded at an earlier start.
+/// Only the settings of the first start name them, and the process may end before the log is formed.
+///
+/// # Errors
+/// Fails if the record cannot be read or written.
+pub fn founders(store: &mut Store, of_settings: &[Name]) -> Result<Vec<Name>, Error> {
+    let disk_error = |error: disk::Error| Error::Disk(error.to_string());
+    let recorded = store.founders().map_err(disk_error)?;
+    if of_settings.is_empty() {
+        return Ok(recorded.into_iter().map(Name::from).collect());
+    }
+    let instances: Vec<String> = of_settings.iter().map(Name::to_string).collect();
+    if instances != recorded {
+        store.record_founders(&instances).map_err(disk_error)?;
+    }
+    Ok(of_settings.to_vec())
+}
+
 fn rename_damaged_store(folder: &Path) -> Result<PathBuf, Error> {
     let renamed_path = folder.with_extension(format!("damaged-{}", unix_ms()));
     std::fs::rename(folder, &renamed_path).map_err(|source| Error::Os {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -262,22 +262,23 @@
     /// Starts the replica with the state on its disk.
     fn open_replica(&self) -> Result<JoinHandle<Result<(), node::Error>>, Error> {
         let OpenedStore {
-            store,
+            mut store,
             storage_id,
             recovered,
         } = persist::open(&self.settings.data_folder)?;
+        let founders = persist::founders(&mut store, &self.settings.founders)?;
         let text = format!(
             "store=opened storage_id={storage_id:x} term={} entries={} founders={}",
             recovered.term,
             recovered.entries.len(),
-            self.settings.founders.len()
+            founders.len()
         );
         logs::write(Importance::StateChange, "control", &text);
         let disk = persist::start(store, self.peers.events.clone())?;
         let settings = ControlSettings {
             info: self.settings.info.clone(),
             storage_id,
-            founders: self.settings.founders.clone(),
+            founders,
             contacts: self.settings.contacts.clone(),
             target_voters: self.settings.target_voters,
             order_lease_ms: self.settings.order_lease_ms,
