Count restarts of upstreams whose start the list does not state

Cause: a draining upstream never becomes ready again under one id and start time, and without `born` in the list all incarnations have one. Ruled out: late lists, for which the rule exists, and the upstreams, which served all requests when the list stated `born`.

The replica that reads the list counts the restarts that its own reads show, and the number stands for the start time. Lists of other replicas alone show no restart before the own reads have shown the upstream as ready for 10 s.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -272,7 +272,8 @@
     pub slots: u32,
     /// Whether the upstream is draining, so that it gets no new requests.
     pub draining: bool,
-    /// Start time of the upstream in milliseconds since the Unix epoch; 0 if unknown.
+    /// Start time of the upstream in milliseconds since the Unix epoch. If the list states none, the number of restarts that
+    /// the list has shown.
     pub born_ms: u64,
     /// Role of an engine; `None` for plain services.
     pub role: Option<Role>,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -14,6 +14,7 @@
 use crate::config::Service;
 use crate::duties::{Duties, DutyAction, DutySettings};
 use crate::duty::{DutyCall, DutyOutcome};
+use crate::incarnations::Incarnations;
 use crate::lease::{LeaderLease, Subject};
 use crate::listing::{LISTING_NOT_NEEDED, Listing};
 use crate::notices::LeavingUpstreams;
@@ -223,6 +224,8 @@
     role_planner: RolePlanner,
     /// Upstreams that have announced their end.
     leaving: LeavingUpstreams,
+    /// Incarnations of upstreams whose start the list does not state.
+    incarnations: Incarnations,
     /// Whether engines have accepted orders, or upstreams have announced their end, since the list was last marked.
     has_unmarked_upstreams: bool,
     next_role_orders_ms: u64,
@@ -283,6 +286,7 @@
             next_voter_change_ms: now_ms,
             role_planner: RolePlanner::default(),
             leaving: LeavingUpstreams::default(),
+            incarnations: Incarnations::default(),
             has_unmarked_upstreams: false,
             next_role_orders_ms: now_ms,
             lease,
@@ -828,7 +832,9 @@
             self.listed_ms = Some(now_ms.saturating_sub(reply.listing_age_ms));
         }
         if self.listing.version() != previous {
-            self.leaving.on_listed(now_ms, self.listing.records());
+            let records = self.listing.records();
+            self.leaving.on_listed(now_ms, records);
+            self.incarnations.on_received(now_ms, records);
             self.on_listing_changed(effects);
         }
     }
@@ -890,10 +896,11 @@
     fn on_listed(
         &mut self,
         now_ms: u64,
-        upstreams: Vec<UpstreamRecord>,
+        mut upstreams: Vec<UpstreamRecord>,
         effects: &mut Vec<ControlEffect>,
     ) {
         self.listed_ms = Some(now_ms);
+        self.incarnations.resolve(now_ms, &mut upstreams);
         self.set_listing(now_ms, upstreams, effects);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod duty;
 pub mod entry;
 pub mod exchange;
+mod incarnations;
 pub mod lease;
 pub mod limits;
 pub mod listing;
