Draw the losses beside a removal in a test

The new test draws removals with and without a signal, the other loss and the time between them, beside kills of all processes.

--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -7,6 +7,11 @@
 use gateway::control::Answer;
 use support::Cluster;
 
+/// Time after which a new replica counts, in milliseconds.
+const CATCH_UP_MS: u64 = 4_000;
+/// Time after a loss in which the log goes on, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
 /// Guards against a new system that starts only after an operator has named its voters.
 #[test]
 fn founders_form_the_log_and_a_publish_is_acknowledged() {
@@ -416,6 +421,71 @@
     }
 }
 
+/// Guards against a loss that ends the log although the replaced voter's successor had caught up, at any distance between the
+/// removal of the voter, with or without a signal, and the loss of another replica, also beside a kill of all processes.
+#[test]
+fn a_removal_beside_any_other_loss_loses_nothing() {
+    for seed in 0..60 {
+        let mut random = Random(seed);
+        let mut cluster = Cluster::new(3, 3);
+        cluster.run(3_000);
+        let removed = random.below(3) as usize;
+        while cluster.add() % 3 != removed {
+            let other_zone = cluster.replicas() - 1;
+            cluster.partition(other_zone);
+        }
+        let successor = cluster.replicas() - 1;
+        cluster.run(CATCH_UP_MS);
+        cluster.publish(7, "seven");
+        if random.below(4) == 0 {
+            (0..cluster.replicas())
+                .filter(|index| !cluster.is_partitioned(*index))
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|index| cluster.restart(index));
+            cluster.run(CATCH_UP_MS);
+        }
+        let others: Vec<_> = (0..3).filter(|index| *index != removed).collect();
+        let lost = [others[0], others[1], successor][random.below(3) as usize];
+        let is_removed_first = random.below(2) == 0;
+        let gap_ms = random.below(8) * 400;
+        let kind = random.below(4);
+        for is_removal in [is_removed_first, !is_removed_first] {
+            match (is_removal, kind) {
+                (true, _) if random.below(3) == 0 => {
+                    cluster.stop(removed);
+                }
+                (true, _) => cluster.partition(removed),
+                (false, 0) => cluster.wipe(lost),
+                (false, 1) => cluster.restart(lost),
+                (false, 2) => cluster.partition(lost),
+                (false, _) => cluster.pause(lost),
+            }
+            if is_removal == is_removed_first {
+                cluster.run(gap_ms);
+            }
+        }
+        // Cuts and freezes end.
+        cluster.run(random.below(4_000));
+        match kind {
+            2 => cluster.heal(lost),
+            3 => cluster.resume(lost),
+            _ => {}
+        }
+        cluster.run(RECOVERY_MS);
+        let answer = cluster.describe();
+        assert!(
+            matches!(answer, Some(Answer::Document { version: 7, .. })),
+            "seed {seed}, loss {kind} of {lost} beside {removed} after {gap_ms} ms: {answer:?}"
+        );
+        assert_eq!(
+            cluster.publish(8, "eight"),
+            Some(Answer::Acknowledged { version: 8 }),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Numbers that are the same in every run with one seed.
 struct Random(u64);
 
