Read up to 1,000 headers of requests and answers

Callers got 431 for requests with more than 100 small headers within the limit of the head, and 502 for answers of sound upstreams with more than 100 headers, after their requests had run (safe ones ran twice).

Cause: the HTTP library's default of 100 headers. Ruled out: the limits in bytes.

Both directions now read up to 1,000 headers. Above 1,000 headers a request is still refused.

--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -25,6 +25,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time after the shutdown by which a connection without a request must have sent its first one.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest number of headers of a request or an answer. The HTTP library reserves about 50 bytes for each.
+pub const MAX_HEADERS: usize = 1_000;
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -128,6 +130,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // An error concerns this connection only. An open exchange ends as if the caller had disconnected.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::body;
+use crate::http::MAX_HEADERS;
 use crate::memory::BodyMemory;
 use crate::socket::{self, SharedSocket};
 
@@ -239,6 +240,7 @@
     let socket = SharedSocket::new(stream);
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(socket.clone()))
         .await?;
     let task = tokio::task::spawn_local(async move {
--- a/crates/relay/tests/listener.rs
+++ b/crates/relay/tests/listener.rs
@@ -171,3 +171,23 @@
         }
     });
 }
+
+/// Guards against requests that are refused for the number of their headers although their heads are within the limit.
+#[test]
+fn a_request_with_many_small_headers_is_answered() {
+    run(async {
+        let (address, _stop) = start().await;
+        let mut caller = TcpStream::connect(&address).await.expect("it is accepted");
+        let headers: String = (0..900)
+            .map(|number| format!("h{number}: {number}\r\n"))
+            .collect();
+        let request = format!("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{headers}\r\n");
+        assert!(request.len() < ConnectionLimits::default().head_bytes);
+        caller
+            .write_all(request.as_bytes())
+            .await
+            .expect("it can be written");
+        let answer = read_to_end(&mut caller).await;
+        assert!(answer.ends_with("whole"), "{answer}");
+    });
+}
