--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -312,11 +312,11 @@
     if let Some(saved) = &latest {
         snapshot::remove_before(folder, saved.snapshot.index)?;
     }
-    let first_segment = match &latest {
-        Some(saved) => saved.first_segment.or(segment_numbers.first().copied()),
-        None => None,
-    };
-    let first_segment = first_segment.unwrap_or(FIRST_SEGMENT_NUMBER);
+    let oldest_segment = segment_numbers.first().copied();
+    let first_segment = latest
+        .as_ref()
+        .and_then(|saved| saved.first_segment.or(oldest_segment))
+        .unwrap_or(FIRST_SEGMENT_NUMBER);
     let (covered, needed) = split_segments(folder, segment_numbers, first_segment)?;
     let mut replay = Replay::new(latest.map(|saved| saved.snapshot));
     let mut current = SegmentSummary {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -23,7 +23,7 @@
 use crate::scaling::UpstreamCount;
 use crate::stages::{RoleOrder, RolePlanner};
 use crate::subscribers::{Published, Subscribers};
-use crate::voters::{self, Candidates, Joiner, VoterChange};
+use crate::voters::{self, Candidates, VoterChange};
 
 /// Interval of the leader's heartbeats, in milliseconds. Several heartbeats fit into an election timeout, since a link
 /// may lose some.
@@ -549,13 +549,9 @@
             .collect();
         let own = &self.settings.info;
         zones.insert(own.id.clone(), own.availability_zone.clone());
-        let joiners = self.replica.joiners(voters::REPLACE_AFTER_MS);
         let candidates = Candidates {
             member_ages_ms: self.replica.member_activity_ages_ms(),
-            joiners: joiners
-                .into_iter()
-                .map(|(id, holds_log)| Joiner { id, holds_log })
-                .collect(),
+            joiners: self.replica.join_requests(voters::REPLACE_AFTER_MS),
             leavers: self.replica.leavers(),
             zones,
             target: self.settings.target_voters,
--- a/crates/gateway/src/voters.rs
+++ b/crates/gateway/src/voters.rs
@@ -1,6 +1,7 @@
 //! The choice of the instances that run voters, which the leader makes without an operator.
 
 use conf::{Map, Name};
+use quorum::JoinRequest;
 
 /// Time without a message after which a voter is replaced if another instance can replace it, in milliseconds. The time
 /// is above the longest election timeout, so that a change of leader does not cause the replacement of a running voter.
@@ -9,22 +10,13 @@
 /// another instance already stands in for, although a further one is lost at the same time.
 const SPARE_VOTERS: usize = 2;
 
-/// An instance that asks to join the member set.
-#[derive(Clone, Debug)]
-pub struct Joiner {
-    /// Id of the instance.
-    pub id: Name,
-    /// Whether it holds a log, as a former voter does.
-    pub holds_log: bool,
-}
-
 /// The member set and the instances that can join it, as the leader knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Candidates {
     /// Instances of the member set, each with the time since its last message, in milliseconds.
     pub member_ages_ms: Vec<(Name, u64)>,
     /// Instances that ask to join the member set.
-    pub joiners: Vec<Joiner>,
+    pub joiners: Vec<JoinRequest>,
     /// Instances of the member set whose processes are to stop.
     pub leavers: Vec<Name>,
     /// Known availability zones, by instance.
@@ -98,11 +90,11 @@
         let successors = self.joiners.iter().filter(|joiner| !joiner.holds_log);
         successors
             .filter_map(|joiner| {
-                let zone = self.zones.get(&joiner.id)?;
+                let zone = self.zones.get(&joiner.instance)?;
                 let members = self.member_ages_ms.iter().map(|(member, _)| member);
                 let mut of_zone = members.filter(|member| self.zones.get(*member) == Some(zone));
                 match (of_zone.next(), of_zone.next()) {
-                    (Some(old), None) => Some((old, &joiner.id)),
+                    (Some(old), None) => Some((old, &joiner.instance)),
                     _ => None,
                 }
             })
@@ -126,7 +118,7 @@
         };
         self.joiners
             .iter()
-            .map(|joiner| &joiner.id)
+            .map(|joiner| &joiner.instance)
             .min_by_key(|joiner| (live_voters_in_zone(joiner), *joiner))
             .cloned()
     }
--- a/crates/quorum/src/leave.rs
+++ b/crates/quorum/src/leave.rs
@@ -141,7 +141,7 @@
         if set.voters.len() > target_voters
             || !self.has_settled_members()
             || !self
-                .joiners(self.settings.election_timeout_max_ms)
+                .join_requests(self.settings.election_timeout_max_ms)
                 .is_empty()
         {
             return false;
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -21,7 +21,7 @@
 mod writes;
 
 pub use message::{
-    Entry, EntryBody, Input, MemberSet, Message, Output, RecoveredState, ReplicaId, Snapshot,
-    Status, Write,
+    Entry, EntryBody, Input, JoinRequest, MemberSet, Message, Output, RecoveredState, ReplicaId,
+    Snapshot, Status, Write,
 };
 pub use replica::{Replica, ReplicaSettings};
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -233,6 +233,15 @@
     LeaderChanged { term: u64, leader: Option<FastStr> },
 }
 
+/// An instance that asks to join the member set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JoinRequest {
+    /// Instance that asks.
+    pub instance: FastStr,
+    /// Whether it holds a log, as a former voter does.
+    pub holds_log: bool,
+}
+
 /// A replica's state for `status` and metrics.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Status {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -7,8 +7,8 @@
 use crate::log::Log;
 use crate::members::MemberHistory;
 use crate::message::{
-    EntryBody, Input, MemberSet, Message, Output, RecoveredState, ReplicaId, Snapshot, Status,
-    Write,
+    EntryBody, Input, JoinRequest, MemberSet, Message, Output, RecoveredState, ReplicaId, Snapshot,
+    Status, Write,
 };
 use crate::peer::LeaderState;
 use crate::random::Random;
@@ -175,9 +175,9 @@
         }
     }
 
-    /// Returns the instances that sent a join request within `max_age_ms` and that the member set does not list, each
-    /// with whether it holds a log. The result is empty unless this replica is the leader.
-    pub fn joiners(&self, max_age_ms: u64) -> Vec<(FastStr, bool)> {
+    /// Returns the join requests of the last `max_age_ms` from instances that the member set does not list. The result is
+    /// empty unless this replica is the leader.
+    pub fn join_requests(&self, max_age_ms: u64) -> Vec<JoinRequest> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
         };
@@ -186,8 +186,11 @@
             .joiners
             .iter()
             .filter(|joiner| self.now_ms - joiner.requested_ms <= max_age_ms)
-            .map(|joiner| (joiner.id.instance.clone(), joiner.holds_log))
-            .filter(|(instance, _)| !instances.contains(instance))
+            .filter(|joiner| !instances.contains(&joiner.id.instance))
+            .map(|joiner| JoinRequest {
+                instance: joiner.id.instance.clone(),
+                holds_log: joiner.holds_log,
+            })
             .collect()
     }
 
--- a/crates/quorum/tests/stops.rs
+++ b/crates/quorum/tests/stops.rs
@@ -57,17 +57,19 @@
             .leavers()
             .into_iter()
             .chain(silent.map(|(instance, _)| instance));
-        let mut joiners = replica.joiners(REPLACE_AFTER_MS).into_iter();
+        let mut joiners = replica.join_requests(REPLACE_AFTER_MS).into_iter();
         let change = (gone.next(), joiners.next());
         let token = cluster.token();
         match change {
-            (Some(old), Some((new, _))) => {
+            (Some(old), Some(request)) => {
+                let new = request.instance;
                 cluster.input(node, Input::ReplaceVoter { token, old, new });
             }
             (Some(old), None) if voters > VOTERS => {
                 cluster.input(node, Input::RemoveVoter { token, old });
             }
-            (None, Some((new, _))) if is_settled && voters < most_voters => {
+            (None, Some(request)) if is_settled && voters < most_voters => {
+                let new = request.instance;
                 cluster.input(node, Input::AddVoter { token, new });
             }
             _ => {}
