--- a/review/common-3/case.rs
+++ b/review/common-3/case.rs
@@ -653,7 +653,10 @@
     };
     let show = |entries: Vec<Vec<u8>>| {
         let mut shown = list.lock().unwrap();
-        *shown = entries.into_iter().chain(extra.iter().cloned()).collect();
+        *shown = match std::env::var_os("ENTRY_FIRST") {
+            Some(_) => extra.iter().cloned().chain(entries).collect(),
+            None => entries.into_iter().chain(extra.iter().cloned()).collect(),
+        };
     };
     show(good("ready"));
     sleep_until(&record, begin_ms + 7_000);
