--- a/review/common-3/case.rs
+++ b/review/common-3/case.rs
@@ -365,6 +365,16 @@
         }
     }
 
+    /// Removes a machine for good, with SIGTERM. The platform kills it after the grace period, which is not waited for.
+    fn terminate(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        if let Some(child) = &node.child {
+            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+        }
+        let text = format!("{} gets SIGTERM and doesn't come back", node.name);
+        self.record.say(&text);
+    }
+
     /// Stops a machine with SIGKILL, for good.
     fn kill(&mut self, index: usize) {
         let node = &mut self.nodes[index];
@@ -372,7 +382,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let text = format!("{} is killed and doesn't come back", node.name);
+        let text = format!("{} is killed", node.name);
         self.record.say(&text);
     }
 
@@ -790,6 +800,173 @@
     i32::from(read != version)
 }
 
+/// Reads the configuration back from all core machines for 24 s, or until one describes `wanted`. Returns the newest version.
+fn read_back(deployment: &Deployment, record: &Record, wanted: u64) -> u64 {
+    const ASK: Duration = Duration::from_secs(24);
+    let begin = Instant::now();
+    let mut newest = 0;
+    let mut answers: HashMap<String, u32> = HashMap::new();
+    while begin.elapsed() < ASK && newest < wanted {
+        for node in deployment.addresses("core", deployment.ports.control) {
+            let head = format!("GET /Config.Describe HTTP/1.1\r\nHost: {node}\r\n");
+            let text = match call(node, &head, b"", Duration::from_secs(1)) {
+                Ok(answer) => {
+                    let body = String::from_utf8_lossy(&answer.body).into_owned();
+                    let version = body.split("\"Version\":").nth(1).and_then(|rest| rest.split(',').next()).unwrap_or("");
+                    if answer.status() == 200 {
+                        newest = newest.max(version.parse().unwrap_or(0));
+                    }
+                    format!("{node}: {} version {version:?}", answer.status())
+                }
+                Err(error) => format!("{node}: {error}"),
+            };
+            *answers.entry(text).or_default() += 1;
+        }
+        thread::sleep(Duration::from_millis(400));
+    }
+    for (text, count) in &answers {
+        record.say(&format!("{count} reads, {text}"));
+    }
+    newest
+}
+
+/// Two core machines are replaced: their successors run for 10 s, then both are removed without a signal. One second later
+/// another core machine loses its disk.
+fn two_replaced(folder: &Path) -> i32 {
+    const SUCCESSORS_RUN: Duration = Duration::from_secs(10);
+    const CATCH_UP_AND_RECOVERY: Duration = Duration::from_secs(4 + 12);
+    let record = Record::new(folder);
+    // VARIANT: "removals" and "disk" are one half of the trouble; "one" removes one machine only; "sigterm" gives both a signal.
+    let variant = std::env::var("VARIANT").unwrap_or_default();
+    let mut deployment = Deployment::new(&record);
+    let list: List = Arc::default();
+    let arrivals: Arrivals = Arc::default();
+    let platform = start_platform(deployment.platform, list.clone(), record.clone());
+    let addresses: Vec<String> = (0..3).map(|zone| deployment.worker_address(zone, 1)).collect();
+    let ids = ["i-a1", "i-b1", "i-c1"];
+    let _workers: Vec<Server> =
+        (0..3).map(|zone| start_worker(ids[zone], &addresses[zone], &record, &arrivals)).collect();
+    list.lock().unwrap().extend((0..3).map(|zone| entry(ids[zone], &addresses[zone], zone, "ready")));
+    let seeds: Vec<String> = (0..3).map(|zone| deployment.ip(zone, 2)).collect();
+    let mut cores = Vec::new();
+    for zone in 0..3 {
+        cores.push(deployment.start("core", zone, 1, &seeds, true));
+        deployment.start("front", zone, 1, &seeds, true);
+    }
+    if !deployment.publish(&document(7), Duration::from_secs(20)) || !deployment.wait_ready(Duration::from_secs(20)) {
+        return cannot_run("the deployment doesn't become ready");
+    }
+    record.say("version 7 is acknowledged; the successors of core-a-1 and core-b-1 start, with empty disks");
+    deployment.start("core", 0, 2, &seeds, false);
+    deployment.start("core", 1, 2, &seeds, false);
+    thread::sleep(SUCCESSORS_RUN);
+    if !deployment.publish(&document(12), Duration::from_secs(20)) {
+        return cannot_run("version 12 isn't acknowledged");
+    }
+    record.say("version 12 is acknowledged");
+    thread::sleep(Duration::from_millis(500));
+    if has_trouble() && variant == "sigterm" {
+        deployment.terminate(cores[0]);
+        deployment.terminate(cores[1]);
+    } else if has_trouble() && variant != "disk" {
+        deployment.kill(cores[0]);
+        if variant != "one" {
+            deployment.kill(cores[1]);
+        }
+    }
+    // GAP_MS: time from the removals to the loss of the disk.
+    let gap_ms = std::env::var("GAP_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(1_000);
+    thread::sleep(Duration::from_millis(gap_ms));
+    if has_trouble() && variant != "removals" {
+        deployment.kill(cores[2]);
+        let data = deployment.folder.join("data-core-c-1");
+        fs::remove_dir_all(&data).expect("the data folder can be removed");
+        record.say("core-c-1 has lost its disk, and starts again after 1 s");
+        thread::sleep(Duration::from_secs(1));
+        deployment.start("core", 2, 1, &seeds, false);
+    }
+    thread::sleep(CATCH_UP_AND_RECOVERY);
+    let newest = read_back(&deployment, &record, 12);
+    for node in &mut deployment.nodes {
+        if let Some(child) = &mut node.child {
+            if !matches!(child.try_wait(), Ok(None)) && variant != "sigterm" {
+                return cannot_run("a process has ended by itself");
+            }
+        }
+    }
+    let is_accepted = deployment.publish(&document(20), Duration::from_secs(10));
+    platform.stop();
+    record.say(&format!("read back: version {newest}; a further configuration is accepted: {is_accepted}"));
+    i32::from(newest < 12)
+}
+
+/// A core machine is replaced: its successor runs. Another one loses power for 3.5 s and is back. Later the first one is removed
+/// without a signal, and one second after that the third one loses its disk.
+fn returned_voter(folder: &Path) -> i32 {
+    const CATCH_UP_AND_RECOVERY: Duration = Duration::from_secs(4 + 12);
+    let record = Record::new(folder);
+    // VARIANT: "no-outage" leaves the loss of power out; "removal" and "disk" are one half of the rest.
+    let variant = std::env::var("VARIANT").unwrap_or_default();
+    let mut deployment = Deployment::new(&record);
+    let list: List = Arc::default();
+    let arrivals: Arrivals = Arc::default();
+    let platform = start_platform(deployment.platform, list.clone(), record.clone());
+    let addresses: Vec<String> = (0..3).map(|zone| deployment.worker_address(zone, 1)).collect();
+    let ids = ["i-a1", "i-b1", "i-c1"];
+    let _workers: Vec<Server> =
+        (0..3).map(|zone| start_worker(ids[zone], &addresses[zone], &record, &arrivals)).collect();
+    list.lock().unwrap().extend((0..3).map(|zone| entry(ids[zone], &addresses[zone], zone, "ready")));
+    let seeds: Vec<String> = (0..3).map(|zone| deployment.ip(zone, 2)).collect();
+    let mut cores = Vec::new();
+    for zone in 0..3 {
+        cores.push(deployment.start("core", zone, 1, &seeds, true));
+        deployment.start("front", zone, 1, &seeds, true);
+    }
+    if !deployment.publish(&document(7), Duration::from_secs(20)) || !deployment.wait_ready(Duration::from_secs(20)) {
+        return cannot_run("the deployment doesn't become ready");
+    }
+    record.say("version 7 is acknowledged; the successor of core-a-1 starts, with an empty disk");
+    deployment.start("core", 0, 2, &seeds, false);
+    thread::sleep(Duration::from_secs(8));
+    if has_trouble() && variant != "no-outage" {
+        deployment.kill(cores[1]);
+        record.say("core-b-1 is without power for 3.5 s; its disk stays");
+        thread::sleep(Duration::from_millis(3_500));
+        deployment.start("core", 1, 1, &seeds, false);
+        thread::sleep(Duration::from_secs(8));
+    }
+    if !deployment.publish(&document(12), Duration::from_secs(20)) {
+        return cannot_run("version 12 isn't acknowledged");
+    }
+    record.say("version 12 is acknowledged");
+    thread::sleep(Duration::from_millis(500));
+    if has_trouble() && variant != "disk" {
+        deployment.kill(cores[0]);
+    }
+    thread::sleep(Duration::from_secs(1));
+    if has_trouble() && variant != "removal" {
+        deployment.kill(cores[2]);
+        let data = deployment.folder.join("data-core-c-1");
+        fs::remove_dir_all(&data).expect("the data folder can be removed");
+        record.say("core-c-1 has lost its disk, and starts again after 1 s");
+        thread::sleep(Duration::from_secs(1));
+        deployment.start("core", 2, 1, &seeds, false);
+    }
+    thread::sleep(CATCH_UP_AND_RECOVERY);
+    let newest = read_back(&deployment, &record, 12);
+    for node in &mut deployment.nodes {
+        if let Some(child) = &mut node.child {
+            if !matches!(child.try_wait(), Ok(None)) {
+                return cannot_run("a process has ended by itself");
+            }
+        }
+    }
+    let is_accepted = deployment.publish(&document(20), Duration::from_secs(10));
+    platform.stop();
+    record.say(&format!("read back: version {newest}; a further configuration is accepted: {is_accepted}"));
+    i32::from(newest < 12)
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, scenario, folder] = &arguments[..] else {
@@ -808,16 +985,9 @@
             let entry = b"\x82\xa2Id\xa4i-9f\xa5Slots\x22";
             foreign_entry(folder, entry, "whose bytes can't be read: a record in another format")
         }
-        "partial-entry" => {
-            let net = net_number();
-            let entry = format!(
-                "{{\"Service\":\"wuno96b\",\"Address\":\"127.{net}.1.101:{}\",\"Zone\":\"zone-a\",\"Version\":\"v1\",\"Slots\":6,\
-                 \"State\":\"ready\",\"ColdRemainingMs\":0,\"Id\":\"i-a1\"}}",
-                free_port() + 7
-            );
-            foreign_entry(folder, entry.as_bytes(), "for the same worker, in which the field born is missing")
-        }
         "first-start" => first_start(folder),
+        "returned-voter" => returned_voter(folder),
+        "two-replaced" => two_replaced(folder),
         "largest-version" => largest_version(folder),
         _ => cannot_run("no such scenario"),
     };
