--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-3/run-case.sh" unreadable-entry review/11
+exec "$(dirname "$0")/../common-3/run-case.sh" two-replaced review/11
