--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-3/run-case.sh" partial-entry review/12
+exec "$(dirname "$0")/../common-3/run-case.sh" returned-voter review/12
