Review 3: the record names the changes of the voters

Cause: the claims of the cases 11 and 12 named the voters by reading only. Tried: the log lines of the core machines, copied into the record at the end of a run.

--- a/review/common-3/case.rs
+++ b/review/common-3/case.rs
@@ -432,6 +432,16 @@
         false
     }
 
+    /// Adds the changes of the voters, as the core machines' logs state them, to the record.
+    fn record_voters(&self) {
+        for node in self.nodes.iter().filter(|node| node.name.starts_with("core")) {
+            let log = fs::read_to_string(self.folder.join(format!("{}.log", node.name))).unwrap_or_default();
+            for line in log.lines().filter(|line| line.contains("voters=")) {
+                self.record.line(&format!("log of {}: {line}", node.name));
+            }
+        }
+    }
+
     /// Waits until all front machines say that they are ready.
     fn wait_ready(&self, limit: Duration) -> bool {
         let begin = Instant::now();
@@ -896,6 +906,7 @@
     }
     let is_accepted = deployment.publish(&document(20), Duration::from_secs(10));
     platform.stop();
+    deployment.record_voters();
     record.say(&format!("read back: version {newest}; a further configuration is accepted: {is_accepted}"));
     i32::from(newest < 12)
 }
@@ -963,6 +974,7 @@
     }
     let is_accepted = deployment.publish(&document(20), Duration::from_secs(10));
     platform.stop();
+    deployment.record_voters();
     record.say(&format!("read back: version {newest}; a further configuration is accepted: {is_accepted}"));
     i32::from(newest < 12)
 }
