--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-3/run-case.sh" two-replaced review/11
+# Writes what was sent, answered and run to record.txt in this folder.
+exec "$(dirname "$0")/../common-3/run-case.sh" two-replaced review/11/record.txt
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec "$(dirname "$0")/../common-3/run-case.sh" largest-version review/15
+# Writes what was sent, answered and run to record.txt in this folder.
+exec "$(dirname "$0")/../common-3/run-case.sh" largest-version review/15/record.txt
--- a/review/common-3/case.rs
+++ b/review/common-3/case.rs
@@ -1,6 +1,6 @@
 //! Stand-ins and scenarios of the cases 11 to 15. Uses the standard library only.
 //!
-//! Usage: case SCENARIO FOLDER. Exit codes: 0 the rule held, 1 the rule was broken, 2 the case could not run. With TROUBLE=0
+//! Usage: case SCENARIO RECORD, the file to which the run is written. Exit codes: 0 the rule held, 1 the rule was broken, 2 the case could not run. With TROUBLE=0
 //! the scenario runs without its disruption.
 
 use std::collections::HashMap;
@@ -33,8 +33,8 @@
 }
 
 impl Record {
-    fn new(folder: &Path) -> Self {
-        let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+    fn new(path: &Path) -> Self {
+        let file = File::create(path).expect("the record can be written");
         Self {
             start: Instant::now(),
             file: Arc::new(Mutex::new(file)),
@@ -637,8 +637,8 @@
 // -------------------------------------------------------------------------------------------------------- scenarios
 
 /// The platform's list also holds an entry of another writer, which names no worker to use. A worker then leaves.
-fn foreign_entry(folder: &Path, foreign: &[u8], text: &str) -> i32 {
-    let record = Record::new(folder);
+fn foreign_entry(record: &Path, foreign: &[u8], text: &str) -> i32 {
+    let record = Record::new(record);
     let mut deployment = Deployment::new(&record);
     let list: List = Arc::default();
     let arrivals: Arrivals = Arc::default();
@@ -725,8 +725,8 @@
 }
 
 /// The whole system starts for the first time, and one core machine is lost for good meanwhile.
-fn first_start(folder: &Path) -> i32 {
-    let record = Record::new(folder);
+fn first_start(record: &Path) -> i32 {
+    let record = Record::new(record);
     let mut deployment = Deployment::new(&record);
     let list: List = Arc::default();
     let arrivals: Arrivals = Arc::default();
@@ -769,8 +769,8 @@
 }
 
 /// The operator publishes a configuration with the largest version that fits the wire's integers, and a new route.
-fn largest_version(folder: &Path) -> i32 {
-    let record = Record::new(folder);
+fn largest_version(record: &Path) -> i32 {
+    let record = Record::new(record);
     let mut deployment = Deployment::new(&record);
     let list: List = Arc::default();
     let arrivals: Arrivals = Arc::default();
@@ -849,10 +849,10 @@
 
 /// Two core machines are replaced: their successors run for 10 s, then both are removed without a signal. One second later
 /// another core machine loses its disk.
-fn two_replaced(folder: &Path) -> i32 {
+fn two_replaced(record: &Path) -> i32 {
     const SUCCESSORS_RUN: Duration = Duration::from_secs(10);
     const CATCH_UP_AND_RECOVERY: Duration = Duration::from_secs(4 + 12);
-    let record = Record::new(folder);
+    let record = Record::new(record);
     // VARIANT: "removals" and "disk" are one half of the trouble; "one" removes one machine only; "sigterm" gives both a signal.
     let variant = std::env::var("VARIANT").unwrap_or_default();
     let mut deployment = Deployment::new(&record);
@@ -920,9 +920,9 @@
 
 /// A core machine is replaced: its successor runs. Another one loses power for 3.5 s and is back. Later the first one is removed
 /// without a signal, and one second after that the third one loses its disk.
-fn returned_voter(folder: &Path) -> i32 {
+fn returned_voter(record: &Path) -> i32 {
     const CATCH_UP_AND_RECOVERY: Duration = Duration::from_secs(4 + 12);
-    let record = Record::new(folder);
+    let record = Record::new(record);
     // VARIANT: "no-outage" leaves the loss of power out; "removal" and "disk" are one half of the rest.
     let variant = std::env::var("VARIANT").unwrap_or_default();
     let mut deployment = Deployment::new(&record);
@@ -991,26 +991,26 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, scenario, folder] = &arguments[..] else {
-        println!("usage: case SCENARIO FOLDER");
+    let [_, scenario, record] = &arguments[..] else {
+        println!("usage: case SCENARIO RECORD");
         std::process::exit(2);
     };
-    let folder = Path::new(folder);
+    let record = Path::new(record);
     let code = match scenario.as_str() {
         // A record that its writer has written in part.
         "unreadable-entry" => {
             let entry = b"{\"Service\":\"wuno96b\",\"Address\":\"127.0";
-            foreign_entry(folder, entry, "whose bytes can't be read: a record cut short")
+            foreign_entry(record, entry, "whose bytes can't be read: a record cut short")
         }
         // The same for a record in another format, MessagePack: {"Id": "i-9f", "Slots": 34}.
         "unreadable-entry-msgpack" => {
             let entry = b"\x82\xa2Id\xa4i-9f\xa5Slots\x22";
-            foreign_entry(folder, entry, "whose bytes can't be read: a record in another format")
+            foreign_entry(record, entry, "whose bytes can't be read: a record in another format")
         }
-        "first-start" => first_start(folder),
-        "returned-voter" => returned_voter(folder),
-        "two-replaced" => two_replaced(folder),
-        "largest-version" => largest_version(folder),
+        "first-start" => first_start(record),
+        "returned-voter" => returned_voter(record),
+        "two-replaced" => two_replaced(record),
+        "largest-version" => largest_version(record),
         _ => cannot_run("no such scenario"),
     };
     std::process::exit(code);
--- a/review/common-3/run-case.sh
+++ b/review/common-3/run-case.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs a scenario of review/common-3/case.rs. Usage: run-case.sh SCENARIO FOLDER (inside the repository).
+# Runs a scenario of review/common-3/case.rs. Usage: run-case.sh SCENARIO RECORD, the path of the record file from the repository's root.
 # Exit codes: 0 the rule held, 1 the rule was broken, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/mustardstack target/review-3/case; do
