Keep documents with the largest version, and acknowledge only what is in force

Cause: this number marks all other commands in the log, so that the document could not be decoded and was skipped; the acknowledgement asked only for the commit. Change: the document with this version has a tag of its own, others are encoded as before; a publish is acknowledged only if its version or a higher one is in force after its entry was applied.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -5,11 +5,13 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use conf::Name;
 
-/// Stands in place of a document's version in front of every command that is no document.
-const NO_DOCUMENT: u64 = u64::MAX;
+/// Stands in place of a document's version in front of every command that is encoded with a tag: each one that is no
+/// document, and the document with this version.
+const TAGGED: u64 = u64::MAX;
 const SNAPSHOT: u8 = 0;
 const COMMIT_USAGE: u8 = 1;
 const USAGE_STATE: u8 = 2;
+const DOCUMENT: u8 = 3;
 
 /// Requests of one window by client account, sorted by name.
 pub type WindowCounts = Arc<[(Name, u64)]>;
@@ -42,8 +44,11 @@
         let mut bytes = BytesMut::new();
         match self {
             Self::Document { version, document } => {
-                bytes.reserve(8 + document.len());
-                bytes.put_u64_le(*version);
+                bytes.reserve(9 + document.len());
+                match *version {
+                    TAGGED => put_tag(&mut bytes, DOCUMENT),
+                    version => bytes.put_u64_le(version),
+                }
                 bytes.put_slice(document);
             }
             Self::CommitUsage {
@@ -74,13 +79,17 @@
     /// Decodes a log entry; `None` if it is malformed.
     pub fn decode(mut bytes: Bytes) -> Option<Self> {
         let version = bytes.try_get_u64_le().ok()?;
-        if version != NO_DOCUMENT {
+        if version != TAGGED {
             return Some(Self::Document {
                 version,
                 document: bytes,
             });
         }
         match bytes.try_get_u8().ok()? {
+            DOCUMENT => Some(Self::Document {
+                version: TAGGED,
+                document: bytes,
+            }),
             COMMIT_USAGE => {
                 let (window, counts) = get_window(&mut bytes)?;
                 let accepted = bytes.try_get_u32_le().ok()?;
@@ -130,7 +139,7 @@
         return Some(Vec::new());
     }
     let mut head = bytes.clone();
-    let is_list = head.try_get_u64_le() == Ok(NO_DOCUMENT) && head.try_get_u8() == Ok(SNAPSHOT);
+    let is_list = head.try_get_u64_le() == Ok(TAGGED) && head.try_get_u8() == Ok(SNAPSHOT);
     if !is_list {
         return Some(vec![Command::decode(bytes)?]);
     }
@@ -147,7 +156,7 @@
 }
 
 fn put_tag(bytes: &mut BytesMut, tag: u8) {
-    bytes.put_u64_le(NO_DOCUMENT);
+    bytes.put_u64_le(TAGGED);
     bytes.put_u8(tag);
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1181,9 +1181,12 @@
             } = pending
                 && *index == applied
             {
-                let answer = match *term == in_term {
-                    true => Answer::Acknowledged { version: *version },
-                    false => Answer::Unavailable {
+                let answer = match (*term == in_term, *version <= self.version) {
+                    (true, true) => Answer::Acknowledged { version: *version },
+                    (true, false) => Answer::Unavailable {
+                        reason: "the committed entry could not be applied",
+                    },
+                    (false, _) => Answer::Unavailable {
                         reason: "another leader's entry took the place",
                     },
                 };
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -46,6 +46,31 @@
     assert_eq!(cluster.describe(), Some(expected));
 }
 
+/// Guards against a document whose version also marks the other commands in the log, so that it is acknowledged and lost.
+#[test]
+fn a_document_with_any_version_is_kept() {
+    for version in [1, u64::MAX - 1, u64::MAX] {
+        let mut cluster = Cluster::new(3, 3);
+        cluster.run(3_000);
+        assert_eq!(
+            cluster.publish(version, "document"),
+            Some(Answer::Acknowledged { version })
+        );
+        let expected = Answer::Document {
+            version,
+            document: Bytes::from("document"),
+        };
+        assert_eq!(cluster.describe(), Some(expected.clone()));
+        // The replicas read it from their logs, and the wiped one from another replica's.
+        (0..3).for_each(|replica| cluster.restart(replica));
+        cluster.run(3_000);
+        assert_eq!(cluster.describe(), Some(expected));
+        cluster.wipe(0);
+        cluster.run(CATCH_UP_MS);
+        assert_eq!(cluster.versions(), [version; 3]);
+    }
+}
+
 /// Guards against the lower of two concurrently proposed versions replacing the higher one.
 #[test]
 fn of_two_concurrent_versions_the_higher_one_is_in_force() {
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -50,6 +50,10 @@
         version: 4,
         document: Bytes::from_static(b"text"),
     };
+    let largest = Command::Document {
+        version: u64::MAX,
+        document: Bytes::from_static(b"text"),
+    };
     let commit = Command::CommitUsage {
         window: 9,
         counts: [("a".into(), 3), ("b".into(), u64::MAX)].into(),
@@ -67,8 +71,13 @@
             assert!(cut.is_none() || matches!(cut, Some(Command::Document { version: 4, .. })));
         }
     }
-    let state = vec![document.clone(), usage];
-    assert_eq!(decode_snapshot(encode_snapshot(&state)), Some(state));
+    for state in [
+        vec![document.clone(), usage.clone()],
+        vec![largest.clone(), usage],
+        vec![largest],
+    ] {
+        assert_eq!(decode_snapshot(encode_snapshot(&state)), Some(state));
+    }
     let earlier = Bytes::from_static(b"\x04\0\0\0\0\0\0\0text");
     assert_eq!(document.encode(), earlier);
     assert_eq!(decode_snapshot(earlier), Some(vec![document]));
