--- a/crates/disk/src/founders.rs
+++ b/crates/disk/src/founders.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use crate::error::Error;
-use crate::files;
+use crate::files::{self, Folder};
 
 const FILE_NAME: &str = "founders";
 
@@ -17,8 +17,8 @@
 }
 
 /// Records the instances and makes the record durable.
-pub(crate) fn save(folder: &Path, instances: &[String]) -> Result<(), Error> {
-    files::replace(folder, FILE_NAME, encode(instances).as_bytes())
+pub(crate) fn save(folder: &Folder, instances: &[String]) -> Result<(), Error> {
+    folder.replace(FILE_NAME, encode(instances).as_bytes())
 }
 
 /// Returns one line for each instance and a last one with a checksum.
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod codec;
 mod error;
+mod faults;
 mod files;
 mod founders;
 mod replay;
@@ -15,4 +16,5 @@
 mod store;
 
 pub use error::Error;
+pub use faults::{Faults, Step};
 pub use store::{OpenedStore, Store};
--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -7,7 +7,7 @@
 
 use crate::codec;
 use crate::error::Error;
-use crate::files;
+use crate::files::{self, Folder};
 
 /// Header of every snapshot file. The last byte is the version of the format.
 const SNAPSHOT_HEADER: &[u8; 8] = b"mssnap\0\x02";
@@ -29,7 +29,7 @@
 }
 
 /// Writes the snapshot to a file and makes the file durable. The segments before `first_segment` are then not needed.
-pub(crate) fn save(folder: &Path, snapshot: &Snapshot, first_segment: u64) -> Result<(), Error> {
+pub(crate) fn save(folder: &Folder, snapshot: &Snapshot, first_segment: u64) -> Result<(), Error> {
     let mut payload = Vec::new();
     payload.put_u64_le(first_segment);
     codec::put_snapshot(&mut payload, snapshot);
@@ -37,9 +37,9 @@
     content.put_slice(SNAPSHOT_HEADER);
     content.put_u32_le(crc32fast::hash(&payload));
     content.put_slice(&payload);
-    let path = snapshot_path(folder, snapshot.index);
+    let path = snapshot_path(&folder.path, snapshot.index);
     let name = path.file_name().unwrap_or_default().to_string_lossy();
-    files::replace(folder, &name, &content)
+    folder.replace(&name, &content)
 }
 
 /// Loads the latest snapshot, or returns `None` if the folder holds none.
@@ -56,10 +56,10 @@
 }
 
 /// Removes the snapshots whose index is below `index`.
-pub(crate) fn remove_before(folder: &Path, index: u64) -> Result<(), Error> {
-    for old in list_indexes(folder)? {
+pub(crate) fn remove_before(folder: &Folder, index: u64) -> Result<(), Error> {
+    for old in list_indexes(&folder.path)? {
         if old < index {
-            files::remove(&snapshot_path(folder, old))?;
+            folder.remove(&snapshot_path(&folder.path, old))?;
         }
     }
     Ok(())
--- a/crates/disk/src/storage_id.rs
+++ b/crates/disk/src/storage_id.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use crate::error::Error;
-use crate::files;
+use crate::files::{self, Folder};
 
 const FILE_NAME: &str = "storage-id";
 
@@ -20,10 +20,10 @@
 }
 
 /// Creates a storage id and makes it durable.
-pub(crate) fn create(folder: &Path) -> Result<u64, Error> {
+pub(crate) fn create(folder: &Folder) -> Result<u64, Error> {
     // The keys of the hasher come from the operating system's random number generator. Zero is reserved.
     let id = RandomState::new().build_hasher().finish().max(1);
-    files::replace(folder, FILE_NAME, encode(id).as_bytes())?;
+    folder.replace(FILE_NAME, encode(id).as_bytes())?;
     Ok(id)
 }
 
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -1,7 +1,6 @@
 //! The store: recovery, appending and syncing of a replica's files.
 
-use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::Write as _;
+use std::fs::{self, File, TryLockError};
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
@@ -9,6 +8,8 @@
 
 use crate::codec::{self, Record};
 use crate::error::Error;
+use crate::faults::Faults;
+use crate::files::Folder;
 use crate::replay::Replay;
 use crate::segment::{self, SEGMENT_HEADER, Scan};
 use crate::{files, founders, snapshot, storage_id};
@@ -44,7 +45,7 @@
 /// The files of a replica.
 #[derive(Debug)]
 pub struct Store {
-    folder: PathBuf,
+    folder: Folder,
     /// Lock file, which is kept open so that no other process opens the folder.
     _lock: File,
     closed_segments: Vec<SegmentSummary>,
@@ -79,11 +80,23 @@
     /// Returns [`Error::Damaged`] if synced data is damaged or missing, [`Error::InUse`] if another process has the
     /// folder open, and [`Error::Io`] if a file cannot be read or written.
     pub fn open(folder: impl AsRef<Path>) -> Result<OpenedStore, Error> {
-        let folder = folder.as_ref();
-        fs::create_dir_all(folder).map_err(Error::io(folder))?;
+        Self::open_with_faults(folder, &Faults::default())
+    }
+
+    /// Opens the folder like [`Store::open`]. Steps on its files then fail as `faults` decides.
+    ///
+    /// # Errors
+    /// Returns the same errors as [`Store::open`].
+    pub fn open_with_faults(
+        folder: impl AsRef<Path>,
+        faults: &Faults,
+    ) -> Result<OpenedStore, Error> {
+        let path = folder.as_ref();
+        fs::create_dir_all(path).map_err(Error::io(path))?;
+        let folder = &Folder::new(path, faults);
         let lock = lock_folder(folder)?;
-        files::remove_temporary(folder)?;
-        let segment_numbers = files::list_numbers(folder, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
+        folder.remove_temporary()?;
+        let segment_numbers = files::list_numbers(path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
         let storage_id = load_or_create_storage_id(folder, &segment_numbers)?;
         let loaded = load(folder, &segment_numbers)?;
         let mut store = Self::open_loaded(folder, lock, &loaded)?;
@@ -136,7 +149,7 @@
     /// # Errors
     /// Returns [`Error::Io`] if the record cannot be read.
     pub fn founders(&self) -> Result<Vec<String>, Error> {
-        founders::load(&self.folder)
+        founders::load(&self.folder.path)
     }
 
     /// Records the founders of the log durably.
@@ -168,14 +181,14 @@
         result
     }
 
-    fn open_loaded(folder: &Path, lock: File, loaded: &LoadedFiles) -> Result<Self, Error> {
-        let path = segment_path(folder, loaded.segment_number);
+    fn open_loaded(folder: &Folder, lock: File, loaded: &LoadedFiles) -> Result<Self, Error> {
+        let path = segment_path(&folder.path, loaded.segment_number);
         let mut store = Self {
-            folder: folder.to_path_buf(),
+            folder: folder.clone(),
             _lock: lock,
             closed_segments: loaded.closed_segments.clone(),
             segment_number: loaded.segment_number,
-            file: open_for_append(&path)?,
+            file: folder.open_for_append(&path)?,
             length_bytes: loaded.intact_bytes,
             synced_bytes: 0,
             last_index: loaded.last_index,
@@ -184,9 +197,7 @@
             sync_count: 0,
             has_failed: false,
         };
-        let file = &store.file;
-        file.set_len(loaded.intact_bytes)
-            .map_err(Error::io(&path))?;
+        folder.set_length(&store.file, &path, loaded.intact_bytes)?;
         if store.length_bytes == 0 {
             store.write_header()?;
         }
@@ -218,8 +229,8 @@
     }
 
     fn write_bytes(&mut self, bytes: &[u8]) -> Result<(), Error> {
-        let path = segment_path(&self.folder, self.segment_number);
-        self.file.write_all(bytes).map_err(Error::io(&path))?;
+        let path = segment_path(&self.folder.path, self.segment_number);
+        self.folder.write(&mut self.file, &path, bytes)?;
         self.length_bytes += bytes.len() as u64;
         Ok(())
     }
@@ -228,15 +239,15 @@
         if self.synced_bytes == self.length_bytes {
             return Ok(());
         }
-        let path = segment_path(&self.folder, self.segment_number);
-        self.file.sync_data().map_err(Error::io(&path))?;
+        let path = segment_path(&self.folder.path, self.segment_number);
+        self.folder.sync_data(&self.file, &path)?;
         self.synced_bytes = self.length_bytes;
         self.sync_count += 1;
         Ok(())
     }
 
     fn sync_folder(&mut self) -> Result<(), Error> {
-        files::sync_folder(&self.folder)?;
+        self.folder.sync()?;
         self.sync_count += 1;
         Ok(())
     }
@@ -249,7 +260,8 @@
             last_index: self.last_index,
         });
         self.segment_number += 1;
-        self.file = open_for_append(&segment_path(&self.folder, self.segment_number))?;
+        let path = segment_path(&self.folder.path, self.segment_number);
+        self.file = self.folder.open_for_append(&path)?;
         self.length_bytes = 0;
         self.synced_bytes = 0;
         self.last_index = 0;
@@ -290,7 +302,8 @@
             .take_while(|segment| segment.last_index <= index);
         let covered = covered.count();
         for segment in self.closed_segments.drain(..covered) {
-            files::remove(&segment_path(&self.folder, segment.number))?;
+            let path = segment_path(&self.folder.path, segment.number);
+            self.folder.remove(&path)?;
         }
         Ok(())
     }
@@ -307,11 +320,12 @@
     last_index: u64,
 }
 
-fn load(folder: &Path, segment_numbers: &[u64]) -> Result<LoadedFiles, Error> {
-    let latest = snapshot::load_latest(folder)?;
+fn load(folder: &Folder, segment_numbers: &[u64]) -> Result<LoadedFiles, Error> {
+    let latest = snapshot::load_latest(&folder.path)?;
     if let Some(saved) = &latest {
         snapshot::remove_before(folder, saved.snapshot.index)?;
     }
+    let folder = &folder.path;
     let oldest_segment = segment_numbers.first().copied();
     let first_segment = latest
         .as_ref()
@@ -411,10 +425,11 @@
 
 /// Returns the folder's storage id. A folder without segments and snapshots has never recorded a vote, so a new storage
 /// id is safe. A log without a storage id cannot be attributed to a replica and is an error.
-fn load_or_create_storage_id(folder: &Path, segment_numbers: &[u64]) -> Result<u64, Error> {
-    if segment_numbers.is_empty() && !snapshot::exists(folder)? {
+fn load_or_create_storage_id(folder: &Folder, segment_numbers: &[u64]) -> Result<u64, Error> {
+    if segment_numbers.is_empty() && !snapshot::exists(&folder.path)? {
         return storage_id::create(folder);
     }
+    let folder = &folder.path;
     if segment_numbers.is_empty() {
         return Err(Error::damaged(
             &segment_path(folder, FIRST_SEGMENT_NUMBER),
@@ -425,24 +440,18 @@
     id.ok_or_else(|| Error::damaged(folder, 0))
 }
 
-fn lock_folder(folder: &Path) -> Result<File, Error> {
-    let path = folder.join(LOCK_FILE_NAME);
-    let file = File::create(&path).map_err(Error::io(&path))?;
+fn lock_folder(folder: &Folder) -> Result<File, Error> {
+    let path = folder.path.join(LOCK_FILE_NAME);
+    let file = folder.create(&path)?;
     match file.try_lock() {
         Ok(()) => Ok(file),
         Err(TryLockError::WouldBlock) => Err(Error::InUse {
-            path: folder.to_path_buf(),
+            path: folder.path.clone(),
         }),
         Err(TryLockError::Error(error)) => Err(Error::io(&path)(error)),
     }
 }
 
-fn open_for_append(path: &Path) -> Result<File, Error> {
-    let mut options = OpenOptions::new();
-    let options = options.create(true).append(true);
-    options.open(path).map_err(Error::io(path))
-}
-
 fn segment_path(folder: &Path, number: u64) -> PathBuf {
     files::numbered_path(folder, SEGMENT_PREFIX, number, SEGMENT_SUFFIX)
 }
