Pass the known replicas on when a disk failure restarts a replica

Operators see: after a failure of all disks at one moment, in a core whose first instances have all been replaced, no change is accepted any more while all processes run. Cause: the replica that is started again in its process knew only the instances of its settings. Ruled out: the same one after the other, since the others name the replica that has forgotten them. Change: the replica that stops passes on whom it knows. Test: replicas_find_each_other_after_a_failure_of_all_disks; without the names the publish gets no answer.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -69,6 +69,8 @@
     pub founders: Vec<Name>,
     /// Instances that may be replicas of the log.
     pub contacts: Vec<InstanceInfo>,
+    /// Other replicas that an earlier replica of the same process knew.
+    pub known_replicas: Vec<InstanceInfo>,
     /// Target number of voters.
     pub target_voters: usize,
     /// Lease of the right to give orders to engines, in milliseconds.
@@ -262,16 +264,18 @@
             seed: settings.seed,
         };
         let mut replica = Replica::new(replica_settings, recovered, now_ms);
-        replica.set_join_targets(contact_ids(&settings));
+        let own_id = settings.info.id.clone();
+        let mut replicas = KnownReplicas::new(own_id, settings.contacts.clone(), now_ms);
+        for info in &settings.known_replicas {
+            replicas.on_named(info.clone(), now_ms);
+        }
+        let ids = replicas.infos().map(|info| info.id.clone());
+        replica.set_join_targets(ids.collect());
         replica.set_target_voters(settings.target_voters);
         let lease = LeaderLease::new(settings.order_lease_ms);
         let duties = Duties::new(&settings.duties);
         Self {
-            replicas: KnownReplicas::new(
-                settings.info.id.clone(),
-                settings.contacts.clone(),
-                now_ms,
-            ),
+            replicas,
             settings,
             replica,
             applied_index: 0,
@@ -378,6 +382,11 @@
         self.replica.status()
     }
 
+    /// Returns the other replicas that this one knows.
+    pub fn known_replicas(&self) -> Vec<InstanceInfo> {
+        self.replicas.infos().cloned().collect()
+    }
+
     /// Returns whether the process may stop after `ControlEvent::Leave` without the loss of a vote that another replica
     /// could take over.
     pub fn has_left(&self) -> bool {
@@ -1230,14 +1239,6 @@
     }
 }
 
-fn contact_ids(settings: &ControlSettings) -> Vec<Name> {
-    settings
-        .contacts
-        .iter()
-        .map(|info| info.id.clone())
-        .collect()
-}
-
 fn send(to: &InstanceInfo, message: PeerMessage) -> ControlEffect {
     ControlEffect::Send {
         to: to.id.clone(),
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -465,6 +465,25 @@
     );
 }
 
+/// Guards against replicas whose disks fail at the same moment and that then know only the instances of their settings, which
+/// have all been replaced.
+#[test]
+fn replicas_find_each_other_after_a_failure_of_all_disks() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.run(3_000);
+    let successors: Vec<usize> = (0..3).map(|_| cluster.add()).collect();
+    cluster.run(CATCH_UP_MS);
+    (0..3).for_each(|replaced| cluster.partition(replaced));
+    cluster.run(2_000);
+    cluster.publish(7, "seven");
+    successors.iter().for_each(|index| cluster.reopen(*index));
+    cluster.run(3_000);
+    assert_eq!(
+        cluster.publish(8, "eight"),
+        Some(Answer::Acknowledged { version: 8 })
+    );
+}
+
 /// Guards against voters above the target that stay in the member set after their loss, so that the running voters bear no
 /// further loss.
 #[test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -139,7 +139,17 @@
         cluster
     }
 
-    fn start_replica(&mut self, index: usize, mut disk: Disk, is_first_start: bool) -> TestReplica {
+    fn start_replica(&mut self, index: usize, disk: Disk, is_first_start: bool) -> TestReplica {
+        self.start_replica_knowing(index, disk, is_first_start, Vec::new())
+    }
+
+    fn start_replica_knowing(
+        &mut self,
+        index: usize,
+        mut disk: Disk,
+        is_first_start: bool,
+        known_replicas: Vec<InstanceInfo>,
+    ) -> TestReplica {
         if disk.storage_id == 0 {
             self.next_storage_id += 1;
             disk.storage_id = self.next_storage_id;
@@ -153,6 +163,7 @@
             storage_id: disk.storage_id,
             founders: disk.founders.clone(),
             contacts: self.founders.clone(),
+            known_replicas,
             target_voters: self.target_voters,
             order_lease_ms: 3_000,
             seed: disk.storage_id,
@@ -433,6 +444,13 @@
         self.replicas[index] = self.start_replica(index, disk, false);
     }
 
+    /// Starts a replica anew in the same process, as after a failure of its disk.
+    pub fn reopen(&mut self, index: usize) {
+        let disk = std::mem::take(&mut self.replicas[index].disk);
+        let known = self.replicas[index].control.known_replicas();
+        self.replicas[index] = self.start_replica_knowing(index, disk, false, known);
+    }
+
     /// Restarts a replica with an empty disk.
     pub fn wipe(&mut self, index: usize) {
         self.replicas[index] = self.start_replica(index, Disk::default(), false);
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use conf::Map;
 use disk::OpenedStore;
+use fleet::InstanceInfo;
 use gateway::control::{
     Answer, Control, ControlEffect, ControlEvent, ControlSettings, OrderOutcome,
 };
@@ -61,6 +62,8 @@
     settings: Settings,
     peers: PeerLinks,
     writes: RefCell<Option<Sender<TicketedWrite>>>,
+    /// Other replicas that the replica before the present one knew.
+    known_replicas: RefCell<Vec<InstanceInfo>>,
     calls: RefCell<Map<u64, oneshot::Sender<Answer>>>,
     last_call_id: Cell<u64>,
     is_reading_list: Cell<bool>,
@@ -280,6 +283,7 @@
             storage_id,
             founders,
             contacts: self.settings.contacts.clone(),
+            known_replicas: self.known_replicas.take(),
             target_voters: self.settings.target_voters,
             order_lease_ms: self.settings.order_lease_ms,
             duties: self.settings.duties.clone(),
@@ -297,8 +301,9 @@
         if !disk_thread.is_finished() {
             return;
         }
-        if self.control.take().is_some() {
+        if let Some(control) = self.control.take() {
             self.writes.take();
+            self.known_replicas.replace(control.known_replicas());
             logs::write(
                 Importance::Failure,
                 "control",
@@ -352,6 +357,7 @@
         settings,
         peers,
         writes: RefCell::default(),
+        known_replicas: RefCell::default(),
         calls: RefCell::default(),
         last_call_id: Cell::new(0),
         is_reading_list: Cell::new(false),
