Answer operators' calls when a replica stops for its disk

Operators see: a call that is in progress when a replica's disk fails is never answered. Cause: the replica that answers or expires the call is gone, and the call stayed in the list. Change: the list is emptied, and each call gets 503 at once.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -304,6 +304,8 @@
         if let Some(control) = self.control.take() {
             self.writes.take();
             self.known_replicas.replace(control.known_replicas());
+            // The calls in progress are answered as unavailable.
+            self.calls.take();
             logs::write(
                 Importance::Failure,
                 "control",
