Keep the process of a replica whose disk is full from its start on

Operators see: the disk of one of three core machines is full for 2.5 s at the first start, and no change is ever accepted. Cause: the process ended and was started again with settings that name no founders; it had recorded none. Reports of writes of a former replica are told apart by their tickets, and no longer by the time.

--- a/crates/mustardstack/tests/join_support/mod.rs
+++ b/crates/mustardstack/tests/join_support/mod.rs
@@ -9,6 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::Value;
 
 pub const WAIT: Duration = Duration::from_secs(20);
@@ -28,9 +29,31 @@
 
 /// Starts a process with its settings, which are written to a file.
 pub fn join(path: &Path, settings: &Value) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mustardstack"));
+    start(command.arg("join"), path, settings)
+}
+
+/// Starts a process like [`join`], whose writes can be refused with [`set_largest_file`].
+pub fn join_with_refusable_writes(path: &Path, settings: &Value) -> Child {
+    // The signal would end the process at a refused write.
+    let script = "trap '' XFSZ; exec \"$0\" join";
+    let mut command = Command::new("sh");
+    let command = command.args(["-c", script, env!("CARGO_BIN_EXE_mustardstack")]);
+    start(command, path, settings)
+}
+
+/// Sets the largest size to which a process can write a file, in bytes. `None` removes the limit.
+pub fn set_largest_file(process: &Child, bytes: Option<u64>) {
+    let limit = Rlimit {
+        current: bytes,
+        maximum: None,
+    };
+    prlimit(Some(Pid::from_child(process)), Resource::Fsize, limit).expect("the process runs");
+}
+
+fn start(command: &mut Command, path: &Path, settings: &Value) -> Child {
     std::fs::write(path, settings.to_string()).expect("the settings can be written");
-    Command::new(env!("CARGO_BIN_EXE_mustardstack"))
-        .arg("join")
+    command
         .env("MUSTARDSTACK_NODE_FILE", path)
         .env("PEER_SECRET", "test")
         .stdout(Stdio::null())
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -62,6 +62,9 @@
     settings: Settings,
     peers: PeerLinks,
     writes: RefCell<Option<Sender<TicketedWrite>>>,
+    /// Tickets of the replicas before the present one, whose writes may still be reported.
+    former_tickets: Cell<u64>,
+    last_ticket: Cell<u64>,
     /// Other replicas that the replica before the present one knew.
     known_replicas: RefCell<Vec<InstanceInfo>>,
     calls: RefCell<Map<u64, oneshot::Sender<Answer>>>,
@@ -87,7 +90,14 @@
     fn step_received(&self, event: Event) {
         match event {
             Event::Peer { from, message } => self.step(ControlEvent::Peer { from, message }),
-            Event::Persisted { ticket } => self.step(ControlEvent::Persisted { ticket }),
+            Event::Persisted { ticket } => {
+                if let Some(ticket) = ticket
+                    .checked_sub(self.former_tickets.get())
+                    .filter(|ticket| *ticket > 0)
+                {
+                    self.step(ControlEvent::Persisted { ticket });
+                }
+            }
             _ => logs::write(
                 Importance::StateChange,
                 "control",
@@ -100,6 +110,8 @@
         match effect {
             ControlEffect::Persist { ticket, write } => {
                 if let Some(writes) = self.writes.borrow().as_ref() {
+                    let ticket = self.former_tickets.get() + ticket;
+                    self.last_ticket.set(ticket);
                     // The send fails if the disk thread has ended, which `check_disk` detects.
                     let _ = writes.send((ticket, write));
                 }
@@ -289,6 +301,7 @@
             duties: self.settings.duties.clone(),
             seed: storage_id,
         };
+        self.former_tickets.set(self.last_ticket.get());
         let control = Control::new(settings, recovered, self.clock.now_ms());
         self.control.replace(Some(control));
         self.writes.replace(Some(disk.writes));
@@ -297,8 +310,9 @@
 
     /// Stops the replica when its disk has failed, and starts the replica again at the next check. Which unsynced
     /// writes have reached the disk is unknown, so that the replica continues with the state on the disk.
-    fn check_disk(&self, disk_thread: &mut JoinHandle<Result<(), node::Error>>) {
-        if !disk_thread.is_finished() {
+    fn check_disk(&self, disk_thread: &mut Option<JoinHandle<Result<(), node::Error>>>) {
+        let is_running = |thread: &JoinHandle<_>| !thread.is_finished();
+        if disk_thread.as_ref().is_some_and(is_running) {
             return;
         }
         if let Some(control) = self.control.take() {
@@ -311,11 +325,10 @@
                 "control",
                 "replica=stopped reason=\"the disk has failed\"",
             );
-            // Until the next check, queued reports of the old disk thread are discarded, since there is no replica.
             return;
         }
         match self.open_replica() {
-            Ok(thread) => *disk_thread = thread,
+            Ok(thread) => *disk_thread = Some(thread),
             Err(error) => {
                 let text = format!("replica=not_started reason={:?}", error.to_string());
                 logs::write(Importance::Failure, "control", &text);
@@ -339,7 +352,7 @@
 /// Runs a replica until a signal stops it.
 ///
 /// # Errors
-/// Fails if the disk, a listener or a signal handler cannot be set up.
+/// Fails if a listener or a signal handler cannot be set up. A disk that cannot be opened is tried again.
 pub async fn run(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
@@ -359,6 +372,8 @@
         settings,
         peers,
         writes: RefCell::default(),
+        former_tickets: Cell::new(0),
+        last_ticket: Cell::new(0),
         known_replicas: RefCell::default(),
         calls: RefCell::default(),
         last_call_id: Cell::new(0),
@@ -373,7 +388,8 @@
         serve(operators, ConnectionLimits::default, handle, shutdown).await;
     });
     tokio::task::spawn_local(process_events(runtime.clone(), queue));
-    let mut disk_thread = runtime.open_replica()?;
+    // A process that ended because its disk is full would be started again with settings that do not name the founders.
+    let mut disk_thread = None;
     let mut disk_checks = interval(DISK_CHECK_INTERVAL);
     disk_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
