Let a leader that is restarted during its own removal ask for votes

Operators see: with one of four replicas lost for good, the leader is restarted while its own removal is not committed, and no leader is elected any more although three run. Ruled out: the votes and addresses of the others; all were known and none was asked. Change: each member set from the latest that is known to be committed on counts, unless the replica is a learner by now. Test: a_restarted_leader_whose_removal_is_not_committed_asks_for_votes sends no request before.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -29,10 +29,11 @@
     }
 
     /// Returns whether this replica may ask for votes. A voter whose removal is not known to be committed may be the only
-    /// one whose log is recent enough.
+    /// one whose log is recent enough. After a restart, nothing after the snapshot is known to be committed.
     fn may_campaign(&self) -> bool {
-        let is_voter = |set: &MemberSet| set.is_voter(&self.settings.id);
-        is_voter(self.members.current()) || is_voter(self.members.at(self.commit_index))
+        let (id, current) = (&self.settings.id, self.members.current());
+        let mut sets = self.members.since(self.commit_index);
+        current.is_voter(id) || (!current.contains(id) && sets.any(|set| set.is_voter(id)))
     }
 
     fn start_pre_vote(&mut self, out: &mut Vec<Output>) {
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -122,6 +122,12 @@
         &self.sets[position.unwrap_or(0)]
     }
 
+    /// Returns the set in force at `index` and all later ones.
+    pub(crate) fn since(&self, index: u64) -> impl Iterator<Item = &MemberSet> {
+        let position = self.sets.iter().rposition(|set| set.index <= index);
+        self.sets.range(position.unwrap_or(0)..)
+    }
+
     pub(crate) fn push(&mut self, members: MemberSet) {
         self.sets.push_back(members);
     }
--- a/crates/quorum/tests/replica.rs
+++ b/crates/quorum/tests/replica.rs
@@ -467,6 +467,37 @@
     );
 }
 
+/// Guards against replicas that never elect a leader because the only one with a recent log is a former leader that was
+/// restarted while its own removal was not committed.
+#[test]
+fn a_restarted_leader_whose_removal_is_not_committed_asks_for_votes() {
+    let set = members(3);
+    let removal = MemberSet {
+        index: 2,
+        voters: set.voters[1..].to_vec(),
+        ..set
+    };
+    let removal = Entry {
+        index: 2,
+        term: 1,
+        body: EntryBody::Members(removal),
+    };
+    let mut driver = Driver::recovered(RecoveredState {
+        term: 1,
+        entries: vec![initial_members_entry(3), removal],
+        ..RecoveredState::default()
+    });
+    driver.now_ms = 2 * ELECTION_MAX_MS;
+    driver.input(Input::Tick);
+    let asks = |output: &Output| {
+        let Output::Send { message, .. } = output else {
+            return false;
+        };
+        matches!(message, Message::PreVote { last_index: 2, .. })
+    };
+    assert_eq!(driver.out.iter().filter(|output| asks(output)).count(), 2);
+}
+
 /// Guards against a leader that handles inputs after a long pause before it checks its quorum.
 #[test]
 fn paused_leader_steps_down_before_it_handles_inputs() {
