--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,6 +1,6 @@
 //! Elections: timeouts, pre-votes, votes and the leader's quorum check.
 
-use crate::message::{EntryBody, MemberSet, Message, Output, ReplicaId};
+use crate::message::{EntryBody, Message, Output, ReplicaId};
 use crate::peer::{HeartbeatRounds, LeaderState};
 use crate::replica::{Replica, Role};
 use crate::writes::DeferredAction;
