Form the log with two of three founders

Cause: the log was formed only once each founder had answered. Change: founders start with storage ids that the others derive from their instances; a majority that answers under them elects a leader with all of them as voters. A lost or damaged disk loses the identity.

--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use error::Error;
 pub use faults::{Faults, Step};
-pub use store::{OpenedStore, Store};
+pub use store::{OpenOptions, OpenedStore, Store};
--- a/crates/disk/src/storage_id.rs
+++ b/crates/disk/src/storage_id.rs
@@ -19,10 +19,11 @@
         .map(Some)
 }
 
-/// Creates a storage id and makes it durable.
-pub(crate) fn create(folder: &Folder) -> Result<u64, Error> {
+/// Records a storage id, by default a random one, and makes it durable.
+pub(crate) fn create(folder: &Folder, new_id: Option<u64>) -> Result<u64, Error> {
     // The keys of the hasher come from the operating system's random number generator. Zero is reserved.
-    let id = RandomState::new().build_hasher().finish().max(1);
+    let random = || RandomState::new().build_hasher().finish();
+    let id = new_id.unwrap_or_else(random).max(1);
     folder.replace(FILE_NAME, encode(id).as_bytes())?;
     Ok(id)
 }
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -23,6 +23,15 @@
 const SEGMENT_PREFIX: &str = "log-";
 const SEGMENT_SUFFIX: &str = ".seg";
 
+/// Options of opening a store.
+#[derive(Clone, Debug, Default)]
+pub struct OpenOptions {
+    /// Storage id of a folder that holds no store; a random one if there is none.
+    pub new_storage_id: Option<u64>,
+    /// Steps on the files that fail.
+    pub faults: Faults,
+}
+
 /// An opened store and the state that it recovered.
 #[derive(Debug)]
 pub struct OpenedStore {
@@ -80,24 +89,25 @@
     /// Returns [`Error::Damaged`] if synced data is damaged or missing, [`Error::InUse`] if another process has the
     /// folder open, and [`Error::Io`] if a file cannot be read or written.
     pub fn open(folder: impl AsRef<Path>) -> Result<OpenedStore, Error> {
-        Self::open_with_faults(folder, &Faults::default())
+        Self::open_with(folder, &OpenOptions::default())
     }
 
-    /// Opens the folder like [`Store::open`]. Steps on its files then fail as `faults` decides.
+    /// Opens the folder like [`Store::open`], with options.
     ///
     /// # Errors
     /// Returns the same errors as [`Store::open`].
-    pub fn open_with_faults(
+    pub fn open_with(
         folder: impl AsRef<Path>,
-        faults: &Faults,
+        options: &OpenOptions,
     ) -> Result<OpenedStore, Error> {
         let path = folder.as_ref();
         fs::create_dir_all(path).map_err(Error::io(path))?;
-        let folder = &Folder::new(path, faults);
+        let folder = &Folder::new(path, &options.faults);
         let lock = lock_folder(folder)?;
         folder.remove_temporary()?;
         let segment_numbers = files::list_numbers(path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
-        let storage_id = load_or_create_storage_id(folder, &segment_numbers)?;
+        let storage_id =
+            load_or_create_storage_id(folder, &segment_numbers, options.new_storage_id)?;
         let loaded = load(folder, &segment_numbers)?;
         let mut store = Self::open_loaded(folder, lock, &loaded)?;
         if store.segment_number < loaded.first_segment {
@@ -425,9 +435,13 @@
 
 /// Returns the folder's storage id. A folder without segments and snapshots has never recorded a vote, so a new storage
 /// id is safe. A log without a storage id cannot be attributed to a replica and is an error.
-fn load_or_create_storage_id(folder: &Folder, segment_numbers: &[u64]) -> Result<u64, Error> {
+fn load_or_create_storage_id(
+    folder: &Folder,
+    segment_numbers: &[u64],
+    new_storage_id: Option<u64>,
+) -> Result<u64, Error> {
     if segment_numbers.is_empty() && !snapshot::exists(&folder.path)? {
-        return storage_id::create(folder);
+        return storage_id::create(folder, new_storage_id);
     }
     let folder = &folder.path;
     if segment_numbers.is_empty() {
--- a/crates/disk/tests/replica.rs
+++ b/crates/disk/tests/replica.rs
@@ -30,6 +30,7 @@
                 instance,
                 storage_id,
             },
+            initial_ids: Vec::new(),
             initial_voters: vec!["voter-1".into()],
             heartbeat_interval_ms: 100,
             election_timeout_min_ms: 600,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -256,6 +256,7 @@
                 instance: settings.info.id.clone(),
                 storage_id: settings.storage_id,
             },
+            initial_ids: settings.founders.iter().map(initial_id).collect(),
             initial_voters: settings.founders.clone(),
             heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
             election_timeout_min_ms: ELECTION_TIMEOUT_MIN_MS,
@@ -1239,6 +1240,13 @@
     }
 }
 
+fn initial_id(instance: &Name) -> ReplicaId {
+    ReplicaId {
+        instance: instance.clone(),
+        storage_id: quorum::initial_storage_id(instance),
+    }
+}
+
 fn send(to: &InstanceInfo, message: PeerMessage) -> ControlEffect {
     ControlEffect::Send {
         to: to.id.clone(),
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -166,7 +166,7 @@
         if !is_voter || instance.data_folder.is_empty() {
             return Ok(None);
         }
-        let opened = persist::open(Path::new(instance.data_folder.as_str()))?;
+        let opened = persist::open(Path::new(instance.data_folder.as_str()), None)?;
         self.initial_state.replica = Some((opened.storage_id, opened.recovered));
         Ok(Some(opened.store))
     }
--- a/crates/node/src/persist.rs
+++ b/crates/node/src/persist.rs
@@ -5,7 +5,7 @@
 use std::thread::JoinHandle;
 
 use conf::Name;
-use disk::{OpenedStore, Store};
+use disk::{OpenOptions, OpenedStore, Store};
 use quorum::Write;
 use reducer::Event;
 
@@ -19,17 +19,27 @@
 /// Folder of the replica's files inside the data folder.
 const REPLICA_FOLDER: &str = "replica";
 
+/// Start of the extension of a damaged store's folder.
+const DAMAGED_SUFFIX: &str = "damaged-";
+
 /// A write with its ticket, which is reported to the reducer once the write is durable.
 pub type TicketedWrite = (u64, Write);
 
 /// Opens the replica's files. A damaged store is renamed, and the replica starts as a new one with an empty store: it
 /// must not vote with a state that may differ from the state that it acknowledged.
 ///
+/// A folder that has held no store gets `new_storage_id`, or a random one if there is none.
+///
 /// # Errors
 /// Fails if the files cannot be opened for another reason.
-pub fn open(data_folder: &Path) -> Result<OpenedStore, Error> {
+pub fn open(data_folder: &Path, new_storage_id: Option<u64>) -> Result<OpenedStore, Error> {
     let folder = data_folder.join(REPLICA_FOLDER);
-    match Store::open(&folder) {
+    let options = OpenOptions {
+        // The replica of a damaged store may have voted under this id.
+        new_storage_id: new_storage_id.filter(|_| !has_damaged_store(data_folder)),
+        ..OpenOptions::default()
+    };
+    match Store::open_with(&folder, &options) {
         Err(disk::Error::Damaged { path, offset_bytes }) => {
             let renamed_path = rename_damaged_store(&folder)?;
             spdlog::error!(
@@ -62,8 +72,16 @@
     Ok(of_settings.to_vec())
 }
 
+fn has_damaged_store(data_folder: &Path) -> bool {
+    let entries = std::fs::read_dir(data_folder).into_iter().flatten();
+    let prefix = format!("{REPLICA_FOLDER}.{DAMAGED_SUFFIX}");
+    entries
+        .flatten()
+        .any(|entry| entry.file_name().to_string_lossy().starts_with(&prefix))
+}
+
 fn rename_damaged_store(folder: &Path) -> Result<PathBuf, Error> {
-    let renamed_path = folder.with_extension(format!("damaged-{}", unix_ms()));
+    let renamed_path = folder.with_extension(format!("{DAMAGED_SUFFIX}{}", unix_ms()));
     std::fs::rename(folder, &renamed_path).map_err(|source| Error::Os {
         what: "cannot rename the damaged store",
         source,
--- a/crates/quorum/examples/commit_rate.rs
+++ b/crates/quorum/examples/commit_rate.rs
@@ -155,6 +155,7 @@
 fn replica(position: usize, voters: usize) -> Replica {
     let settings = ReplicaSettings {
         id: id(position),
+        initial_ids: Vec::new(),
         initial_voters: (0..voters).map(|voter| id(voter).instance).collect(),
         heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
         election_timeout_min_ms: 600,
--- a/crates/quorum/src/join.rs
+++ b/crates/quorum/src/join.rs
@@ -142,15 +142,56 @@
     /// Returns whether this is the initial voter with the lowest id, or has run for long enough that those with lower ids
     /// would have bootstrapped the log. One that was restarted may no longer know that it is an initial voter.
     fn has_bootstrap_turn(&self) -> bool {
-        let own = &self.settings.id.instance;
-        let initial_voters = &self.settings.initial_voters;
-        let lower_ids = initial_voters.iter().filter(|voter| *voter < own).count() as u64;
-        let turn_ms = self.settings.election_timeout_max_ms * BOOTSTRAP_TURN_ELECTIONS * lower_ids;
-        initial_voters.contains(own) && self.now_ms >= self.join.started_ms + turn_ms
+        let is_initial_voter = self
+            .settings
+            .initial_voters
+            .contains(&self.settings.id.instance);
+        is_initial_voter && self.now_ms >= self.bootstrap_turn_ms()
     }
 
-    /// Returns the member set of all initial voters, once each of them has reported that it holds no log.
+    fn bootstrap_turn_ms(&self) -> u64 {
+        let initial_voters = self.settings.initial_voters.iter();
+        let lower_ids = initial_voters.filter(|voter| **voter < self.settings.id.instance);
+        let turns = BOOTSTRAP_TURN_ELECTIONS * lower_ids.count() as u64;
+        self.join.started_ms + self.settings.election_timeout_max_ms * turns
+    }
+
+    /// Returns the first member set: all initial voters, once each of them or, after some time, a majority of their initial
+    /// identities has reported that it holds no log.
     fn initial_members(&self) -> Option<MemberSet> {
+        self.complete_initial_members()
+            .or_else(|| self.majority_of_initial_members())
+    }
+
+    /// Returns the member set of the initial identities if a majority of them has reported that it holds no log. Any two
+    /// majorities share one of them, which has given its vote or holds the log.
+    fn majority_of_initial_members(&self) -> Option<MemberSet> {
+        let initial_ids = &self.settings.initial_ids;
+        let wait_ms = self.settings.election_timeout_max_ms;
+        if !initial_ids.contains(&self.settings.id)
+            || self.now_ms < self.bootstrap_turn_ms() + wait_ms
+        {
+            return None;
+        }
+        let has_replied = |id: &&ReplicaId| {
+            let reply = self.join.instances_without_log.get(&id.instance);
+            self.is_self(id) || reply.is_some_and(|(storage_id, _)| *storage_id == id.storage_id)
+        };
+        let mut voters = initial_ids.clone();
+        voters.sort_unstable();
+        voters.dedup();
+        let instances = voters.iter().map(|id| id.instance.clone()).collect();
+        let set = MemberSet {
+            voters,
+            instances,
+            ..MemberSet::default()
+        };
+        let replied = set.voters.iter().filter(has_replied).count();
+        (replied >= set.majority()).then_some(set)
+    }
+
+    /// Returns the member set of all initial voters, once each of them has reported that it holds no log.
+    fn complete_initial_members(&self) -> Option<MemberSet> {
         let mut instances = self.settings.initial_voters.clone();
         instances.sort_unstable();
         instances.dedup();
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,6 +20,7 @@
 mod snapshot;
 mod writes;
 
+pub use members::initial_storage_id;
 pub use message::{
     Entry, EntryBody, Input, JoinRequest, MemberSet, Message, Output, RecoveredState, ReplicaId,
     Snapshot, Status, Write,
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -99,6 +99,18 @@
     }
 }
 
+/// Returns the storage id of a replica that starts for the first time together with the whole system, so that the initial
+/// voters know each other's identities beforehand.
+pub fn initial_storage_id(instance: &str) -> u64 {
+    // FNV-1a. Zero is reserved.
+    let hash = instance
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+    hash.max(1)
+}
+
 /// The member sets of the log, oldest first. The last set is in force; truncating the log restores an earlier set.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberHistory {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -22,6 +22,10 @@
     pub id: ReplicaId,
     /// Instance ids of the initial voters.
     pub initial_voters: Vec<FastStr>,
+    /// Identities with which the initial voters start for the first time, if they are known beforehand; otherwise empty. A
+    /// majority of them may bootstrap the log without the others. A replica must not have such an identity again once its
+    /// disk is lost.
+    pub initial_ids: Vec<ReplicaId>,
     /// Interval of heartbeats, in milliseconds.
     pub heartbeat_interval_ms: u64,
     /// Shortest election timeout, in milliseconds.
@@ -52,6 +56,7 @@
 ///
 /// let settings = ReplicaSettings {
 ///     id: ReplicaId { instance: "a".into(), storage_id: 7 },
+///     initial_ids: Vec::new(),
 ///     initial_voters: vec!["a".into()],
 ///     heartbeat_interval_ms: 100,
 ///     election_timeout_min_ms: 600,
--- a/crates/quorum/tests/replica.rs
+++ b/crates/quorum/tests/replica.rs
@@ -64,6 +64,7 @@
     fn recovered(recovered: RecoveredState) -> Self {
         let settings = ReplicaSettings {
             id: id(1),
+            initial_ids: Vec::new(),
             initial_voters: (1..=3).map(|voter| id(voter).instance).collect(),
             heartbeat_interval_ms: 100,
             election_timeout_min_ms: ELECTION_MIN_MS,
--- a/crates/quorum/tests/support/mod.rs
+++ b/crates/quorum/tests/support/mod.rs
@@ -160,6 +160,7 @@
         }
         let settings = ReplicaSettings {
             id: self.nodes[position].id.clone(),
+            initial_ids: Vec::new(),
             initial_voters: (0..self.initial_voters).map(instance_name).collect(),
             heartbeat_interval_ms: HEARTBEAT_MS,
             election_timeout_min_ms: ELECTION_MIN_MS,
--- a/crates/reducer/src/state.rs
+++ b/crates/reducer/src/state.rs
@@ -303,6 +303,7 @@
     };
     let replica_settings = ReplicaSettings {
         id: id.clone(),
+        initial_ids: Vec::new(),
         initial_voters: settings
             .voters
             .iter()
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -62,6 +62,8 @@
     settings: Settings,
     peers: PeerLinks,
     writes: RefCell<Option<Sender<TicketedWrite>>>,
+    /// Whether a replica has been started in this process.
+    has_opened: Cell<bool>,
     /// Tickets of the replicas before the present one, whose writes may still be reported.
     former_tickets: Cell<u64>,
     last_ticket: Cell<u64>,
@@ -276,11 +278,15 @@
 
     /// Starts the replica with the state on its disk.
     fn open_replica(&self) -> Result<JoinHandle<Result<(), node::Error>>, Error> {
+        // Only the settings of the first start name the founders. A folder that is emptied later belongs to a new replica.
+        let is_first_start = !self.settings.founders.is_empty() && !self.has_opened.get();
+        let new_storage_id =
+            is_first_start.then(|| quorum::initial_storage_id(&self.settings.info.id));
         let OpenedStore {
             mut store,
             storage_id,
             recovered,
-        } = persist::open(&self.settings.data_folder)?;
+        } = persist::open(&self.settings.data_folder, new_storage_id)?;
         let founders = persist::founders(&mut store, &self.settings.founders)?;
         let text = format!(
             "store=opened storage_id={storage_id:x} term={} entries={} founders={}",
@@ -301,6 +307,7 @@
             duties: self.settings.duties.clone(),
             seed: storage_id,
         };
+        self.has_opened.set(true);
         self.former_tickets.set(self.last_ticket.get());
         let control = Control::new(settings, recovered, self.clock.now_ms());
         self.control.replace(Some(control));
@@ -372,6 +379,7 @@
         settings,
         peers,
         writes: RefCell::default(),
+        has_opened: Cell::new(false),
         former_tickets: Cell::new(0),
         last_ticket: Cell::new(0),
         known_replicas: RefCell::default(),
