Let changes that an entry cannot apply make no other list older

Cause, one of two: changes with another base were dropped, but moved the mark by which a later list counts as older, so that the right list was refused, often by 1 ms. Ruled out: the order of the replies; they arrive as sent. Change: the mark moves only if the entry then has the stated version. Test: changes_that_do_not_apply_make_no_list_older keeps the old list before.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -656,8 +656,9 @@
             log(effects, Importance::Step, text);
             return;
         }
-        self.listing_source = Some((from.clone(), read_ms));
-        self.apply_listing(now_ms, version, update, from, effects);
+        if self.apply_listing(now_ms, version, update, from, effects) {
+            self.listing_source = Some((from.clone(), read_ms));
+        }
     }
 
     /// Returns whether another replica than `from` has sent or confirmed a list that was read after `read_ms`.
@@ -666,7 +667,7 @@
         self.listing_source.as_ref().is_some_and(is_newer)
     }
 
-    /// Applies what this entry lacked of a version of the list of upstreams.
+    /// Applies what this entry lacked of a version of the list of upstreams. Returns whether the entry then has it.
     fn apply_listing(
         &mut self,
         now_ms: u64,
@@ -674,7 +675,7 @@
         update: ListingUpdate,
         from: &Name,
         effects: &mut Vec<EntryEffect>,
-    ) {
+    ) -> bool {
         match update {
             ListingUpdate::Complete(list) => {
                 self.leaving.on_listed(now_ms, &list.records);
@@ -685,7 +686,7 @@
                 }
             }
             // The changes do not apply to the list that this entry has, whose version the next message states.
-            ListingUpdate::Changes { base, .. } if base != self.listing => return,
+            ListingUpdate::Changes { base, .. } if base != self.listing => return false,
             ListingUpdate::Changes {
                 changed, removed, ..
             } => {
@@ -712,6 +713,7 @@
             self.listing
         );
         log(effects, Importance::StateChange, text);
+        self.listing == version
     }
 
     /// Adds an upstream, or updates the record of a known one.
--- a/crates/gateway/tests/subscription.rs
+++ b/crates/gateway/tests/subscription.rs
@@ -193,6 +193,28 @@
     assert_eq!(fixture.entry.listing(), new.listing);
 }
 
+/// Guards against a list that is refused as older than changes that the entry could not apply, so that the entry goes on sending
+/// requests to upstreams that have left the list.
+#[test]
+fn changes_that_do_not_apply_make_no_list_older() {
+    let mut fixture = Fixture::new(&three_zones(), &[]);
+    fixture.run(2_000);
+    fixture.reply("a1".into(), reply_with_list(&["i-1", "i-2"], 1_500));
+    let newest = reply_with_list(&["i-2"], 0);
+    let changes = WatchReply {
+        listing_update: Some(ListingUpdate::Changes {
+            base: reply_with_list(&["i-1", "i-2", "i-3"], 0).listing,
+            changed: Vec::new(),
+            removed: vec!["i-1".into(), "i-3".into()],
+        }),
+        ..newest.clone()
+    };
+    fixture.reply("b1".into(), changes);
+    let newer = reply_with_list(&["i-2"], 100);
+    fixture.reply("a1".into(), newer.clone());
+    assert_eq!(fixture.entry.listing(), newer.listing);
+}
+
 /// Guards against replicas that name replaced ones for ever.
 #[test]
 fn replaced_replicas_are_no_longer_named() {
