State the age that the content of a queued message has when it leaves

Ruled out: clocks that stop during a suspension; the queue uses the one that goes on. Change: the queue adds its waiting time, from 5 ms on, to each age that a message states: lists, documents, limits, speeds, loads, crashes and verdicts, in PeerMessage::add_age. Test: a_message_that_waited_states_the_age_of_its_content; without the addition the list would state 100 ms for 700.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -43,6 +43,57 @@
     WatchReply(WatchReply),
 }
 
+impl PeerMessage {
+    /// Returns whether the message states ages.
+    pub fn has_ages(&self) -> bool {
+        match self {
+            Self::Watch(_)
+            | Self::WatchReply(_)
+            | Self::Digest(_)
+            | Self::Report(_)
+            | Self::ReportReply(_) => true,
+            Self::Quorum { .. }
+            | Self::Propose(_)
+            | Self::ProposeReply { .. }
+            | Self::AskConfig { .. }
+            | Self::Config { .. } => false,
+        }
+    }
+
+    /// Adds the time for which the message has waited to be sent to all ages that it states, in milliseconds.
+    pub fn add_age(&mut self, waited_ms: u64) {
+        match self {
+            Self::Watch(watch) => {
+                let limits = watch.limits.iter_mut().map(|limit| &mut limit.age_ms);
+                limits.for_each(|age_ms| *age_ms += waited_ms);
+                add_age_of_speeds(&mut watch.speeds, waited_ms);
+                watch.quarantine.add_age(waited_ms);
+            }
+            Self::WatchReply(reply) => {
+                reply.listing_age_ms = reply.listing_age_ms.saturating_add(waited_ms);
+                reply.document_age_ms = reply.document_age_ms.map(|age_ms| age_ms + waited_ms);
+                add_age_of_speeds(&mut reply.speeds, waited_ms);
+                reply.quarantine.add_age(waited_ms);
+            }
+            Self::Digest(loads) => loads.iter_mut().for_each(|load| load.age_ms += waited_ms),
+            Self::Report(report) => report.quarantine.add_age(waited_ms),
+            Self::ReportReply(reply) => reply.quarantine.add_age(waited_ms),
+            Self::Quorum { .. }
+            | Self::Propose(_)
+            | Self::ProposeReply { .. }
+            | Self::AskConfig { .. }
+            | Self::Config { .. } => {}
+        }
+    }
+}
+
+fn add_age_of_speeds(speeds: &mut [SpeedReport], waited_ms: u64) {
+    let waited_ms = u16::try_from(waited_ms).unwrap_or(u16::MAX);
+    for speed in speeds {
+        speed.age_ms = speed.age_ms.saturating_add(waited_ms);
+    }
+}
+
 /// Subscription of an instance to a replica.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Watch {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 /// Monotonic clock of an instance. The reducer's deadlines are times on this clock.
@@ -32,6 +33,12 @@
     }
 }
 
+/// Returns the time since the start of the machine, in milliseconds. It counts the time for which the machine is suspended.
+pub fn boottime_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 /// Returns the wall-clock time, in milliseconds since the Unix epoch.
 pub fn unix_ms() -> u64 {
     SystemTime::now()
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -84,7 +84,7 @@
                 to,
                 address,
                 message,
-            } => peers.send(to, address, &message),
+            } => peers.send(to, address, message),
             Effect::Persist { ticket, write } => self.persist(ticket, write),
             Effect::SendOrder {
                 upstream,
--- a/crates/node/src/peer/outgoing.rs
+++ b/crates/node/src/peer/outgoing.rs
@@ -21,6 +21,7 @@
 
 use super::proof::{Handshake, Secret, Side, nonce};
 use super::reader_options;
+use crate::clock::boottime_ms;
 
 /// Largest number of messages that are queued for one peer. Beyond this number the oldest messages are dropped: the
 /// protocols tolerate the loss of any message, and newer messages carry more recent state.
@@ -33,6 +34,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for the answer to a message. After a timeout the connection is closed and opened again.
 const SEND_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in the queue from which on it is added to the ages that a message states, in milliseconds.
+const MIN_ADDED_AGE_MS: u64 = 5;
 /// Delay before reconnecting after the first failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
 /// Longest delay before reconnecting after consecutive failures. It limits how long messages to a peer that is
@@ -64,10 +67,33 @@
 
 #[derive(Debug, Default)]
 struct QueuedMessages {
-    messages: VecDeque<Bytes>,
+    messages: VecDeque<QueuedMessage>,
     bytes: usize,
 }
 
+#[derive(Debug)]
+struct QueuedMessage {
+    data: Bytes,
+    /// The message and the time at which it was queued, in milliseconds, if it states ages.
+    aged: Option<(PeerMessage, u64)>,
+}
+
+impl QueuedMessage {
+    /// Returns the encoded message, with the ages that its content has now.
+    fn into_data(self) -> Bytes {
+        let Some((mut message, queued_ms)) = self.aged else {
+            return self.data;
+        };
+        let waited_ms = boottime_ms().saturating_sub(queued_ms);
+        if waited_ms < MIN_ADDED_AGE_MS {
+            return self.data;
+        }
+        message.add_age(waited_ms);
+        // The message could be encoded when it was queued.
+        wire::encode_message(&message).unwrap_or(self.data)
+    }
+}
+
 impl PeerConnections {
     /// Creates an empty set of connections for instance `id`. [`Self::send`] opens connections.
     pub fn new(id: Name, secret: Secret) -> Self {
@@ -79,8 +105,8 @@
     }
 
     /// Queues a message. The message may be lost.
-    pub fn send(&mut self, to: Name, address: Name, message: &PeerMessage) {
-        let data = match wire::encode_message(message) {
+    pub fn send(&mut self, to: Name, address: Name, message: PeerMessage) {
+        let data = match wire::encode_message(&message) {
             Ok(data) => data,
             Err(error) => {
                 spdlog::error!("peer: dropped a message to {to} that cannot be encoded: {error}");
@@ -98,7 +124,8 @@
                 let task = tokio::task::spawn_local(sending);
                 PeerSender { queue, task }
             });
-        sender.queue.push(data);
+        let aged = message.has_ages().then(|| (message, boottime_ms()));
+        sender.queue.push(QueuedMessage { data, aged });
     }
 }
 
@@ -109,10 +136,10 @@
 }
 
 impl SendQueue {
-    fn push(&self, data: Bytes) {
+    fn push(&self, message: QueuedMessage) {
         let mut queued = self.queued.borrow_mut();
-        queued.bytes += data.len();
-        queued.messages.push_back(data);
+        queued.bytes += message.data.len();
+        queued.messages.push_back(message);
         while queued.messages.len() > MAX_QUEUED_MESSAGES || queued.bytes > MAX_QUEUED_BYTES {
             queued.drop_oldest();
         }
@@ -122,8 +149,9 @@
     /// Waits for a message, and removes and returns the oldest one.
     async fn pop(&self) -> Bytes {
         loop {
-            if let Some(data) = self.queued.borrow_mut().pop() {
-                return data;
+            let message = self.queued.borrow_mut().pop();
+            if let Some(message) = message {
+                return message.into_data();
             }
             self.message_added.notified().await;
         }
@@ -137,10 +165,10 @@
 }
 
 impl QueuedMessages {
-    fn pop(&mut self) -> Option<Bytes> {
-        let data = self.messages.pop_front()?;
-        self.bytes -= data.len();
-        Some(data)
+    fn pop(&mut self) -> Option<QueuedMessage> {
+        let message = self.messages.pop_front()?;
+        self.bytes -= message.data.len();
+        Some(message)
     }
 
     fn drop_oldest(&mut self) {
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -4,11 +4,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use conf::Name;
-use fleet::{InstanceInfo, PeerMessage};
+use fleet::{InstanceInfo, PeerMessage, WatchReply};
 use reducer::{Effect, Event};
 use support::{TestInstance, dispatcher};
 use tokio::io::AsyncReadExt;
@@ -63,6 +64,41 @@
     }
 }
 
+/// Guards against a list that counts as fresh because the message with it has waited for a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_that_waited_states_the_age_of_its_content() {
+    const WAIT: Duration = Duration::from_millis(600);
+    let north = start("north", "secret").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = Name::from(listener.local_addr().unwrap().to_string());
+    drop(listener);
+    let reply = WatchReply {
+        listing_age_ms: 100,
+        ..WatchReply::default()
+    };
+    north.inject(Effect::Send {
+        to: Name::new("south"),
+        address: address.clone(),
+        message: PeerMessage::WatchReply(reply),
+    });
+    tokio::time::sleep(WAIT).await;
+    let mut south = TestInstance::start_with(Vec::new(), dispatcher(Vec::new()), |settings| {
+        settings.instance.id = Name::new("south");
+        settings.instance.peer_address = address;
+        std::fs::write(settings.instance.peer_secret_file.as_str(), "secret").unwrap();
+    })
+    .await;
+    let (_, message) = next_message(&mut south).await;
+    let PeerMessage::WatchReply(reply) = message else {
+        panic!("{message:?}");
+    };
+    assert!(
+        reply.listing_age_ms >= 100 + 600,
+        "{}",
+        reply.listing_age_ms
+    );
+}
+
 fn rpc(stream: TcpStream, side: Side, bootstrap: Option<peer::Client>) -> RpcSystem<Side> {
     let (reader, writer) = stream.into_split();
     let (reader, writer) = (reader.compat(), writer.compat_write());
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -83,6 +83,23 @@
     pub verdicts: Vec<Verdict>,
 }
 
+impl Report {
+    /// Adds the time for which the report has waited to be sent, in milliseconds.
+    pub fn add_age(&mut self, waited_ms: u64) {
+        let crashes = self.crashes.iter_mut().map(|crash| &mut crash.age_ms);
+        let sound = self.sound.iter_mut().map(|sound| &mut sound.age_ms);
+        crashes.chain(sound).for_each(|age_ms| *age_ms += waited_ms);
+        add_age_of_verdicts(&mut self.verdicts, waited_ms);
+    }
+}
+
+fn add_age_of_verdicts(verdicts: &mut [Verdict], waited_ms: u64) {
+    for verdict in verdicts {
+        verdict.age_ms += waited_ms;
+        verdict.retry_in_ms = verdict.retry_in_ms.saturating_sub(waited_ms);
+    }
+}
+
 /// What a replica sends to an instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Update {
@@ -95,3 +112,10 @@
     /// Blocked parts that the receiver may try with one request each.
     pub trials: Vec<u64>,
 }
+
+impl Update {
+    /// Adds the time for which the update has waited to be sent, in milliseconds.
+    pub fn add_age(&mut self, waited_ms: u64) {
+        add_age_of_verdicts(&mut self.verdicts, waited_ms);
+    }
+}
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use node::clock::boottime_ms;
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
@@ -45,8 +46,3 @@
         Instant::now() + Duration::from_millis(remaining_ms)
     }
 }
-
-fn boottime_ms() -> u64 {
-    let time = clock_gettime(ClockId::Boottime);
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
-}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -122,7 +122,7 @@
                 to,
                 address,
                 message,
-            } => self.peers.send(to, address, &message),
+            } => self.peers.send(to, address, *message),
             ControlEffect::Answer { call, answer } => {
                 if let Some(sender) = self.calls.borrow_mut().remove(&call) {
                     // The send fails if the operator has disconnected, and then no answer is needed.
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -109,7 +109,7 @@
                 to,
                 address,
                 message,
-            } => self.peers.send(to, address, &message),
+            } => self.peers.send(to, address, *message),
             EntryEffect::FreeHandle { address, handle } => {
                 let Some(runtime) = self.weak_self.borrow().upgrade() else {
                     return;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -53,7 +53,7 @@
     }
 
     /// Queues a message to another instance. The message may be lost.
-    pub fn send(&self, to: Name, address: Name, message: &PeerMessage) {
+    pub fn send(&self, to: Name, address: Name, message: PeerMessage) {
         self.outgoing.borrow_mut().send(to, address, message);
     }
 }
