--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -72,6 +72,8 @@
     calls: RefCell<Map<u64, oneshot::Sender<Answer>>>,
     last_call_id: Cell<u64>,
     is_reading_list: Cell<bool>,
+    /// What cannot be read of the platform's list, as the fields of a log line.
+    unreadable: RefCell<Option<String>>,
     weak_self: RefCell<std::rc::Weak<ControlRuntime>>,
 }
 
@@ -158,12 +160,26 @@
             let read = listing::read(&runtime.pool, address, &runtime.dialect).await;
             runtime.is_reading_list.set(false);
             runtime.step(match read {
-                Ok(upstreams) => ControlEvent::Listed { upstreams },
+                Ok(list) => {
+                    runtime.log_unreadable(list.unreadable);
+                    ControlEvent::Listed {
+                        upstreams: list.upstreams,
+                    }
+                }
                 Err(reason) => ControlEvent::ListingFailed { reason },
             });
         });
     }
 
+    /// Writes a log line if other records of the list than before cannot be read.
+    fn log_unreadable(&self, unreadable: Option<String>) {
+        let previous = self.unreadable.replace(unreadable.clone());
+        if previous != unreadable {
+            let text = unreadable.unwrap_or_else(|| "list_entries=readable".to_owned());
+            logs::write(Importance::StateChange, "list", &text);
+        }
+    }
+
     fn send_order(&self, term: u64, order: RoleOrder, valid_until_ms: u64) {
         let Some(runtime) = self.weak_self.borrow().upgrade() else {
             return;
@@ -386,6 +402,7 @@
         calls: RefCell::default(),
         last_call_id: Cell::new(0),
         is_reading_list: Cell::new(false),
+        unreadable: RefCell::default(),
         weak_self: RefCell::default(),
     });
     runtime.weak_self.replace(Rc::downgrade(&runtime));
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -10,7 +10,6 @@
 use http_body_util::Full;
 
 use crate::dialect::Dialect;
-use crate::logs::{self, Importance};
 use crate::pool::Pool;
 
 /// Timeout of the call for one page.
@@ -21,6 +20,13 @@
 /// Longest part of a reason in the log, in characters.
 const MAX_REASON_CHARS: usize = 160;
 
+/// A list that has been read.
+pub struct ReadList {
+    pub upstreams: Vec<UpstreamRecord>,
+    /// What cannot be read of it, as the fields of a log line.
+    pub unreadable: Option<String>,
+}
+
 /// Reads all pages of the list.
 ///
 /// # Errors
@@ -29,7 +35,7 @@
     pool: &Pool,
     address: &Name,
     dialect: &Rc<dyn Dialect>,
-) -> Result<Vec<UpstreamRecord>, String> {
+) -> Result<ReadList, String> {
     let mut upstreams = Vec::new();
     let mut unreadable = Unreadable::default();
     let mut page_token: Option<String> = None;
@@ -57,23 +63,24 @@
 }
 
 impl Unreadable {
-    /// Writes one log line for all unreadable records.
+    /// Returns the list of the readable records.
     ///
     /// # Errors
-    /// Fails if there is no other record: an empty list would be taken for the loss of all upstreams.
-    fn check(self, upstreams: Vec<UpstreamRecord>) -> Result<Vec<UpstreamRecord>, String> {
-        let Some(first) = self.first else {
-            return Ok(upstreams);
-        };
-        let reason: String = first.chars().take(MAX_REASON_CHARS).collect();
+    /// Fails if there are only unreadable ones: an empty list would be taken for the loss of all upstreams.
+    fn check(self, upstreams: Vec<UpstreamRecord>) -> Result<ReadList, String> {
         let count = self.count;
-        let text =
-            format!("list_entries=unreadable count={count} reason={reason:?} outcome=skipped");
-        logs::write(Importance::StateChange, "list", &text);
-        match upstreams.is_empty() {
-            true => Err(format!("none of {count} records can be read")),
-            false => Ok(upstreams),
+        metrics::gauge!("mustardstack_list_unreadable").set(count as f64);
+        if upstreams.is_empty() && count > 0 {
+            return Err(format!("none of {count} records can be read"));
         }
+        let unreadable = self.first.map(|first| {
+            let reason: String = first.chars().take(MAX_REASON_CHARS).collect();
+            format!("list_entries=unreadable count={count} reason={reason:?} outcome=skipped")
+        });
+        Ok(ReadList {
+            upstreams,
+            unreadable,
+        })
     }
 }
 
