Log each refusal of serve with its reason and what the instance knew

Change: one line names the reason, the time since the arrival, the time left, the revision, the number of loads known and whether the configuration is current.

--- a/crates/reducer/src/arrival.rs
+++ b/crates/reducer/src/arrival.rs
@@ -5,10 +5,10 @@
 use fleet::ServiceDemand;
 
 use crate::crash;
-use crate::effect::{Effect, Refusal, Sample};
+use crate::effect::{Component, Effect, Level, Refusal, Sample};
 use crate::event::{Arrival, ExchangeId};
 use crate::exchange::{DEFAULT_OUTPUT_TOKENS, Exchange, ResolvedRequest};
-use crate::state::State;
+use crate::state::{State, log};
 
 /// Retry-after time sent to callers when there is no better estimate, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
@@ -62,6 +62,7 @@
 pub(crate) fn on_arrival(state: &mut State, arrival: Arrival, effects: &mut Vec<Effect>) {
     let exchange_id = arrival.exchange;
     if let Some(refusal) = instance_refusal(state) {
+        log_refusal(state, exchange_id, None, &refusal, effects);
         return effects.push(refuse(exchange_id, refusal));
     }
     let fallback_key = format!("entry:{}:{}:{exchange_id}", state.id(), state.incarnation);
@@ -72,10 +73,13 @@
     let resolved = Exchange::resolve(state.now_ms, &config, client_account, arrival, fallback_key);
     let mut exchange = match resolved {
         Ok(exchange) => exchange,
-        Err(refusal) => return effects.push(refuse(exchange_id, refusal)),
+        Err(refusal) => {
+            log_refusal(state, exchange_id, None, &refusal, effects);
+            return effects.push(refuse(exchange_id, refusal));
+        }
     };
     if let Some(refusal) = crash::admit(state, &mut exchange) {
-        record_refusal(&exchange, &refusal, effects);
+        record_refusal(state, &exchange, &refusal, effects);
         return effects.push(refuse(exchange_id, refusal));
     }
     let waiting = waiting_request(state, &exchange, false);
@@ -86,7 +90,7 @@
         Err(refusal) => {
             let refusal = caller_refusal(refusal);
             add_refused_demand(state, &exchange);
-            record_refusal(&exchange, &refusal, effects);
+            record_refusal(state, &exchange, &refusal, effects);
             effects.push(refuse(exchange_id, refusal));
         }
     }
@@ -157,8 +161,14 @@
     }
 }
 
-/// Records a refusal in the metrics.
-pub(crate) fn record_refusal(exchange: &Exchange, refusal: &Refusal, effects: &mut Vec<Effect>) {
+/// Records a refusal in the metrics and the log.
+pub(crate) fn record_refusal(
+    state: &State,
+    exchange: &Exchange,
+    refusal: &Refusal,
+    effects: &mut Vec<Effect>,
+) {
+    log_refusal(state, exchange.id, Some(exchange), refusal, effects);
     effects.push(Effect::Record(Sample::Refused {
         client_account: exchange.client_account.clone(),
         rank: exchange.rank_name.clone(),
@@ -166,6 +176,35 @@
     }));
 }
 
+/// Writes a log line with the reason of a refusal and what this instance knew.
+fn log_refusal(
+    state: &State,
+    id: ExchangeId,
+    exchange: Option<&Exchange>,
+    refusal: &Refusal,
+    effects: &mut Vec<Effect>,
+) {
+    let now_ms = state.now_ms;
+    let request = exchange.map_or(String::new(), |exchange| {
+        format!(
+            " service={} rank={} attempt={} elapsed_ms={} left_ms={}",
+            exchange.service,
+            exchange.rank_name,
+            exchange.attempt,
+            now_ms - exchange.arrived_ms,
+            exchange.deadline_ms.saturating_sub(now_ms)
+        )
+    });
+    let text = format!(
+        "exchange={id} outcome=refused reason={}{request} revision={} loads={} has_current_config={}",
+        refusal.reason(),
+        state.leader_client.revision(),
+        state.loads.len(),
+        state.leader_client.is_config_current(now_ms)
+    );
+    log(effects, Level::Info, Component::Admit, text);
+}
+
 /// Returns the effect that refuses a request.
 pub(crate) fn refuse(exchange: ExchangeId, refusal: Refusal) -> Effect {
     Effect::Refuse { exchange, refusal }
--- a/crates/reducer/src/attempt.rs
+++ b/crates/reducer/src/attempt.rs
@@ -271,7 +271,7 @@
     effects: &mut Vec<Effect>,
 ) {
     if let Some(open_exchange) = state.exchanges.remove(&exchange) {
-        record_refusal(&open_exchange, &refusal, effects);
+        record_refusal(state, &open_exchange, &refusal, effects);
         effects.push(refuse(exchange, refusal));
     }
 }
